--- /dev/null
+++ b/bronzeward/schema/Peer.capnp
@@ -0,0 +1,49 @@
+@0xb1c7a9e25d3f4a02;
+# Messages between router instances. Each call carries one message; replies
+# are messages of their own, matched by their numbers.
+
+using Cxx = import "/capnp/c++.capnp";
+using Ledger = import "Ledger.capnp";
+$Cxx.namespace("bronzeward::schema");
+
+struct PeerMessage {
+  sender @0 :Text;
+  union {
+    submit :group {
+      number @1 :UInt64;
+      slot @2 :UInt32;
+      operations @3 :List(Ledger.Operation);
+    }
+    results :group {
+      number @4 :UInt64;
+      committed @5 :Bool;
+      results @6 :List(Ledger.OperationResult);
+    }
+    recall :group {
+      workspace @7 :Text;
+      holder @8 :Ledger.Incarnation;
+    }
+    carry :group {
+      number @9 :UInt64;
+      bill @10 :Ledger.Bill;
+    }
+    carried @11 :UInt64;
+    forget :group {
+      numbers @12 :List(UInt64);
+    }
+    digest :group {
+      configuration @13 :UInt64;
+      draining @14 :Bool;
+      suspects @15 :List(Text);
+    }
+    configuration :group {
+      version @16 :UInt64;
+      text @17 :Text;
+    }
+    configurationWanted @18 :Void;
+  }
+}
+
+interface Peer {
+  deliver @0 (message :PeerMessage) -> ();
+}
--- /dev/null
+++ b/bronzeward/src/Budget/BillCarrier.cpp
@@ -0,0 +1,62 @@
+#include "bronzeward/src/Budget/BillCarrier.h"
+
+namespace bronzeward {
+
+/// Time that a bill's origin has to commit it itself.
+constexpr Duration OriginGrace = 5s;
+
+BillCarrier::BillCarrier(OperationRouter &Operations, PeerPort &Out,
+                         TimerQueue &Queue, const StoreClient &Client,
+                         const BudgetPolicy &Settings)
+    : Router(Operations), Peers(Out), Timers(Queue), Store(Client),
+      Policy(Settings) {}
+
+void BillCarrier::onCarry(const InstanceId &From, const CarryBill &Message,
+                          TimePoint Now) {
+  if (Bills.size() >= Policy.MaxPendingOperations)
+    return;
+  const CopyKey Key{From, Message.Number};
+  const bool Fresh = Bills.try_emplace(Key, Copy{Message.Settled}).second;
+  if (Fresh)
+    Timers.schedule(Now + OriginGrace,
+                    [this, Key](TimePoint At) { check(Key, At); });
+  Peers.send(From, BillCarried{Message.Number});
+}
+
+void BillCarrier::onForget(const InstanceId &From, const ForgetBills &Message) {
+  for (const std::uint64_t Number : Message.Numbers)
+    Bills.erase(CopyKey{From, Number});
+}
+
+void BillCarrier::check(const CopyKey &Key, TimePoint Now) {
+  if (!Bills.contains(Key))
+    return;
+  if (Store.failingSince()) {
+    Timers.schedule(Now + OriginGrace,
+                    [this, Key](TimePoint At) { check(Key, At); });
+    return;
+  }
+  commit(Key, Now);
+}
+
+void BillCarrier::commit(const CopyKey &Key, TimePoint Now) {
+  Copy &Item = Bills.at(Key);
+  if (Item.Submitted)
+    return;
+  Item.Submitted = true;
+  Router.submit(
+      slotOf(Item.Settled.Workspace, Policy.Slots),
+      CommitBill{Item.Settled, true}, Now,
+      [this, Key](const OperationResult &, TimePoint) { Bills.erase(Key); });
+}
+
+void BillCarrier::commitAll(TimePoint Now) {
+  std::vector<CopyKey> Keys;
+  for (const auto &Entry : Bills)
+    Keys.push_back(Entry.first);
+  for (const CopyKey &Key : Keys)
+    if (Bills.contains(Key))
+      commit(Key, Now);
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -0,0 +1,653 @@
+#include "bronzeward/src/Budget/BudgetAgent.h"
+
+#include <algorithm>
+
+namespace bronzeward {
+
+/// Time for recalled budget to come back before it is drawn again.
+constexpr Duration RecallWait = 60ms;
+/// Pause after a refused refill or a recall.
+constexpr Duration RefillPause = 1s;
+/// A grant is refilled when less than this part of its target is free.
+constexpr std::int64_t RefillDivisor = 4;
+/// Time for a carrier to confirm before further peers are asked.
+constexpr Duration CarrierTimeout = 300ms;
+/// A store that fails for less than this does not make an instance unready.
+constexpr Duration ShortOutage = 1s;
+/// A peer heard within this time counts as reachable.
+constexpr Duration PeerFreshness = 4s;
+
+BudgetAgent::BudgetAgent(Incarnation Life, FailureDomain Home,
+                         const BudgetPolicy &Settings, BudgetSurroundings Parts)
+    : Self(std::move(Life)), Domain(std::move(Home)), Policy(Settings),
+      Around(Parts),
+      Router(Self.Instance, {Parts.Store, Parts.Peers, Parts.Timers,
+                             Parts.Source, Members, Settings}),
+      Watch(Self.Instance, Router, Members, Settings),
+      Carrier(Router, Parts.Peers, Parts.Timers, Parts.Store, Settings) {}
+
+Incarnation BudgetAgent::holder(const Book &Budget) const {
+  return {Self.Instance, Self.Epoch + Budget.LostGrants};
+}
+
+SlotId BudgetAgent::slot(const WorkspaceId &Workspace) const {
+  return slotOf(Workspace, Policy.Slots);
+}
+
+// Reservations.
+
+ReserveOutcome BudgetAgent::reserve(const RequestId &Request,
+                                    const WorkspaceId &Workspace, Money Bound,
+                                    TimePoint Now) {
+  if (!serving(Now))
+    return ReserveOutcome::Unavailable;
+  Book &Budget = Books[Workspace];
+  Reservation Wanted{Workspace, Bound, Budget.LostGrants, false, {}};
+  if (Budget.Waiting.empty() && Budget.Grant.reserve(Bound)) {
+    Wanted.Granted = true;
+    Reservations.emplace(Request, std::move(Wanted));
+    refill(Workspace, Now);
+    return ReserveOutcome::Granted;
+  }
+  Reservations.emplace(Request, std::move(Wanted));
+  const TimerQueue::Handle Timeout = Around.Timers.schedule(
+      Now + Policy.BudgetWait, [this, Workspace, Request](TimePoint At) {
+        expireWaiting(Workspace, Request, At);
+      });
+  Budget.Waiting.push_back({Request, Bound, Timeout});
+  draw(Workspace, Now);
+  return ReserveOutcome::Waiting;
+}
+
+void BudgetAgent::abandon(const RequestId &Request, ClaimFate Fate,
+                          TimePoint Now) {
+  const auto Found = Reservations.find(Request);
+  if (Found == Reservations.end())
+    return;
+  const Reservation Item = std::move(Found->second);
+  Reservations.erase(Found);
+  if (Item.Opened && Fate == ClaimFate::Release)
+    releaseClaim(Item.Workspace, Item.Opened->Key, Request, Now);
+  Book &Budget = Books[Item.Workspace];
+  if (!Item.Granted) {
+    const auto Waiter = std::find_if(
+        Budget.Waiting.begin(), Budget.Waiting.end(),
+        [&](const WaitingReservation &W) { return W.Request == Request; });
+    if (Waiter != Budget.Waiting.end()) {
+      Around.Timers.cancel(Waiter->Timeout);
+      Budget.Waiting.erase(Waiter);
+    }
+    return;
+  }
+  if (Item.LostGrants == Budget.LostGrants)
+    Budget.Grant.release(Item.Bound);
+  serveWaiting(Item.Workspace, Now);
+  if (Draining)
+    giveBack(Item.Workspace, Now);
+}
+
+void BudgetAgent::draw(const WorkspaceId &Workspace, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  if (Budget.Grant.lifecycle().changing() || Budget.RedrawScheduled)
+    return;
+  Money Missing;
+  for (const WaitingReservation &Waiter : Budget.Waiting)
+    Missing += Waiter.Bound;
+  const Money Target = Budget.Grant.target(Policy, Now);
+  const Money Free = Budget.Grant.free();
+  Money Minimum(1);
+  if (!Budget.Waiting.empty())
+    Minimum = std::max(Minimum, Budget.Waiting.front().Bound - Free);
+  DrawGrant Change;
+  Change.Workspace = Workspace;
+  Change.Minimum = Minimum;
+  Change.Wanted = std::max(
+      {Minimum, Missing - Free, Target + Missing - Budget.Grant.held()});
+  Change.Share = static_cast<std::uint32_t>(
+      2 * std::max<std::size_t>(1, Members.members().size()));
+  Change.Holder = holder(Budget);
+  Budget.Grant.drawSent();
+  Change.Sequence = Budget.Grant.sequence();
+  const std::uint64_t Number = Router.submit(
+      slot(Workspace), Change, Now,
+      [this, Workspace](const OperationResult &Outcome, TimePoint At) {
+        onDrawn(Workspace, Outcome, At);
+      });
+  if (Number != 0)
+    return;
+  Budget.Grant.drawRefused();
+  refuseWaiting(Workspace, ReserveOutcome::Unavailable, Now);
+}
+
+void BudgetAgent::onDrawn(const WorkspaceId &Workspace,
+                          const OperationResult &Outcome, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  switch (Outcome.Status) {
+  case OperationStatus::Applied:
+  case OperationStatus::Repeated:
+    Budget.Grant.drawn(std::max(Money(), Outcome.Amount));
+    serveWaiting(Workspace, Now);
+    if (!Budget.Waiting.empty())
+      draw(Workspace, Now);
+    break;
+  case OperationStatus::Insufficient:
+    onInsufficient(Workspace, Outcome, Now);
+    break;
+  case OperationStatus::Fenced:
+    loseGrant(Workspace, Now);
+    draw(Workspace, Now);
+    return;
+  default:
+    Budget.Grant.drawRefused();
+    refuseWaiting(Workspace, ReserveOutcome::Exhausted, Now);
+    break;
+  }
+  if (Budget.ReturnWanted || Draining)
+    giveBack(Workspace, Now);
+}
+
+void BudgetAgent::onInsufficient(const WorkspaceId &Workspace,
+                                 const OperationResult &Outcome,
+                                 TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  Budget.Grant.drawRefused();
+  Budget.NextRefill = Now + RefillPause;
+  serveWaiting(Workspace, Now);
+  if (Budget.Waiting.empty())
+    return;
+  bool Recalled = false;
+  for (const Incarnation &Other : Outcome.Holders) {
+    if (Other.Instance == Self.Instance || !Members.lists(Other))
+      continue;
+    Around.Peers.send(Other.Instance, RecallGrant{Workspace, Other});
+    Recalled = true;
+  }
+  const bool OwnMayReturn = Budget.Grant.held() > Budget.Grant.free();
+  if (Recalled || OwnMayReturn) {
+    scheduleRedraw(Workspace, Now);
+    return;
+  }
+  // Nothing can come back: the first in line is refused at once.
+  const RequestId First = Budget.Waiting.front().Request;
+  expireWaiting(Workspace, First, Now);
+  if (!Books[Workspace].Waiting.empty())
+    draw(Workspace, Now);
+}
+
+void BudgetAgent::scheduleRedraw(const WorkspaceId &Workspace, TimePoint Now) {
+  Books[Workspace].RedrawScheduled = true;
+  Around.Timers.schedule(Now + RecallWait, [this, Workspace](TimePoint At) {
+    Book &Budget = Books[Workspace];
+    Budget.RedrawScheduled = false;
+    serveWaiting(Workspace, At);
+    if (!Budget.Waiting.empty())
+      draw(Workspace, At);
+  });
+}
+
+void BudgetAgent::serveWaiting(const WorkspaceId &Workspace, TimePoint Now) {
+  std::deque<WaitingReservation> &Waiting = Books[Workspace].Waiting;
+  while (!Waiting.empty()) {
+    const WaitingReservation First = Waiting.front();
+    if (!Books[Workspace].Grant.reserve(First.Bound))
+      return;
+    Waiting.pop_front();
+    Around.Timers.cancel(First.Timeout);
+    Reservation &Item = Reservations.at(First.Request);
+    Item.Granted = true;
+    Item.LostGrants = Books[Workspace].LostGrants;
+    Around.Listener.onReserved(First.Request, ReserveOutcome::Granted, Now);
+  }
+}
+
+void BudgetAgent::refuseWaiting(const WorkspaceId &Workspace,
+                                ReserveOutcome Outcome, TimePoint Now) {
+  std::deque<WaitingReservation> Refused;
+  Refused.swap(Books[Workspace].Waiting);
+  for (const WaitingReservation &Waiter : Refused) {
+    Around.Timers.cancel(Waiter.Timeout);
+    Reservations.erase(Waiter.Request);
+    Around.Listener.onReserved(Waiter.Request, Outcome, Now);
+  }
+}
+
+void BudgetAgent::expireWaiting(const WorkspaceId &Workspace,
+                                const RequestId &Request, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  const auto Waiter = std::find_if(
+      Budget.Waiting.begin(), Budget.Waiting.end(),
+      [&](const WaitingReservation &W) { return W.Request == Request; });
+  if (Waiter == Budget.Waiting.end())
+    return;
+  Around.Timers.cancel(Waiter->Timeout);
+  Budget.Waiting.erase(Waiter);
+  Reservations.erase(Request);
+  const ReserveOutcome Outcome = Around.Store.failingSince()
+                                     ? ReserveOutcome::Unavailable
+                                     : ReserveOutcome::Exhausted;
+  Around.Listener.onReserved(Request, Outcome, Now);
+  serveWaiting(Workspace, Now);
+}
+
+void BudgetAgent::refill(const WorkspaceId &Workspace, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  if (Draining || Now < Budget.NextRefill)
+    return;
+  const Money Target = Budget.Grant.target(Policy, Now);
+  if (Budget.Grant.free() < Money(Target.micros() / RefillDivisor))
+    draw(Workspace, Now);
+}
+
+void BudgetAgent::loseGrant(const WorkspaceId &Workspace, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  Budget.Grant.fenced();
+  ++Budget.LostGrants;
+  Budget.ReturnWanted = false;
+  serveWaiting(Workspace, Now);
+}
+
+void BudgetAgent::giveBack(const WorkspaceId &Workspace, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  if (Budget.Grant.lifecycle().changing()) {
+    Budget.ReturnWanted = true;
+    return;
+  }
+  Budget.ReturnWanted = false;
+  Budget.NextRefill = Now + RefillPause;
+  const Money Amount = Budget.Grant.free();
+  if (Amount.isZero() || !Budget.Waiting.empty() ||
+      Budget.Grant.lifecycle().state() != GrantState::Held)
+    return;
+  ReturnGrant Change;
+  Change.Workspace = Workspace;
+  Change.Holder = holder(Budget);
+  Change.Amount = Amount;
+  Budget.Grant.returnSent(Amount);
+  Change.Sequence = Budget.Grant.sequence();
+  const std::uint64_t Number = Router.submit(
+      slot(Workspace), Change, Now,
+      [this, Workspace](const OperationResult &Outcome, TimePoint At) {
+        onReturned(Workspace, Outcome, At);
+      });
+  if (Number == 0)
+    loseGrant(Workspace, Now);
+}
+
+void BudgetAgent::onReturned(const WorkspaceId &Workspace,
+                             const OperationResult &Outcome, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  const bool Known = Outcome.Status == OperationStatus::Applied ||
+                     Outcome.Status == OperationStatus::Repeated;
+  if (!Known)
+    loseGrant(Workspace, Now);
+  else if (Outcome.Amount > Money())
+    Budget.Grant.returnOvertaken(Outcome.Amount);
+  else
+    Budget.Grant.returned();
+  serveWaiting(Workspace, Now);
+  if (!Budget.Waiting.empty())
+    draw(Workspace, Now);
+  else if (Draining || Budget.ReturnWanted)
+    giveBack(Workspace, Now);
+}
+
+// Claims.
+
+void BudgetAgent::claim(const RequestId &Request, const Claim &Wanted,
+                        TimePoint Now) {
+  const auto Found = Reservations.find(Request);
+  if (Found == Reservations.end() || !Around.Store.available(Now)) {
+    Around.Listener.onClaimed(Request, ClaimOutcome::Unavailable, {}, Now);
+    return;
+  }
+  const WorkspaceId Workspace = Found->second.Workspace;
+  Claim Opened = Wanted;
+  Opened.Request = Request;
+  Opened.Holder = holder(Books[Workspace]);
+  PendingClaim Item{Workspace, Opened.Key, 0, std::nullopt};
+  Item.Timeout = Around.Timers.schedule(
+      Now + Policy.ClaimWait,
+      [this, Request](TimePoint At) { expireClaim(Request, At); });
+  Found->second.Opened = Opened;
+  Claims.emplace(Request, std::move(Item));
+  const std::uint64_t Number = Router.submit(
+      slot(Workspace), OpenClaim{Workspace, Opened}, Now,
+      [this, Request](const OperationResult &Outcome, TimePoint At) {
+        onClaimResult(Request, Outcome, At);
+      });
+  const auto Pending = Claims.find(Request);
+  if (Pending == Claims.end())
+    return;
+  Pending->second.Operation = Number;
+  if (Number == 0)
+    expireClaim(Request, Now);
+}
+
+void BudgetAgent::onClaimResult(const RequestId &Request,
+                                const OperationResult &Outcome, TimePoint Now) {
+  const auto Found = Claims.find(Request);
+  if (Found == Claims.end())
+    return;
+  const PendingClaim Item = std::move(Found->second);
+  Claims.erase(Found);
+  const bool Opened = Outcome.Status == OperationStatus::Applied ||
+                      Outcome.Status == OperationStatus::Repeated;
+  const bool GivenUp = !Item.Timeout || !Reservations.contains(Request);
+  if (Item.Timeout)
+    Around.Timers.cancel(*Item.Timeout);
+  if (GivenUp) {
+    if (Opened)
+      releaseClaim(Item.Workspace, Item.Key, Request, Now);
+    return;
+  }
+  ClaimOutcome Answer = ClaimOutcome::Unavailable;
+  if (Opened)
+    Answer = ClaimOutcome::Opened;
+  else if (Outcome.Status == OperationStatus::ClaimHeld)
+    Answer = ClaimOutcome::Held;
+  else if (Outcome.Status == OperationStatus::ClaimFinished)
+    Answer = ClaimOutcome::Finished;
+  else if (Outcome.Status == OperationStatus::KeyReused)
+    Answer = ClaimOutcome::KeyReused;
+  if (!Opened)
+    Reservations.at(Request).Opened.reset();
+  Around.Listener.onClaimed(Request, Answer, Outcome.Answer, Now);
+}
+
+void BudgetAgent::expireClaim(const RequestId &Request, TimePoint Now) {
+  const auto Found = Claims.find(Request);
+  if (Found == Claims.end())
+    return;
+  if (Found->second.Timeout)
+    Around.Timers.cancel(*Found->second.Timeout);
+  Found->second.Timeout.reset();
+  const std::uint64_t Number = Found->second.Operation;
+  if (Number == 0 || Router.withdraw(Number))
+    Claims.erase(Found);
+  const auto Held = Reservations.find(Request);
+  if (Held != Reservations.end())
+    Held->second.Opened.reset();
+  Around.Listener.onClaimed(Request, ClaimOutcome::Unavailable, {}, Now);
+}
+
+void BudgetAgent::releaseClaim(const WorkspaceId &Workspace,
+                               const IdempotencyKey &Key,
+                               const RequestId &Request, TimePoint Now) {
+  Router.submit(slot(Workspace), ReleaseClaim{Workspace, Key, Request}, Now,
+                [](const OperationResult &, TimePoint) {});
+}
+
+// Bills.
+
+void BudgetAgent::settle(const RequestId &Request, Bill Settled,
+                         TimePoint Now) {
+  const auto Found = Reservations.find(Request);
+  if (Found == Reservations.end()) {
+    Around.Listener.onSettled(Request, {}, Now);
+    return;
+  }
+  const Reservation Item = std::move(Found->second);
+  Reservations.erase(Found);
+  Book &Budget = Books[Item.Workspace];
+  Settled.Cost = std::min(Settled.Cost, Item.Bound);
+  Settled.Holder = {Self.Instance, Self.Epoch + Item.LostGrants};
+  if (Item.LostGrants == Budget.LostGrants)
+    Budget.Grant.settle(Item.Bound, Settled.Cost, Now);
+
+  const std::uint64_t Number = ++LastBill;
+  PendingBill Waiting;
+  Waiting.Request = Request;
+  Waiting.Settled = std::move(Settled);
+  Waiting.LostGrants = Item.LostGrants;
+  Waiting.Hold = Around.Timers.schedule(
+      Now + Policy.AnswerHold,
+      [this, Number](TimePoint At) { expireHold(Number, At); });
+  Waiting.Carry = Around.Timers.schedule(
+      Now + Policy.CarryAfter,
+      [this, Number](TimePoint At) { carryBill(Number, At); });
+  Bills.emplace(Number, std::move(Waiting));
+  submitBill(Number, Now);
+  serveWaiting(Item.Workspace, Now);
+  refill(Item.Workspace, Now);
+}
+
+void BudgetAgent::submitBill(std::uint64_t Number, TimePoint Now) {
+  const PendingBill &Item = Bills.at(Number);
+  const std::uint64_t Submitted = Router.submit(
+      slot(Item.Settled.Workspace), CommitBill{Item.Settled, Item.Released},
+      Now, [this, Number](const OperationResult &Outcome, TimePoint At) {
+        onBillResult(Number, Outcome, At);
+      });
+  const auto Found = Bills.find(Number);
+  if (Found == Bills.end())
+    return;
+  Found->second.Operation = Submitted;
+  if (Submitted == 0)
+    expireHold(Number, Now);
+}
+
+void BudgetAgent::onBillResult(std::uint64_t Number,
+                               const OperationResult &Outcome, TimePoint Now) {
+  const auto Found = Bills.find(Number);
+  if (Found == Bills.end())
+    return;
+  PendingBill &Item = Found->second;
+  if (Outcome.Status == OperationStatus::Fenced && Item.Released) {
+    // Sent before the answer went out; the write-off needs the flag.
+    submitBill(Number, Now);
+    return;
+  }
+  Settlement Done;
+  Done.Order = Outcome.Order;
+  Done.Cost = Outcome.Amount;
+  bool Charged = false;
+  switch (Outcome.Status) {
+  case OperationStatus::Applied:
+  case OperationStatus::Repeated:
+    Done.Outcome = SettleOutcome::Committed;
+    Charged = true;
+    break;
+  case OperationStatus::BilledBefore:
+    Done.Outcome = SettleOutcome::BilledBefore;
+    break;
+  case OperationStatus::KeyReused:
+    Done.Outcome = SettleOutcome::KeyReused;
+    break;
+  default:
+    Done.Outcome = SettleOutcome::Fenced;
+    break;
+  }
+  noteCharge(Item, Charged, Now);
+  answerSettled(Item, Done, Now);
+  forgetBill(Number, Now);
+}
+
+void BudgetAgent::noteCharge(const PendingBill &Item, bool Charged,
+                             TimePoint Now) {
+  const WorkspaceId Workspace = Item.Settled.Workspace;
+  Book &Budget = Books[Workspace];
+  if (Item.LostGrants != Budget.LostGrants)
+    return;
+  if (Charged)
+    Budget.Grant.charged(Item.Settled.Cost);
+  else
+    Budget.Grant.uncharged(Item.Settled.Cost);
+  serveWaiting(Workspace, Now);
+  if (Draining)
+    giveBack(Workspace, Now);
+}
+
+void BudgetAgent::answerSettled(PendingBill &Item, const Settlement &Done,
+                                TimePoint Now) {
+  if (Item.Answered)
+    return;
+  Item.Answered = true;
+  Around.Listener.onSettled(Item.Request, Done, Now);
+}
+
+void BudgetAgent::forgetBill(std::uint64_t Number, TimePoint) {
+  const auto Found = Bills.find(Number);
+  if (Found == Bills.end())
+    return;
+  PendingBill &Item = Found->second;
+  if (Item.Hold)
+    Around.Timers.cancel(*Item.Hold);
+  if (Item.Carry)
+    Around.Timers.cancel(*Item.Carry);
+  for (const InstanceId &Peer : Item.Asked)
+    Around.Peers.send(Peer, ForgetBills{{Number}});
+  Bills.erase(Found);
+}
+
+void BudgetAgent::expireHold(std::uint64_t Number, TimePoint Now) {
+  const auto Found = Bills.find(Number);
+  if (Found == Bills.end() || Found->second.Answered)
+    return;
+  PendingBill &Item = Found->second;
+  answerSettled(Item, {}, Now);
+  // A recorded answer is worth keeping: its request can not run again.
+  const bool Dropped = !Item.Settled.Answer && Item.Asked.empty() &&
+                       (Item.Operation == 0 || Router.withdraw(Item.Operation));
+  if (!Dropped)
+    return;
+  noteCharge(Item, false, Now);
+  forgetBill(Number, Now);
+}
+
+std::vector<InstanceId>
+BudgetAgent::carrierCandidates(const PendingBill &Item) {
+  std::vector<const Member *> Others;
+  for (const Member &Peer : Members.members())
+    if (!Peer.Leaving && Peer.Domain != Domain &&
+        !Item.Asked.contains(Peer.Life.Instance))
+      Others.push_back(&Peer);
+  for (std::size_t Index = Others.size(); Index > 1; --Index)
+    std::swap(Others[Index - 1], Others[Around.Source.below(Index)]);
+  // One of each failure domain first.
+  std::vector<InstanceId> Chosen;
+  std::set<FailureDomain> Seen;
+  std::vector<InstanceId> Rest;
+  for (const Member *Peer : Others) {
+    const bool Fresh = Seen.insert(Peer->Domain).second;
+    (Fresh ? Chosen : Rest).push_back(Peer->Life.Instance);
+  }
+  Chosen.insert(Chosen.end(), Rest.begin(), Rest.end());
+  return Chosen;
+}
+
+void BudgetAgent::carryBill(std::uint64_t Number, TimePoint Now) {
+  const auto Found = Bills.find(Number);
+  if (Found == Bills.end() || Found->second.Answered)
+    return;
+  PendingBill &Item = Found->second;
+  const std::size_t Missing = Policy.Carriers - Item.Carriers.size();
+  std::vector<InstanceId> Candidates = carrierCandidates(Item);
+  Candidates.resize(std::min(Candidates.size(), Missing));
+  Item.Carry = Around.Timers.schedule(
+      Now + CarrierTimeout,
+      [this, Number](TimePoint At) { carryBill(Number, At); });
+  for (const InstanceId &Peer : Candidates) {
+    Item.Asked.insert(Peer);
+    Around.Peers.send(Peer, CarryBill{Number, Item.Settled});
+  }
+}
+
+void BudgetAgent::onCarried(const InstanceId &From, const BillCarried &Message,
+                            TimePoint Now) {
+  const auto Found = Bills.find(Message.Number);
+  if (Found == Bills.end()) {
+    Around.Peers.send(From, ForgetBills{{Message.Number}});
+    return;
+  }
+  PendingBill &Item = Found->second;
+  Item.Carriers.insert(From);
+  if (Item.Carriers.size() < Policy.Carriers || Item.Answered)
+    return;
+  Item.Released = true;
+  Router.markAnswerReleased(Item.Operation);
+  Settlement Done;
+  Done.Outcome = SettleOutcome::Carried;
+  Done.Cost = Item.Settled.Cost;
+  answerSettled(Item, Done, Now);
+}
+
+// Peers, membership and stopping.
+
+void BudgetAgent::onPeerMessage(const InstanceId &From,
+                                const PeerMessage &Message, TimePoint Now) {
+  LastHeard[From] = Now;
+  if (const auto *Submit = std::get_if<SubmitOperations>(&Message)) {
+    Router.onSubmit(From, *Submit, Now);
+  } else if (const auto *Results = std::get_if<OperationResults>(&Message)) {
+    Router.onResults(From, *Results, Now);
+  } else if (const auto *Recall = std::get_if<RecallGrant>(&Message)) {
+    const auto Found = Books.find(Recall->Workspace);
+    if (Found != Books.end() && holder(Found->second) == Recall->Holder)
+      giveBack(Recall->Workspace, Now);
+  } else if (const auto *Carry = std::get_if<CarryBill>(&Message)) {
+    Carrier.onCarry(From, *Carry, Now);
+  } else if (const auto *Carried = std::get_if<BillCarried>(&Message)) {
+    onCarried(From, *Carried, Now);
+  } else if (const auto *Forget = std::get_if<ForgetBills>(&Message)) {
+    Carrier.onForget(From, *Forget);
+  }
+}
+
+void BudgetAgent::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
+  LastHeard.erase(Peer);
+  Router.onPeerUnreachable(Peer, Now);
+}
+
+void BudgetAgent::onMembers(std::vector<Member> Listed, TimePoint Now) {
+  Members.update(std::move(Listed));
+  Watch.onListed(Now);
+}
+
+void BudgetAgent::drain(TimePoint Now) {
+  Draining = true;
+  std::vector<WorkspaceId> Workspaces;
+  for (const auto &Entry : Books)
+    Workspaces.push_back(Entry.first);
+  for (const WorkspaceId &Workspace : Workspaces)
+    giveBack(Workspace, Now);
+  Carrier.commitAll(Now);
+}
+
+bool BudgetAgent::drained() const {
+  return Draining && Bills.empty() && Router.pending() == 0 &&
+         Carrier.carried() == 0 && held().isZero();
+}
+
+bool BudgetAgent::serving(TimePoint Now) const {
+  if (Draining)
+    return false;
+  const std::optional<TimePoint> Failing = Around.Store.failingSince();
+  if (!Failing || Now < *Failing + ShortOutage)
+    return true;
+  return Now < *Failing + Policy.OfflineService &&
+         reachableCarriers(Now) >= Policy.Carriers;
+}
+
+std::size_t BudgetAgent::reachableCarriers(TimePoint Now) const {
+  std::size_t Count = 0;
+  for (const Member &Peer : Members.members()) {
+    const auto Heard = LastHeard.find(Peer.Life.Instance);
+    if (Peer.Domain != Domain && !Peer.Leaving && Heard != LastHeard.end() &&
+        Now < Heard->second + PeerFreshness)
+      ++Count;
+  }
+  return Count;
+}
+
+std::size_t BudgetAgent::pendingOperations() const { return Router.pending(); }
+
+std::size_t BudgetAgent::carriedBills() const { return Carrier.carried(); }
+
+Money BudgetAgent::held() const {
+  Money Sum;
+  for (const auto &Entry : Books)
+    Sum += Entry.second.Grant.held();
+  return Sum;
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "bronzeward/src/Budget/BillCarrier.h"
+#include "bronzeward/src/Budget/GrantBook.h"
+#include "bronzeward/src/Budget/HolderWatch.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace bronzeward {
+
+/// \addtogroup Budget
+/// @{
+
+/// \brief What became of a request for budget.
+enum class ReserveOutcome {
+  Granted,
+  /// The answer follows through \ref BudgetListener.
+  Waiting,
+  /// The budget is spent or set aside for running requests.
+  Exhausted,
+  /// The store has been away for longer than the policy serves without it.
+  Unavailable,
+};
+
+/// \brief What became of a claim.
+enum class ClaimOutcome {
+  Opened,
+  /// Another request has the claim; whether it ran is not known here.
+  Held,
+  /// The claimed request finished before; its answer is attached if kept.
+  Finished,
+  KeyReused,
+  /// Not durable in time; the request has not run.
+  Unavailable,
+};
+
+/// \brief What becomes of the claim of an abandoned request.
+enum class ClaimFate {
+  /// No byte was sent: another request may have the key.
+  Release,
+  /// The request may have run: the key stays taken.
+  Keep,
+};
+
+/// \brief What became of a bill.
+enum class SettleOutcome {
+  /// Durable in the ledger.
+  Committed,
+  /// Held by enough peers, each of which will commit it.
+  Carried,
+  /// The key was billed before; this request costs nothing.
+  BilledBefore,
+  KeyReused,
+  /// The grant is gone and the budget does not cover the bill.
+  Fenced,
+  /// Not known within the policy's time.
+  Undecided,
+};
+
+/// \brief A settled request.
+struct Settlement {
+  SettleOutcome Outcome = SettleOutcome::Undecided;
+  Money Cost;
+  std::uint64_t Order = 0;
+};
+
+/// \brief Receives answers of the \ref BudgetAgent.
+class BudgetListener {
+public:
+  virtual ~BudgetListener() = default;
+  virtual void onReserved(const RequestId &Request, ReserveOutcome Outcome,
+                          TimePoint Now) = 0;
+  virtual void onClaimed(const RequestId &Request, ClaimOutcome Outcome,
+                         const std::optional<RecordedAnswer> &Answer,
+                         TimePoint Now) = 0;
+  virtual void onSettled(const RequestId &Request, const Settlement &Done,
+                         TimePoint Now) = 0;
+};
+
+/// \brief Interfaces through which a \ref BudgetAgent reaches the outside.
+struct BudgetSurroundings {
+  StoreClient &Store;
+  PeerPort &Peers;
+  TimerQueue &Timers;
+  Random &Source;
+  BudgetListener &Listener;
+};
+
+/// \brief One instance's access to every workspace's prepaid budget.
+///
+/// A request reserves the most it can cost, claims its key where it may not be
+/// repeated, and settles what it did cost. docs/BUDGETS.md gives the protocol
+/// and the argument for each promise.
+class BudgetAgent {
+public:
+  /// \param Life this instance and its registration number, shifted by
+  /// \ref RegistrationShift.
+  BudgetAgent(Incarnation Life, FailureDomain Home,
+              const BudgetPolicy &Settings, BudgetSurroundings Parts);
+  BudgetAgent(const BudgetAgent &) = delete;
+  BudgetAgent &operator=(const BudgetAgent &) = delete;
+
+  /// \brief Sets Bound aside for a request.
+  ReserveOutcome reserve(const RequestId &Request, const WorkspaceId &Workspace,
+                         Money Bound, TimePoint Now);
+  /// \brief Gives up a reservation, granted or waiting.
+  /// \param Fate what becomes of the request's claim, if it has one.
+  void abandon(const RequestId &Request, ClaimFate Fate, TimePoint Now);
+  /// \brief Makes the right to run a request durable.
+  void claim(const RequestId &Request, const Claim &Wanted, TimePoint Now);
+  /// \brief Bills a request and ends its reservation.
+  /// \param Settled bill without holder, order and write-off; its cost is
+  /// lowered to the reservation where it exceeds it.
+  void settle(const RequestId &Request, Bill Settled, TimePoint Now);
+
+  void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
+                     TimePoint Now);
+  void onPeerUnreachable(const InstanceId &Peer, TimePoint Now);
+  /// \brief Takes in a fresh list of live instances.
+  void onMembers(std::vector<Member> Listed, TimePoint Now);
+  /// \brief Returns every grant and commits carried bills before a stop.
+  void drain(TimePoint Now);
+
+  /// \returns whether nothing of this instance's is left undone.
+  [[nodiscard]] bool drained() const;
+  /// \returns whether new requests may be taken.
+  [[nodiscard]] bool serving(TimePoint Now) const;
+  [[nodiscard]] const Membership &membership() const { return Members; }
+  [[nodiscard]] std::size_t pendingOperations() const;
+  [[nodiscard]] std::size_t carriedBills() const;
+  /// \returns the sum of grants held here, over all workspaces.
+  [[nodiscard]] Money held() const;
+
+private:
+  struct WaitingReservation {
+    RequestId Request;
+    Money Bound;
+    TimerQueue::Handle Timeout;
+  };
+  struct Book {
+    GrantBook Grant;
+    std::uint64_t LostGrants = 0;
+    std::deque<WaitingReservation> Waiting;
+    bool RedrawScheduled = false;
+    TimePoint NextRefill;
+    bool ReturnWanted = false;
+  };
+  struct Reservation {
+    WorkspaceId Workspace;
+    Money Bound;
+    std::uint64_t LostGrants = 0;
+    bool Granted = false;
+    std::optional<Claim> Opened;
+  };
+  struct PendingClaim {
+    WorkspaceId Workspace;
+    IdempotencyKey Key;
+    std::uint64_t Operation = 0;
+    std::optional<TimerQueue::Handle> Timeout;
+  };
+  struct PendingBill {
+    RequestId Request;
+    Bill Settled;
+    std::uint64_t LostGrants = 0;
+    std::uint64_t Operation = 0;
+    std::optional<TimerQueue::Handle> Hold;
+    std::optional<TimerQueue::Handle> Carry;
+    std::set<InstanceId> Asked;
+    std::set<InstanceId> Carriers;
+    /// Whether the listener has its answer.
+    bool Answered = false;
+    bool Released = false;
+  };
+
+  [[nodiscard]] Incarnation holder(const Book &Budget) const;
+  [[nodiscard]] SlotId slot(const WorkspaceId &Workspace) const;
+
+  void draw(const WorkspaceId &Workspace, TimePoint Now);
+  void onDrawn(const WorkspaceId &Workspace, const OperationResult &Outcome,
+               TimePoint Now);
+  void onInsufficient(const WorkspaceId &Workspace,
+                      const OperationResult &Outcome, TimePoint Now);
+  void scheduleRedraw(const WorkspaceId &Workspace, TimePoint Now);
+  void serveWaiting(const WorkspaceId &Workspace, TimePoint Now);
+  void refuseWaiting(const WorkspaceId &Workspace, ReserveOutcome Outcome,
+                     TimePoint Now);
+  void expireWaiting(const WorkspaceId &Workspace, const RequestId &Request,
+                     TimePoint Now);
+  void refill(const WorkspaceId &Workspace, TimePoint Now);
+  void loseGrant(const WorkspaceId &Workspace, TimePoint Now);
+  void giveBack(const WorkspaceId &Workspace, TimePoint Now);
+  void onReturned(const WorkspaceId &Workspace, const OperationResult &Outcome,
+                  TimePoint Now);
+
+  void onClaimResult(const RequestId &Request, const OperationResult &Outcome,
+                     TimePoint Now);
+  void expireClaim(const RequestId &Request, TimePoint Now);
+  void releaseClaim(const WorkspaceId &Workspace, const IdempotencyKey &Key,
+                    const RequestId &Request, TimePoint Now);
+
+  void submitBill(std::uint64_t Number, TimePoint Now);
+  void onBillResult(std::uint64_t Number, const OperationResult &Outcome,
+                    TimePoint Now);
+  void expireHold(std::uint64_t Number, TimePoint Now);
+  void carryBill(std::uint64_t Number, TimePoint Now);
+  void onCarried(const InstanceId &From, const BillCarried &Message,
+                 TimePoint Now);
+  void answerSettled(PendingBill &Item, const Settlement &Done, TimePoint Now);
+  void forgetBill(std::uint64_t Number, TimePoint Now);
+  void noteCharge(const PendingBill &Item, bool Charged, TimePoint Now);
+
+  [[nodiscard]] std::vector<InstanceId>
+  carrierCandidates(const PendingBill &Item);
+  [[nodiscard]] std::size_t reachableCarriers(TimePoint Now) const;
+
+  Incarnation Self;
+  FailureDomain Domain;
+  const BudgetPolicy &Policy;
+  BudgetSurroundings Around;
+  Membership Members;
+  OperationRouter Router;
+  HolderWatch Watch;
+  BillCarrier Carrier;
+  std::map<WorkspaceId, Book> Books;
+  std::map<RequestId, Reservation> Reservations;
+  std::map<RequestId, PendingClaim> Claims;
+  std::map<std::uint64_t, PendingBill> Bills;
+  std::map<InstanceId, TimePoint> LastHeard;
+  std::uint64_t LastBill = 0;
+  bool Draining = false;
+};
+
+/// @}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "bronzeward/Base"
+#include "bronzeward/src/Budget/GrantLifecycle.h"
+#include "bronzeward/src/Config/BudgetPolicy.h"
+
+#include <cstdint>
+
+namespace bronzeward {
+
+/// \ingroup Budget
+/// \brief This instance's view of its grant from one workspace.
+///
+/// Held is never above the record's remaining amount, so what is reserved here
+/// can always be billed while the grant stands.
+class GrantBook {
+public:
+  /// \brief Sets Bound aside where that much is free.
+  [[nodiscard]] bool reserve(Money Bound);
+  /// \brief Gives a reservation back unspent.
+  void release(Money Bound);
+  /// \brief Turns a reservation into an amount that waits for its bill.
+  void settle(Money Bound, Money Cost, TimePoint Now);
+  /// \brief Ends the wait for a bill that was charged to the grant.
+  void charged(Money Cost);
+  /// \brief Ends the wait for a bill that was not charged to the grant.
+  void uncharged(Money Cost);
+
+  void drawSent();
+  void drawn(Money Amount);
+  void drawRefused();
+  void returnSent(Money Amount);
+  void returned();
+  /// \brief Learns that a return's number was used by an earlier draw, which
+  /// had seemed refused; the return had no effect.
+  void returnOvertaken(Money Amount);
+  /// \brief Forgets the grant after the ledger took it back.
+  void fenced();
+
+  [[nodiscard]] Money held() const { return Held; }
+  /// \returns what can be reserved now.
+  [[nodiscard]] Money free() const;
+  /// \returns the amount to hold for the policy's horizon.
+  [[nodiscard]] Money target(const BudgetPolicy &Policy, TimePoint Now) const;
+  /// \returns the number of the change under way.
+  [[nodiscard]] std::uint64_t sequence() const { return Sequence; }
+  [[nodiscard]] const GrantLifecycle &lifecycle() const { return Lifecycle; }
+
+private:
+  [[nodiscard]] double rate(TimePoint Now) const;
+
+  GrantLifecycle Lifecycle;
+  Money Held;
+  Money Reserved;
+  Money Unbilled;
+  Money ReturnUnderWay;
+  Money PeakReserved;
+  std::uint64_t Sequence = 0;
+  /// Spending in micro-units a second, decayed to LastSpend.
+  double SpendRate = 0.0;
+  TimePoint LastSpend;
+};
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/HolderWatch.cpp
@@ -0,0 +1,52 @@
+#include "bronzeward/src/Budget/HolderWatch.h"
+
+#include <set>
+
+namespace bronzeward {
+
+/// A longer gap between two lists starts every count anew.
+constexpr Duration MaxListGap = 15s;
+
+HolderWatch::HolderWatch(InstanceId Name, OperationRouter &Operations,
+                         const Membership &Listed, const BudgetPolicy &Settings)
+    : Self(std::move(Name)), Router(Operations), Members(Listed),
+      Policy(Settings) {}
+
+void HolderWatch::onListed(TimePoint Now) {
+  if (Now > LastListed + MaxListGap)
+    MissingSince.clear();
+  LastListed = Now;
+  std::erase_if(MissingSince, [this](const auto &Entry) {
+    return Members.lists(Entry.first);
+  });
+  for (std::uint32_t Index = 0; Index < Policy.Slots; ++Index)
+    if (Members.committerOf(SlotId{Index}, Self) == Self)
+      check(SlotId{Index}, Now);
+}
+
+void HolderWatch::check(SlotId Slot, TimePoint Now) {
+  const SlotRecord *Record = Router.committer(Slot).record();
+  if (Record == nullptr) {
+    // Changes nothing, but makes the committer read the record.
+    Router.submit(Slot, ReclaimGrants{Incarnation{}}, Now,
+                  [](const OperationResult &, TimePoint) {});
+    return;
+  }
+  std::set<Incarnation> Gone;
+  for (const Account &Budget : Record->Accounts)
+    for (const GrantLine &Line : Budget.Grants)
+      if (missingLongEnough(Line.Holder, Now))
+        Gone.insert(Line.Holder);
+  for (const Incarnation &Holder : Gone)
+    Router.submit(Slot, ReclaimGrants{Holder}, Now,
+                  [](const OperationResult &, TimePoint) {});
+}
+
+bool HolderWatch::missingLongEnough(const Incarnation &Holder, TimePoint Now) {
+  if (Members.lists(Holder))
+    return false;
+  const TimePoint Since = MissingSince.try_emplace(Holder, Now).first->second;
+  return Now >= Since + Policy.ReclaimAfter;
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "bronzeward/Ledger"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace bronzeward {
+
+/// \addtogroup Budget
+/// @{
+
+/// \brief Asks a slot's committer to commit operations.
+struct SubmitOperations {
+  std::uint64_t Number = 0;
+  SlotId Slot;
+  std::vector<Operation> Operations;
+};
+
+/// \brief Answers \ref SubmitOperations.
+struct OperationResults {
+  std::uint64_t Number = 0;
+  /// False where the committer could not reach the store; nothing is known.
+  bool Committed = false;
+  std::vector<OperationResult> Results;
+};
+
+/// \brief Asks a holder to return what it does not need.
+struct RecallGrant {
+  WorkspaceId Workspace;
+  Incarnation Holder;
+};
+
+/// \brief Asks a peer to commit a bill should its origin not.
+struct CarryBill {
+  std::uint64_t Number = 0;
+  Bill Settled;
+};
+
+/// \brief Confirms \ref CarryBill.
+struct BillCarried {
+  std::uint64_t Number = 0;
+};
+
+/// \brief Tells a carrier which bills are durable.
+struct ForgetBills {
+  std::vector<std::uint64_t> Numbers;
+};
+
+/// \brief What peers tell each other at every period.
+struct PeerDigest {
+  ConfigurationVersion Configuration;
+  bool Draining = false;
+  /// Content fingerprints under quarantine.
+  std::vector<ContentFingerprint> Suspects;
+};
+
+/// \brief An accepted configuration, for a peer whose version is older.
+struct ConfigurationText {
+  ConfigurationVersion Version;
+  std::string Text;
+};
+
+/// \brief Asks a peer for its configuration.
+struct ConfigurationWanted {};
+
+/// \brief One message between instances.
+using PeerMessage =
+    std::variant<SubmitOperations, OperationResults, RecallGrant, CarryBill,
+                 BillCarried, ForgetBills, PeerDigest, ConfigurationText,
+                 ConfigurationWanted>;
+
+/// \brief Sends messages to other instances; any of them may be lost.
+class PeerPort {
+public:
+  virtual ~PeerPort() = default;
+  virtual void send(const InstanceId &To, const PeerMessage &Message) = 0;
+};
+
+/// @}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -0,0 +1,261 @@
+#include "bronzeward/src/Budget/SlotCommitter.h"
+
+#include <algorithm>
+
+namespace bronzeward {
+
+/// Bills that stay in the head record after a roll.
+constexpr std::size_t KeptHeadBills = 64;
+/// Segment references that stay in the head record after a roll.
+constexpr std::size_t KeptHeadSegments = 64;
+/// Operations committed by one write at most.
+constexpr std::size_t MaxBatch = 2048;
+
+std::string slotKey(SlotId Slot) {
+  return "bronzeward/ledger/" + std::to_string(Slot.Index);
+}
+
+std::string segmentKey(SlotId Slot, const std::string &Id) {
+  return slotKey(Slot) + "/segment/" + Id;
+}
+
+/// \returns whether the result holds only for the record's present state.
+static bool needsCurrentRecord(const OperationResult &Outcome) {
+  return Outcome.Status == OperationStatus::Insufficient ||
+         Outcome.Status == OperationStatus::Fenced ||
+         Outcome.Status == OperationStatus::ClaimHeld ||
+         Outcome.Status == OperationStatus::Rejected;
+}
+
+/// \returns whether the operation may wait for the commit interval.
+static bool mayWait(const Operation &Change) {
+  return std::holds_alternative<CommitBill>(Change);
+}
+
+SlotCommitter::SlotCommitter(SlotId Number, StoreClient &Client,
+                             TimerQueue &Pending, Random &Seeded,
+                             const BudgetPolicy &Settings)
+    : Slot(Number), Store(Client), Timers(Pending), Source(Seeded),
+      Policy(Settings) {}
+
+void SlotCommitter::submit(Operation Change, TimePoint Now, Handler Done) {
+  Queue.push_back({std::move(Change), std::move(Done), std::nullopt});
+  tryStart(Now);
+}
+
+const SlotRecord *SlotCommitter::record() const {
+  return Loaded && Ledger ? &Ledger->record() : nullptr;
+}
+
+bool SlotCommitter::urgent() const {
+  return std::any_of(Queue.begin(), Queue.end(),
+                     [](const Queued &Item) { return !mayWait(Item.Change); });
+}
+
+void SlotCommitter::wakeAt(TimePoint When) {
+  if (Wake)
+    Timers.cancel(*Wake);
+  Wake = Timers.schedule(When, [this](TimePoint At) {
+    Wake.reset();
+    tryStart(At);
+  });
+}
+
+void SlotCommitter::tryStart(TimePoint Now) {
+  if (Busy || Queue.empty())
+    return;
+  if (LastCommit && Now < *LastCommit + Policy.CommitInterval && !urgent()) {
+    if (!Wake)
+      wakeAt(*LastCommit + Policy.CommitInterval);
+    return;
+  }
+  Busy = true;
+  const std::size_t Count = std::min(Queue.size(), MaxBatch);
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Batch.push_back(std::move(Queue.front()));
+    Queue.pop_front();
+  }
+  Validated = false;
+  if (Loaded)
+    applyBatch(Now);
+  else
+    load(Now);
+}
+
+void SlotCommitter::load(TimePoint Now) {
+  Store.call(
+      ReadKey{slotKey(Slot)}, Now,
+      [this](const StoreReply &Reply, TimePoint At) { onHead(Reply, At); });
+}
+
+void SlotCommitter::onHead(const StoreReply &Reply, TimePoint Now) {
+  if (Reply.Status != StoreStatus::Ok) {
+    giveUp(Now);
+    return;
+  }
+  SlotRecord Head;
+  Head.Slot = Slot;
+  Revision = 0;
+  if (!Reply.Entries.empty()) {
+    Result<SlotRecord> Decoded =
+        decodeSlotRecord(Reply.Entries.front().Value, slotKey(Slot));
+    if (!Decoded) {
+      giveUp(Now);
+      return;
+    }
+    Head = std::move(Decoded).value();
+    Revision = Reply.Entries.front().Revision;
+  }
+  Ledger = std::make_unique<SlotLedger>(std::move(Head));
+  Indexed.clear();
+  loadSegments(Now);
+}
+
+void SlotCommitter::loadSegments(TimePoint Now) {
+  const std::vector<SegmentReference> &Listed = Ledger->record().Segments;
+  const WallTime Newest = Listed.empty() ? WallTime() : Listed.back().Newest;
+  const std::chrono::milliseconds Kept =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Policy.KeyRetention);
+  for (const SegmentReference &Reference : Listed) {
+    if (Reference.Newest + Kept < Newest || Indexed.contains(Reference.Id))
+      continue;
+    Store.call(
+        ReadKey{segmentKey(Slot, Reference.Id)}, Now,
+        [this, Id = Reference.Id](const StoreReply &Reply, TimePoint At) {
+          onSegment(Id, Reply, At);
+        });
+    return;
+  }
+  Loaded = true;
+  Validated = true;
+  applyBatch(Now);
+}
+
+void SlotCommitter::onSegment(const std::string &Id, const StoreReply &Reply,
+                              TimePoint Now) {
+  if (Reply.Status != StoreStatus::Ok || Reply.Entries.empty()) {
+    giveUp(Now);
+    return;
+  }
+  const Result<Segment> Part = decodeSegment(Reply.Entries.front().Value, Id);
+  if (!Part) {
+    giveUp(Now);
+    return;
+  }
+  Ledger->indexSegment(Part.value());
+  Indexed.insert(Id);
+  loadSegments(Now);
+}
+
+void SlotCommitter::applyBatch(TimePoint Now) {
+  bool Changed = false;
+  bool Doubtful = false;
+  for (Queued &Item : Batch) {
+    Item.Outcome = Ledger->apply(Item.Change);
+    Changed = Changed || Item.Outcome->Status == OperationStatus::Applied;
+    Doubtful = Doubtful || needsCurrentRecord(*Item.Outcome);
+  }
+  if (Changed) {
+    writeSegment(Now);
+    return;
+  }
+  if (Doubtful && !Validated) {
+    // Someone else may have topped up, returned or released since.
+    Loaded = false;
+    load(Now);
+    return;
+  }
+  finish(Now);
+}
+
+std::string SlotCommitter::freshId() {
+  return std::to_string(Ledger->record().NextOrder) + "-" +
+         std::to_string(Source.below(1ULL << 62U));
+}
+
+void SlotCommitter::writeSegment(TimePoint Now) {
+  if (Ledger->record().Bills.size() <= Policy.MaxHeadBills) {
+    writeIndex(Now);
+    return;
+  }
+  const std::string Id = freshId();
+  const Segment Rolled = Ledger->rollBills(KeptHeadBills, Id);
+  Store.call(CompareAndSwap{segmentKey(Slot, Id), encodeSegment(Rolled), 0,
+                            StoreLeaseId{}},
+             Now, [this, Id](const StoreReply &Reply, TimePoint At) {
+               if (Reply.Status != StoreStatus::Ok) {
+                 giveUp(At);
+                 return;
+               }
+               Indexed.insert(Id);
+               writeIndex(At);
+             });
+}
+
+void SlotCommitter::writeIndex(TimePoint Now) {
+  if (Ledger->record().Segments.size() <= Policy.MaxHeadSegments) {
+    writeHead(Now);
+    return;
+  }
+  const std::string Id = freshId();
+  const SegmentIndex Rolled = Ledger->rollSegments(KeptHeadSegments, Id);
+  Store.call(CompareAndSwap{segmentKey(Slot, Id), encodeSegmentIndex(Rolled), 0,
+                            StoreLeaseId{}},
+             Now, [this](const StoreReply &Reply, TimePoint At) {
+               if (Reply.Status == StoreStatus::Ok)
+                 writeHead(At);
+               else
+                 giveUp(At);
+             });
+}
+
+void SlotCommitter::writeHead(TimePoint Now) {
+  Store.call(CompareAndSwap{slotKey(Slot), encodeSlotRecord(Ledger->record()),
+                            Revision, StoreLeaseId{}},
+             Now, [this](const StoreReply &Reply, TimePoint At) {
+               onWritten(Reply, At);
+             });
+}
+
+void SlotCommitter::onWritten(const StoreReply &Reply, TimePoint Now) {
+  switch (Reply.Status) {
+  case StoreStatus::Ok:
+    Revision = Reply.Revision;
+    LastCommit = Now;
+    finish(Now);
+    return;
+  case StoreStatus::Conflict:
+  case StoreStatus::Unknown:
+    // Read back: each operation tells by itself whether it took effect.
+    Loaded = false;
+    load(Now);
+    return;
+  case StoreStatus::Unavailable:
+    giveUp(Now);
+    return;
+  }
+}
+
+void SlotCommitter::finish(TimePoint Now) {
+  Busy = false;
+  std::vector<Queued> Finished;
+  Finished.swap(Batch);
+  for (const Queued &Item : Finished)
+    Item.Done(Item.Outcome, Now);
+  tryStart(Now);
+}
+
+void SlotCommitter::giveUp(TimePoint Now) {
+  Loaded = false;
+  Busy = false;
+  std::vector<Queued> Failed;
+  Failed.swap(Batch);
+  for (Queued &Item : Queue)
+    Failed.push_back(std::move(Item));
+  Queue.clear();
+  for (const Queued &Item : Failed)
+    Item.Done(std::nullopt, Now);
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/SlotCommitter.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "bronzeward/Ledger"
+#include "bronzeward/Store"
+#include "bronzeward/src/Config/BudgetPolicy.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace bronzeward {
+
+/// \ingroup Budget
+/// \returns the store key of a slot's head record.
+[[nodiscard]] std::string slotKey(SlotId Slot);
+
+/// \ingroup Budget
+/// \returns the store key of a segment or segment index.
+[[nodiscard]] std::string segmentKey(SlotId Slot, const std::string &Id);
+
+/// \ingroup Budget
+/// \brief Commits operations on one slot in groups: one compare-and-swap for
+/// all that wait.
+///
+/// Any number of committers may work on a slot at once; they contend, and the
+/// compare-and-swap keeps the record right.
+class SlotCommitter {
+public:
+  /// Receives the result, or nothing where the store could not be reached and
+  /// the effect is unknown.
+  using Handler =
+      std::function<void(const std::optional<OperationResult> &, TimePoint)>;
+
+  SlotCommitter(SlotId Number, StoreClient &Client, TimerQueue &Pending,
+                Random &Seeded, const BudgetPolicy &Settings);
+  SlotCommitter(const SlotCommitter &) = delete;
+  SlotCommitter &operator=(const SlotCommitter &) = delete;
+
+  /// \brief Queues an operation for the next commit. Bills wait for the
+  /// commit interval; all else is committed as soon as the store answers.
+  void submit(Operation Change, TimePoint Now, Handler Done);
+
+  /// \returns the record as last read or written, or null.
+  [[nodiscard]] const SlotRecord *record() const;
+  [[nodiscard]] std::size_t waiting() const { return Queue.size(); }
+
+private:
+  struct Queued {
+    Operation Change;
+    Handler Done;
+    std::optional<OperationResult> Outcome;
+  };
+
+  [[nodiscard]] bool urgent() const;
+  void tryStart(TimePoint Now);
+  void load(TimePoint Now);
+  void onHead(const StoreReply &Reply, TimePoint Now);
+  void loadSegments(TimePoint Now);
+  void onSegment(const std::string &Id, const StoreReply &Reply, TimePoint Now);
+  void applyBatch(TimePoint Now);
+  void writeSegment(TimePoint Now);
+  void writeIndex(TimePoint Now);
+  void writeHead(TimePoint Now);
+  void onWritten(const StoreReply &Reply, TimePoint Now);
+  void finish(TimePoint Now);
+  void giveUp(TimePoint Now);
+  void wakeAt(TimePoint When);
+  [[nodiscard]] std::string freshId();
+
+  SlotId Slot;
+  StoreClient &Store;
+  TimerQueue &Timers;
+  Random &Source;
+  const BudgetPolicy &Policy;
+
+  std::deque<Queued> Queue;
+  std::vector<Queued> Batch;
+  std::unique_ptr<SlotLedger> Ledger;
+  std::set<std::string> Indexed;
+  std::uint64_t Revision = 0;
+  /// Whether Ledger equals the stored record as far as known.
+  bool Loaded = false;
+  /// Whether the record was read or written since the batch began.
+  bool Validated = false;
+  bool Busy = false;
+  std::optional<TimePoint> LastCommit;
+  std::optional<TimerQueue::Handle> Wake;
+};
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "bronzeward/Base"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace bronzeward {
+
+/// \ingroup Config
+/// \brief How a deployment weighs speed, store calls and stranded budget.
+///
+/// None of these can cause overspend; docs/BUDGETS.md gives their effects.
+struct BudgetPolicy {
+  /// Ledger records of the deployment; fixed once accounts exist.
+  std::uint32_t Slots = 1;
+  /// Least time between two group commits of bills in a slot.
+  Duration CommitInterval = 50ms;
+  /// Spending that a grant should cover: the store outage to bridge.
+  Duration GrantHorizon = 90s;
+  /// How long a request waits for budget before it is refused.
+  Duration BudgetWait = 400ms;
+  /// How long a claim may take to become durable before it is refused.
+  Duration ClaimWait = 2s;
+  /// How long the end of an answer waits for its bill.
+  Duration AnswerHold = 3s;
+  /// How long a bill waits for the store before peers carry it.
+  Duration CarryAfter = 250ms;
+  /// Peers in other failure domains that must carry a bill.
+  std::size_t Carriers = 2;
+  /// How long new requests are taken while the store does not answer.
+  Duration OfflineService = 300s;
+  /// How long a holder must be missing, with the store answering, before its
+  /// grants are taken back.
+  Duration ReclaimAfter = 60s;
+  /// Keys chosen by callers are remembered at least this long.
+  Duration KeyRetention = 1h;
+  /// Bills in a head record before older ones move to a segment.
+  std::size_t MaxHeadBills = 512;
+  /// Segment references in a head record before older ones move to an index.
+  std::size_t MaxHeadSegments = 256;
+  /// Recorded answers longer than this are kept as a digest only.
+  std::size_t MaxRecordedAnswerBytes = 4096;
+  /// Operations that may wait for a commit at one instance.
+  std::size_t MaxPendingOperations = 100000;
+};
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -0,0 +1,374 @@
+#include "bronzeward/src/Net/CallerServer.h"
+
+#include "bronzeward/src/Request/AnswerText.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace bronzeward {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+/// Answers that may wait for the server's thread.
+constexpr std::size_t RingCapacity = 65536;
+/// Longest time for one write to a caller.
+constexpr Duration WriteTimeout = 30s;
+/// Connections that may wait to be accepted.
+constexpr int ListenBacklog = 1024;
+
+/// \brief One caller's connection: one request at a time.
+class CallerServer::Session
+    : public std::enable_shared_from_this<CallerServer::Session> {
+public:
+  Session(CallerServer &Server, Tcp::socket Socket)
+      : Owner(Server), Stream(std::move(Socket)) {
+    ++Owner.Connections;
+  }
+  ~Session() { --Owner.Connections; }
+
+  void start() { awaitRequest(); }
+
+  void refuseConnection() {
+    Closing = true;
+    sendRefusal(Reason::TooManyConnections);
+  }
+
+  void take(const Outgoing &Item) {
+    switch (Item.Kind) {
+    case Step::Whole:
+      sendWhole(Item.Content);
+      return;
+    case Step::Begin:
+      sendHead(Item.Content);
+      return;
+    case Step::Part:
+      enqueue(Item.Content.Body);
+      return;
+    case Step::End:
+      Ending = true;
+      enqueue(Item.Content.Body);
+      return;
+    case Step::Close:
+      Owner.Waiting.erase(Ticket);
+      close();
+      return;
+    }
+  }
+
+private:
+  void awaitRequest() {
+    Parser.emplace();
+    Parser->header_limit(
+        static_cast<std::uint32_t>(Owner.Limits.MaxHeaderBytes));
+    Parser->body_limit(Owner.Limits.MaxBodyBytes);
+    if (Buffer.size() > 0) {
+      readRequest();
+      return;
+    }
+    Stream.expires_after(Owner.Limits.IdleTimeout);
+    Stream.async_read_some(
+        Buffer.prepare(4096),
+        [Self = shared_from_this()](error_code Failure, std::size_t Length) {
+          if (Failure) {
+            Self->close();
+            return;
+          }
+          Self->Buffer.commit(Length);
+          Self->readRequest();
+        });
+  }
+
+  void readRequest() {
+    Stream.expires_after(Owner.Limits.ReadTimeout);
+    http::async_read(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          if (Failure)
+            Self->failRead(Failure);
+          else
+            Self->forward();
+        });
+  }
+
+  void failRead(error_code Failure) {
+    Closing = true;
+    if (Failure == beast::error::timeout)
+      sendRefusal(Reason::SlowRequest);
+    else if (Failure == http::error::header_limit)
+      sendRefusal(Reason::HeadersTooLarge);
+    else if (Failure == http::error::body_limit)
+      sendRefusal(Reason::TooLarge);
+    else if (Failure.category() ==
+                 make_error_code(http::error::bad_version).category() &&
+             Failure != http::error::end_of_stream &&
+             Failure != http::error::partial_message)
+      sendRefusal(Reason::InvalidRequest);
+    else
+      close();
+  }
+
+  void forward() {
+    http::request<http::string_body> &In = Parser->get();
+    KeepAlive = In.keep_alive();
+    CallerRequest Request;
+    Request.Ticket = Ticket = CallerTicket{++Owner.LastTicket};
+    Request.Method = std::string(In.method_string());
+    Request.Target = std::string(In.target());
+    Request.Authorization = std::string(In[http::field::authorization]);
+    Request.Key = std::string(In["Idempotency-Key"]);
+    Request.ContentType = std::string(In[http::field::content_type]);
+    Request.Body = std::move(In.body());
+    Owner.Waiting.emplace(Ticket, weak_from_this());
+    markAnswering(true);
+    Stream.expires_never();
+    if (!Owner.Handler(CallerEvent(std::move(Request)))) {
+      Owner.Waiting.erase(Ticket);
+      sendRefusal(Reason::ServiceLimit);
+      return;
+    }
+    watchForEnd();
+  }
+
+  /// Notices a caller that goes away while its answer is made.
+  void watchForEnd() {
+    Stream.socket().async_wait(
+        Tcp::socket::wait_read,
+        [Self = shared_from_this(), Watched = Ticket](error_code Failure) {
+          if (Failure || Self->Ticket != Watched || !Self->open())
+            return;
+          error_code Peeked;
+          char Byte = 0;
+          Self->Stream.socket().non_blocking(true, Peeked);
+          const std::size_t Length = Self->Stream.socket().receive(
+              asio::buffer(&Byte, 1), Tcp::socket::message_peek, Peeked);
+          const bool Ended = (Peeked && Peeked != asio::error::would_block) ||
+                             (!Peeked && Length == 0);
+          if (Ended)
+            Self->callerGone();
+        });
+  }
+
+  [[nodiscard]] bool open() const { return Owner.Waiting.contains(Ticket); }
+
+  void callerGone() {
+    if (Owner.Waiting.erase(Ticket) > 0)
+      Owner.Handler(CallerEvent(CallerGone{Ticket}));
+    close();
+  }
+
+  template <class Body> void fill(http::response<Body> &Out, const Answer &In) {
+    Out.version(11);
+    Out.result(In.Status);
+    Out.set(http::field::server, "bronzeward");
+    if (!In.ContentType.empty())
+      Out.set(http::field::content_type, In.ContentType);
+    for (const HeaderField &Field : In.Headers)
+      Out.set(Field.Name, Field.Value);
+    Out.keep_alive(KeepAlive && !Closing);
+  }
+
+  void sendRefusal(Reason Why) {
+    sendWhole(refusalAnswer(RequestId{"none"}, {Outcome::NotRun, Why, ""}));
+  }
+
+  void sendWhole(const Answer &In) {
+    Owner.Waiting.erase(Ticket);
+    Whole = {};
+    fill(Whole, In);
+    Whole.body() = In.Body;
+    Whole.prepare_payload();
+    Stream.expires_after(WriteTimeout);
+    http::async_write(
+        Stream, Whole,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          Self->afterAnswer(Failure);
+        });
+  }
+
+  void sendHead(const Answer &In) {
+    Head = {};
+    fill(Head, In);
+    Head.chunked(true);
+    Head.set(http::field::cache_control, "no-cache");
+    Serializer.emplace(Head);
+    Writing = true;
+    Stream.expires_after(WriteTimeout);
+    http::async_write_header(
+        Stream, *Serializer,
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          Self->afterPart(Failure);
+        });
+  }
+
+  void enqueue(const std::string &Part) {
+    if (!Part.empty())
+      Parts += Part;
+    if (!Writing)
+      writeParts();
+  }
+
+  void writeParts() {
+    if (Parts.empty() && !Ending)
+      return;
+    Writing = true;
+    Sending.swap(Parts);
+    Parts.clear();
+    Stream.expires_after(WriteTimeout);
+    const auto Done = [Self = shared_from_this()](error_code Failure,
+                                                  std::size_t) {
+      Self->afterPart(Failure);
+    };
+    if (!Sending.empty()) {
+      asio::async_write(Stream, http::make_chunk(asio::buffer(Sending)), Done);
+      return;
+    }
+    Ending = false;
+    Owner.Waiting.erase(Ticket);
+    asio::async_write(
+        Stream, http::make_chunk_last(),
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          Self->Writing = false;
+          Self->afterAnswer(Failure);
+        });
+  }
+
+  void afterPart(error_code Failure) {
+    Writing = false;
+    if (Failure) {
+      callerGone();
+      return;
+    }
+    Stream.expires_never();
+    writeParts();
+  }
+
+  void markAnswering(bool Value) {
+    if (InAnswer == Value)
+      return;
+    InAnswer = Value;
+    Owner.Answering += Value ? 1 : -1;
+  }
+
+  void afterAnswer(error_code Failure) {
+    markAnswering(false);
+    if (Failure || Closing || !KeepAlive) {
+      close();
+      return;
+    }
+    awaitRequest();
+  }
+
+  void close() {
+    markAnswering(false);
+    error_code Ignored;
+    Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
+    Stream.close();
+  }
+
+  CallerServer &Owner;
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  http::response<http::string_body> Whole;
+  http::response<http::empty_body> Head;
+  std::optional<http::response_serializer<http::empty_body>> Serializer;
+  CallerTicket Ticket;
+  std::string Parts;
+  std::string Sending;
+  bool KeepAlive = true;
+  bool Closing = false;
+  bool Writing = false;
+  bool Ending = false;
+  bool InAnswer = false;
+};
+
+CallerServer::CallerServer(CallerLimits Bounds, EventHandler OnEvent)
+    : Limits(Bounds), Handler(std::move(OnEvent)), Acceptor(Thread.context()),
+      Ring(Thread.context(), RingCapacity,
+           [this](Outgoing &Item) { take(Item); }) {}
+
+CallerServer::~CallerServer() { Thread.stop(); }
+
+Result<std::uint16_t> CallerServer::listen(const std::string &Host,
+                                           std::uint16_t Port) {
+  const std::string Address = Host + ":" + std::to_string(Port);
+  error_code Failure;
+  const Tcp::endpoint Place(asio::ip::make_address(Host, Failure), Port);
+  if (!Failure)
+    Acceptor.open(Place.protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(Tcp::acceptor::reuse_address(true), Failure);
+  if (!Failure)
+    Acceptor.bind(Place, Failure);
+  if (!Failure)
+    Acceptor.listen(ListenBacklog, Failure);
+  if (Failure)
+    return fail(ErrorKind::Unavailable, "listen for callers", Address,
+                Failure.message());
+  const std::uint16_t Bound = Acceptor.local_endpoint().port();
+  accept();
+  Thread.start();
+  return Bound;
+}
+
+void CallerServer::accept() {
+  Acceptor.async_accept([this](error_code Failure, Tcp::socket Socket) {
+    if (Failure == asio::error::operation_aborted)
+      return;
+    if (!Failure) {
+      error_code Ignored;
+      Socket.set_option(Tcp::no_delay(true), Ignored);
+      const std::shared_ptr<Session> Fresh =
+          std::make_shared<Session>(*this, std::move(Socket));
+      if (Connections > Limits.MaxConnections)
+        Fresh->refuseConnection();
+      else
+        Fresh->start();
+    }
+    accept();
+  });
+}
+
+void CallerServer::push(Outgoing Item) {
+  // A full ring loses the answer; the connection's own timeout ends it.
+  Ring.push(std::move(Item));
+}
+
+void CallerServer::answer(CallerTicket To, const Answer &Whole) {
+  push({To, Step::Whole, Whole});
+}
+
+void CallerServer::beginStream(CallerTicket To, const Answer &Head) {
+  push({To, Step::Begin, Head});
+}
+
+void CallerServer::sendPart(CallerTicket To, const std::string &Part) {
+  Answer Content;
+  Content.Body = Part;
+  push({To, Step::Part, std::move(Content)});
+}
+
+void CallerServer::endStream(CallerTicket To, const std::string &LastPart) {
+  Answer Content;
+  Content.Body = LastPart;
+  push({To, Step::End, std::move(Content)});
+}
+
+void CallerServer::disconnect(CallerTicket To) { push({To, Step::Close, {}}); }
+
+void CallerServer::take(Outgoing &Item) {
+  const auto Found = Waiting.find(Item.To);
+  if (Found == Waiting.end())
+    return;
+  if (const std::shared_ptr<Session> Target = Found->second.lock())
+    Target->take(Item);
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/CoreThread.cpp
@@ -0,0 +1,116 @@
+#include "bronzeward/src/Net/CoreThread.h"
+
+namespace bronzeward {
+
+/// Events that may wait for the core.
+constexpr std::size_t RingCapacity = 65536;
+/// Time between two copies of the state.
+constexpr Duration HousekeepingPeriod = 50ms;
+
+CoreThread::CoreThread(RouterIdentity Who, RouterSurroundings Parts,
+                       Notices Out)
+    : Core(std::move(Who), Parts), Tell(std::move(Out)),
+      Timer(Thread.context()), Housekeeping(Thread.context()),
+      Status(std::make_shared<RouterStatus>()),
+      Ring(Thread.context(), RingCapacity,
+           [this](CoreEvent &Event) { take(Event); }) {}
+
+void CoreThread::start() {
+  boost::asio::post(Thread.context(), [this] {
+    Core.start(Time.now());
+    housekeeping();
+    armTimer();
+  });
+  Thread.start();
+}
+
+std::shared_ptr<const RouterStatus> CoreThread::status() const {
+  std::lock_guard<std::mutex> Guard(StatusLock);
+  return Status;
+}
+
+void CoreThread::take(CoreEvent &Event) {
+  const TimePoint Now = Time.now();
+  if (auto *OfCaller = std::get_if<CallerEvent>(&Event))
+    takeCaller(*OfCaller, Now);
+  else if (const auto *OfUpstream = std::get_if<UpstreamEvent>(&Event))
+    takeUpstream(*OfUpstream, Now);
+  else if (const auto *Replied = std::get_if<StoreReplied>(&Event))
+    Core.onStoreReply(Replied->Id, Replied->Reply, Now);
+  else if (const auto *Received = std::get_if<PeerReceived>(&Event))
+    Core.onPeerMessage(Received->From, Received->Message, Now);
+  else if (const auto *Lost = std::get_if<PeerLost>(&Event))
+    Core.onPeerUnreachable(Lost->Peer, Now);
+  else if (const auto *Lifted = std::get_if<QuarantineLifted>(&Event))
+    Core.liftQuarantine(Lifted->Content, Now);
+  else if (std::holds_alternative<DrainWanted>(Event))
+    Core.drain(Now);
+  armTimer();
+}
+
+void CoreThread::takeCaller(CallerEvent &Event, TimePoint Now) {
+  if (auto *Request = std::get_if<CallerRequest>(&Event))
+    Core.onCallerRequest(std::move(*Request), Now);
+  else if (const auto *Gone = std::get_if<CallerGone>(&Event))
+    Core.onCallerGone(Gone->Ticket, Now);
+}
+
+void CoreThread::takeUpstream(const UpstreamEvent &Event, TimePoint Now) {
+  if (!Core.started())
+    return;
+  RequestEngine &Requests = Core.requests();
+  if (const auto *Head = std::get_if<UpstreamHead>(&Event))
+    Requests.onUpstreamHead(Head->Attempt, Head->Status, Head->ContentType,
+                            Now);
+  else if (const auto *Bytes = std::get_if<UpstreamBytes>(&Event))
+    Requests.onUpstreamBytes(Bytes->Attempt, Bytes->Bytes, Now);
+  else if (const auto *Ended = std::get_if<UpstreamEnded>(&Event))
+    Requests.onUpstreamEnd(Ended->Attempt, Now);
+  else if (const auto *Failed = std::get_if<UpstreamFailed>(&Event))
+    Requests.onUpstreamFailure(Failed->Attempt, Failed->How, Now);
+  else if (const auto *Load = std::get_if<UpstreamLoad>(&Event))
+    Core.onLoadReport(Load->Name, Load->Report, Load->Leaving);
+}
+
+void CoreThread::armTimer() {
+  const std::optional<TimePoint> Next = Core.nextTimer();
+  if (!Next || Armed == Next)
+    return;
+  Armed = Next;
+  Timer.expires_at(*Next);
+  Timer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    Armed.reset();
+    Core.runTimers(Time.now());
+    armTimer();
+  });
+}
+
+void CoreThread::housekeeping() {
+  std::shared_ptr<RouterStatus> Fresh =
+      std::make_shared<RouterStatus>(Core.status(Time.now()));
+  if (Fresh->Configuration != Seen) {
+    Seen = Fresh->Configuration;
+    Tell.OnUpstreams(Core.upstreams());
+  }
+  if (Fresh->Members != SeenMembers) {
+    SeenMembers = Fresh->Members;
+    Tell.OnMembers(SeenMembers);
+  }
+  {
+    std::lock_guard<std::mutex> Guard(StatusLock);
+    Status = std::move(Fresh);
+  }
+  if (Core.drained() && !DrainTold) {
+    DrainTold = true;
+    Tell.OnDrained();
+  }
+  Housekeeping.expires_after(HousekeepingPeriod);
+  Housekeeping.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      housekeeping();
+  });
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/OperatorServer.cpp
@@ -0,0 +1,54 @@
+#include "bronzeward/src/Net/OperatorServer.h"
+
+namespace bronzeward {
+
+constexpr const char *LiftPath = "/quarantine/lift/";
+
+static Answer plainAnswer(std::uint16_t Status, std::string Body,
+                          std::string Type = "text/plain") {
+  Answer Made;
+  Made.Status = Status;
+  Made.ContentType = std::move(Type);
+  Made.Body = std::move(Body);
+  return Made;
+}
+
+OperatorServer::OperatorServer(CoreThread &Instance)
+    : Core(Instance), Server(CallerLimits{}, [this](CallerEvent Event) {
+        if (const auto *Request = std::get_if<CallerRequest>(&Event))
+          Server.answer(Request->Ticket, respond(*Request));
+        return true;
+      }) {}
+
+Result<std::uint16_t> OperatorServer::listen(const std::string &Host,
+                                             std::uint16_t Port) {
+  return Server.listen(Host, Port);
+}
+
+Answer OperatorServer::respond(const CallerRequest &Request) {
+  const std::shared_ptr<const RouterStatus> Status = Core.status();
+  if (Request.Method == "GET" && Request.Target == "/livez")
+    return plainAnswer(200, "live\n");
+  if (Request.Method == "GET" && Request.Target == "/readyz")
+    return Status->Ready
+               ? plainAnswer(200, "ready\n")
+               : plainAnswer(503,
+                             "not ready: " + Status->NotReadyReason + "\n");
+  if (Request.Method == "GET" && Request.Target == "/status")
+    return plainAnswer(200, statusJson(*Status), "application/json");
+  if (Request.Method == "GET" && Request.Target == "/metrics")
+    return plainAnswer(200, statusMetrics(*Status));
+  if (Request.Method == "POST" && Request.Target == "/drain") {
+    Core.tell(DrainWanted{});
+    return plainAnswer(202, "draining\n");
+  }
+  const std::string_view Lift = LiftPath;
+  if (Request.Method == "POST" && Request.Target.starts_with(Lift)) {
+    Core.tell(QuarantineLifted{
+        ContentFingerprint{Request.Target.substr(Lift.size())}});
+    return plainAnswer(202, "lifted\n");
+  }
+  return plainAnswer(404, "unknown path\n");
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/OperatorServer.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "bronzeward/src/Net/CallerServer.h"
+#include "bronzeward/src/Net/CoreThread.h"
+
+namespace bronzeward {
+
+/// \ingroup Net
+/// \brief Liveness, readiness, status, metrics and orders for operators.
+class OperatorServer {
+public:
+  explicit OperatorServer(CoreThread &Instance);
+
+  [[nodiscard]] Result<std::uint16_t> listen(const std::string &Host,
+                                             std::uint16_t Port);
+  void stop() { Server.stop(); }
+
+private:
+  [[nodiscard]] Answer respond(const CallerRequest &Request);
+
+  CoreThread &Core;
+  CallerServer Server;
+};
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -0,0 +1,135 @@
+#include "bronzeward/src/Net/PeerCodec.h"
+
+#include "bronzeward/src/Ledger/LedgerCodec.h"
+
+namespace bronzeward::internal {
+
+using Builder = schema::PeerMessage::Builder;
+
+static void writeOne(Builder Out, const SubmitOperations &In) {
+  schema::PeerMessage::Submit::Builder Group = Out.initSubmit();
+  Group.setNumber(In.Number);
+  Group.setSlot(In.Slot.Index);
+  auto List = Group.initOperations(In.Operations.size());
+  for (unsigned Index = 0; Index < In.Operations.size(); ++Index)
+    write(List[Index], In.Operations[Index]);
+}
+
+static void writeOne(Builder Out, const OperationResults &In) {
+  schema::PeerMessage::Results::Builder Group = Out.initResults();
+  Group.setNumber(In.Number);
+  Group.setCommitted(In.Committed);
+  auto List = Group.initResults(In.Results.size());
+  for (unsigned Index = 0; Index < In.Results.size(); ++Index)
+    write(List[Index], In.Results[Index]);
+}
+
+static void writeOne(Builder Out, const RecallGrant &In) {
+  schema::PeerMessage::Recall::Builder Group = Out.initRecall();
+  Group.setWorkspace(In.Workspace.Value);
+  write(Group.initHolder(), In.Holder);
+}
+
+static void writeOne(Builder Out, const CarryBill &In) {
+  schema::PeerMessage::Carry::Builder Group = Out.initCarry();
+  Group.setNumber(In.Number);
+  write(Group.initBill(), In.Settled);
+}
+
+static void writeOne(Builder Out, const BillCarried &In) {
+  Out.setCarried(In.Number);
+}
+
+static void writeOne(Builder Out, const ForgetBills &In) {
+  auto List = Out.initForget().initNumbers(In.Numbers.size());
+  for (unsigned Index = 0; Index < In.Numbers.size(); ++Index)
+    List.set(Index, In.Numbers[Index]);
+}
+
+static void writeOne(Builder Out, const PeerDigest &In) {
+  schema::PeerMessage::Digest::Builder Group = Out.initDigest();
+  Group.setConfiguration(In.Configuration.Number);
+  Group.setDraining(In.Draining);
+  auto List = Group.initSuspects(In.Suspects.size());
+  for (unsigned Index = 0; Index < In.Suspects.size(); ++Index)
+    List.set(Index, In.Suspects[Index].Value);
+}
+
+static void writeOne(Builder Out, const ConfigurationText &In) {
+  schema::PeerMessage::Configuration::Builder Group = Out.initConfiguration();
+  Group.setVersion(In.Version.Number);
+  Group.setText(In.Text);
+}
+
+static void writeOne(Builder Out, const ConfigurationWanted &) {
+  Out.setConfigurationWanted();
+}
+
+void write(Builder Out, const InstanceId &Sender, const PeerMessage &In) {
+  Out.setSender(Sender.Value);
+  std::visit([&](const auto &Item) { writeOne(Out, Item); }, In);
+}
+
+static PeerMessage readSubmit(schema::PeerMessage::Submit::Reader In) {
+  SubmitOperations Out;
+  Out.Number = In.getNumber();
+  Out.Slot.Index = In.getSlot();
+  for (schema::Operation::Reader Item : In.getOperations())
+    Out.Operations.push_back(read(Item));
+  return Out;
+}
+
+static PeerMessage readResults(schema::PeerMessage::Results::Reader In) {
+  OperationResults Out;
+  Out.Number = In.getNumber();
+  Out.Committed = In.getCommitted();
+  for (schema::OperationResult::Reader Item : In.getResults())
+    Out.Results.push_back(read(Item));
+  return Out;
+}
+
+static PeerMessage readForget(schema::PeerMessage::Forget::Reader In) {
+  ForgetBills Out;
+  for (const std::uint64_t Number : In.getNumbers())
+    Out.Numbers.push_back(Number);
+  return Out;
+}
+
+static PeerMessage readDigest(schema::PeerMessage::Digest::Reader In) {
+  PeerDigest Out;
+  Out.Configuration.Number = In.getConfiguration();
+  Out.Draining = In.getDraining();
+  for (capnp::Text::Reader Item : In.getSuspects())
+    Out.Suspects.push_back(ContentFingerprint{Item.cStr()});
+  return Out;
+}
+
+PeerMessage read(schema::PeerMessage::Reader In) {
+  switch (In.which()) {
+  case schema::PeerMessage::SUBMIT:
+    return readSubmit(In.getSubmit());
+  case schema::PeerMessage::RESULTS:
+    return readResults(In.getResults());
+  case schema::PeerMessage::RECALL:
+    return RecallGrant{WorkspaceId{In.getRecall().getWorkspace().cStr()},
+                       read(In.getRecall().getHolder())};
+  case schema::PeerMessage::CARRY:
+    return CarryBill{In.getCarry().getNumber(), read(In.getCarry().getBill())};
+  case schema::PeerMessage::CARRIED:
+    return BillCarried{In.getCarried()};
+  case schema::PeerMessage::FORGET:
+    return readForget(In.getForget());
+  case schema::PeerMessage::DIGEST:
+    return readDigest(In.getDigest());
+  case schema::PeerMessage::CONFIGURATION:
+    return ConfigurationText{
+        ConfigurationVersion{In.getConfiguration().getVersion()},
+        In.getConfiguration().getText().cStr()};
+  case schema::PeerMessage::CONFIGURATION_WANTED:
+    return ConfigurationWanted{};
+  }
+  // A message of a later version carries nothing that this one knows.
+  return ForgetBills{};
+}
+
+} // namespace bronzeward::internal
--- /dev/null
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -0,0 +1,253 @@
+#include "bronzeward/src/Net/PeerTransport.h"
+
+#include "bronzeward/src/Net/PeerCodec.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/async-io.h>
+
+#include <array>
+#include <atomic>
+#include <future>
+#include <map>
+#include <sys/eventfd.h>
+#include <unistd.h>
+#include <variant>
+
+namespace bronzeward {
+
+/// Messages that may wait for the transport's thread.
+constexpr std::size_t RingCapacity = 16384;
+/// Messages to one peer that may wait for its confirmation.
+constexpr std::size_t MaxUnconfirmed = 1024;
+/// Time without a confirmation after which a peer counts as unreachable.
+constexpr std::chrono::milliseconds DeliveryTimeout{1000};
+
+namespace {
+
+/// Receives peers' calls.
+class PeerService final : public schema::Peer::Server {
+public:
+  explicit PeerService(const PeerTransport::MessageHandler &Out)
+      : Handler(Out) {}
+
+protected:
+  kj::Promise<void> deliver(DeliverContext Context) override {
+    const schema::PeerMessage::Reader In = Context.getParams().getMessage();
+    Handler(InstanceId{In.getSender().cStr()}, internal::read(In));
+    return kj::READY_NOW;
+  }
+
+private:
+  const PeerTransport::MessageHandler &Handler;
+};
+
+} // namespace
+
+/// \brief The transport's thread and everything that lives in it.
+class PeerTransport::Loop {
+public:
+  Loop(InstanceId Name, MessageHandler OnMessage, LostHandler OnLost)
+      : Self(std::move(Name)), Received(std::move(OnMessage)),
+        Lost(std::move(OnLost)), Ring(RingCapacity),
+        WakeFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+
+  ~Loop() {
+    stop();
+    ::close(WakeFd);
+  }
+
+  Result<void> start(const std::string &Host, std::uint16_t Port) {
+    std::promise<std::string> Bound;
+    std::future<std::string> Outcome = Bound.get_future();
+    Worker =
+        std::thread([this, Host, Port, &Bound] { run(Host, Port, Bound); });
+    const std::string Problem = Outcome.get();
+    if (Problem.empty())
+      return boost::outcome_v2::success();
+    Worker.join();
+    return fail(ErrorKind::Unavailable, "listen for peers",
+                Host + ":" + std::to_string(Port), Problem);
+  }
+
+  void stop() {
+    Stopping = true;
+    wake();
+    if (Worker.joinable())
+      Worker.join();
+  }
+
+  struct Outgoing {
+    InstanceId To;
+    PeerMessage Message;
+  };
+  struct Addresses {
+    std::map<InstanceId, std::string> ByName;
+  };
+  using Command = std::variant<Outgoing, Addresses>;
+
+  void push(Command Item) {
+    if (Ring.push(std::move(Item)))
+      wake();
+  }
+
+private:
+  /// One open connection to a peer.
+  struct Connection {
+    kj::Own<kj::AsyncIoStream> Stream;
+    kj::Own<capnp::TwoPartyClient> Rpc;
+    schema::Peer::Client Remote = nullptr;
+    std::size_t Unconfirmed = 0;
+  };
+
+  void wake() const {
+    const std::uint64_t One = 1;
+    // A full counter is readable already.
+    [[maybe_unused]] const ssize_t Written = ::write(WakeFd, &One, sizeof(One));
+  }
+
+  void run(const std::string &Host, std::uint16_t Port,
+           std::promise<std::string> &Bound) {
+    kj::AsyncIoContext Context = kj::setupAsyncIo();
+    Io = &Context;
+    class Failures : public kj::TaskSet::ErrorHandler {
+      void taskFailed(kj::Exception &&) override {}
+    };
+    Failures Ignored;
+    kj::Own<kj::ConnectionReceiver> Receiver;
+    try {
+      Receiver = Context.provider->getNetwork()
+                     .parseAddress(kj::StringPtr(Host.c_str()), Port)
+                     .wait(Context.waitScope)
+                     ->listen();
+    } catch (const kj::Exception &Failure) {
+      Bound.set_value(Failure.getDescription().cStr());
+      return;
+    }
+    Bound.set_value("");
+    kj::TaskSet Running(Ignored);
+    Tasks = &Running;
+    capnp::TwoPartyServer Server(kj::heap<PeerService>(Received));
+    Running.add(Server.listen(*Receiver));
+    kj::Own<kj::AsyncInputStream> Wakes = Context.lowLevelProvider->wrapInputFd(
+        WakeFd, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    while (!Stopping) {
+      std::uint64_t Count = 0;
+      Wakes->read(&Count, sizeof(Count)).wait(Context.waitScope);
+      std::vector<Command> Batch;
+      Ring.drain(Batch);
+      for (Command &Item : Batch)
+        take(Item);
+    }
+    Connections.clear();
+    Tasks = nullptr;
+  }
+
+  void take(Command &Item) {
+    if (auto *Known = std::get_if<Addresses>(&Item)) {
+      Places = std::move(Known->ByName);
+      std::erase_if(Connections, [this](const auto &Entry) {
+        return !Places.contains(Entry.first);
+      });
+    } else if (const auto *Out = std::get_if<Outgoing>(&Item)) {
+      deliver(*Out);
+    }
+  }
+
+  void deliver(const Outgoing &Item) {
+    std::shared_ptr<Connection> Peer = connection(Item.To);
+    if (!Peer || Peer->Unconfirmed >= MaxUnconfirmed)
+      return;
+    try {
+      auto Request = Peer->Remote.deliverRequest();
+      internal::write(Request.initMessage(), Self, Item.Message);
+      ++Peer->Unconfirmed;
+      Tasks->add(Io->provider->getTimer()
+                     .timeoutAfter(DeliveryTimeout.count() * kj::MILLISECONDS,
+                                   Request.send().ignoreResult())
+                     .then([Peer] { --Peer->Unconfirmed; },
+                           [this, To = Item.To, Peer](kj::Exception &&) {
+                             drop(To, Peer);
+                           }));
+    } catch (const kj::Exception &) {
+      drop(Item.To, Peer);
+    }
+  }
+
+  /// Forgets a failed connection, unless a newer one took its place.
+  void drop(const InstanceId &To, const std::shared_ptr<Connection> &Failed) {
+    const auto Found = Connections.find(To);
+    if (Found == Connections.end() || Found->second != Failed)
+      return;
+    Connections.erase(Found);
+    Lost(To);
+  }
+
+  std::shared_ptr<Connection> connection(const InstanceId &To) {
+    const auto Known = Connections.find(To);
+    if (Known != Connections.end())
+      return Known->second;
+    const auto Place = Places.find(To);
+    if (Place == Places.end())
+      return nullptr;
+    std::shared_ptr<Connection> Fresh = std::make_shared<Connection>();
+    // Calls wait within the promise until the connection is open.
+    kj::Promise<schema::Peer::Client> Opened =
+        Io->provider->getNetwork()
+            .parseAddress(kj::StringPtr(Place->second.c_str()))
+            .then([](kj::Own<kj::NetworkAddress> Address) {
+              return Address->connect().attach(kj::mv(Address));
+            })
+            .then([Weak = std::weak_ptr<Connection>(Fresh)](
+                      kj::Own<kj::AsyncIoStream> Stream) {
+              const std::shared_ptr<Connection> Target = Weak.lock();
+              if (!Target)
+                kj::throwFatalException(
+                    KJ_EXCEPTION(DISCONNECTED, "connection was dropped"));
+              Target->Stream = kj::mv(Stream);
+              Target->Rpc = kj::heap<capnp::TwoPartyClient>(*Target->Stream);
+              return Target->Rpc->bootstrap().castAs<schema::Peer>();
+            });
+    Fresh->Remote = schema::Peer::Client(kj::mv(Opened));
+    Connections.emplace(To, Fresh);
+    return Fresh;
+  }
+
+  InstanceId Self;
+  MessageHandler Received;
+  LostHandler Lost;
+  BoundedRing<Command> Ring;
+  int WakeFd;
+  std::atomic<bool> Stopping = false;
+  std::thread Worker;
+  kj::AsyncIoContext *Io = nullptr;
+  kj::TaskSet *Tasks = nullptr;
+  std::map<InstanceId, std::string> Places;
+  std::map<InstanceId, std::shared_ptr<Connection>> Connections;
+};
+
+PeerTransport::PeerTransport(InstanceId Self, MessageHandler OnMessage,
+                             LostHandler OnLost)
+    : Impl(std::make_unique<Loop>(std::move(Self), std::move(OnMessage),
+                                  std::move(OnLost))) {}
+
+PeerTransport::~PeerTransport() = default;
+
+Result<void> PeerTransport::listen(const std::string &Host,
+                                   std::uint16_t Port) {
+  return Impl->start(Host, Port);
+}
+
+void PeerTransport::stop() { Impl->stop(); }
+
+void PeerTransport::send(const InstanceId &To, const PeerMessage &Message) {
+  Impl->push(Loop::Outgoing{To, Message});
+}
+
+void PeerTransport::setMembers(const std::vector<Member> &Members) {
+  Loop::Addresses Known;
+  for (const Member &Item : Members)
+    Known.ByName.emplace(Item.Life.Instance, Item.PeerAddress);
+  Impl->push(std::move(Known));
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/StructuredLog.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "bronzeward/Request"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace bronzeward {
+
+/// \ingroup Net
+/// \brief Writes one JSON object a line through Boost.Log, from a thread of
+/// its own. Holds no prompt and no key.
+class StructuredLog : public DecisionLog {
+public:
+  /// \param Name this instance, written into each line.
+  explicit StructuredLog(std::string Name);
+  ~StructuredLog() override;
+
+  void onChoice(const ChoiceRecord &Record) override;
+  void onEnd(const RequestId &Request, const WorkspaceId &Workspace,
+             std::uint16_t Status, const std::string &Outcome,
+             const std::string &Reason) override;
+  /// \brief Logs an event of the instance itself.
+  void onEvent(const std::string &Event, const std::string &Detail);
+
+  /// \returns lines dropped since the ring was full.
+  [[nodiscard]] std::uint64_t dropped() const { return Ring.refused(); }
+
+private:
+  struct EndRecord {
+    RequestId Request;
+    WorkspaceId Workspace;
+    std::uint16_t Status = 0;
+    std::string Outcome;
+    std::string Reason;
+  };
+  struct EventRecord {
+    std::string Event;
+    std::string Detail;
+  };
+  using Record = std::variant<ChoiceRecord, EndRecord, EventRecord>;
+
+  void push(Record Item);
+  void run();
+  void write(const Record &Item);
+
+  std::string Instance;
+  BoundedRing<Record> Ring;
+  std::mutex Lock;
+  std::condition_variable Ready;
+  bool Pending = false;
+  bool Stopping = false;
+  std::thread Writer;
+};
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -0,0 +1,167 @@
+#include "bronzeward/src/Net/UpstreamClient.h"
+
+#include <boost/json.hpp>
+
+namespace bronzeward {
+
+/// Commands that may wait for the client's thread.
+constexpr std::size_t RingCapacity = 65536;
+/// Time between two readings of every load report.
+constexpr Duration LoadPeriod = 250ms;
+/// Longest wait for a load report.
+constexpr Duration LoadTimeout = 1s;
+/// Longest silence of an upstream within an answer.
+constexpr Duration AnswerIdleTimeout = 600s;
+
+class UpstreamClient::AttemptListener : public HttpListener {
+public:
+  AttemptListener(UpstreamClient &Client, AttemptId Number)
+      : Owner(Client), Attempt(Number) {}
+
+  void onHead(std::uint16_t Status, const std::string &ContentType) override {
+    Owner.Handler(UpstreamHead{Attempt, Status, ContentType});
+  }
+  void onBody(std::string_view Bytes) override {
+    Owner.Handler(UpstreamBytes{Attempt, std::string(Bytes)});
+  }
+  void onEnd() override {
+    Owner.Running.erase(Attempt);
+    Owner.Handler(UpstreamEnded{Attempt});
+  }
+  void onFailure(HttpFailure How, const std::string &) override {
+    Owner.Running.erase(Attempt);
+    UpstreamFailure Kind = UpstreamFailure::Closed;
+    if (How == HttpFailure::NotSent)
+      Kind = UpstreamFailure::NotSent;
+    else if (How == HttpFailure::Invalid)
+      Kind = UpstreamFailure::Invalid;
+    Owner.Handler(UpstreamFailed{Attempt, Kind});
+  }
+
+private:
+  UpstreamClient &Owner;
+  AttemptId Attempt;
+};
+
+class UpstreamClient::LoadListener : public HttpListener {
+public:
+  LoadListener(UpstreamClient &Client, UpstreamName Upstream)
+      : Owner(Client), Name(std::move(Upstream)),
+        Asked(std::chrono::steady_clock::now()) {}
+
+  void onHead(std::uint16_t Code, const std::string &) override {
+    Status = Code;
+  }
+  void onBody(std::string_view Bytes) override { Body.append(Bytes); }
+  void onEnd() override {
+    if (Status != 200)
+      return;
+    boost::system::error_code Failure;
+    const boost::json::value Parsed = boost::json::parse(Body, Failure);
+    if (Failure || !Parsed.is_object())
+      return;
+    const auto Number = [&](const char *Key) -> std::int64_t {
+      const boost::json::value *Value = Parsed.as_object().if_contains(Key);
+      return Value != nullptr && Value->is_int64() ? Value->as_int64() : 0;
+    };
+    const boost::json::value *Leaving =
+        Parsed.as_object().if_contains("leaving");
+    UpstreamLoad Load;
+    Load.Name = Name;
+    // The age is the upstream's own word, so that clocks need not agree.
+    Load.Report = {Number("running"), Number("queued"),
+                   Asked - std::chrono::milliseconds(Number("age_ms"))};
+    Load.Leaving =
+        Leaving != nullptr && Leaving->is_bool() && Leaving->as_bool();
+    Owner.Handler(std::move(Load));
+  }
+  void onFailure(HttpFailure, const std::string &) override {}
+
+private:
+  UpstreamClient &Owner;
+  UpstreamName Name;
+  TimePoint Asked;
+  std::uint16_t Status = 0;
+  std::string Body;
+};
+
+UpstreamClient::UpstreamClient(EventHandler OnEvent)
+    : Handler(std::move(OnEvent)),
+      Connections(makeHttpConnections(Thread.context())),
+      PollTimer(std::make_unique<boost::asio::steady_timer>(Thread.context())),
+      Ring(Thread.context(), RingCapacity,
+           [this](Command &Item) { take(Item); }) {}
+
+void UpstreamClient::start() {
+  pollLoads();
+  Thread.start();
+}
+
+void UpstreamClient::dispatch(const UpstreamCall &Call) {
+  if (Ring.push(Call))
+    return;
+  // Told from the client's thread, since the handler may wait for the caller.
+  boost::asio::post(Thread.context(), [this, Attempt = Call.Attempt] {
+    Handler(UpstreamFailed{Attempt, UpstreamFailure::NotSent});
+  });
+}
+
+void UpstreamClient::cancel(AttemptId Attempt) { Ring.push(Cancel{Attempt}); }
+
+void UpstreamClient::watch(std::vector<UpstreamSpec> Upstreams) {
+  Ring.push(Watch{std::move(Upstreams)});
+}
+
+void UpstreamClient::take(Command &Item) {
+  if (const auto *Call = std::get_if<UpstreamCall>(&Item)) {
+    begin(*Call);
+  } else if (const auto *Ended = std::get_if<Cancel>(&Item)) {
+    const auto Found = Running.find(Ended->Attempt);
+    if (Found == Running.end())
+      return;
+    Found->second->cancel();
+    Running.erase(Found);
+  } else if (auto *Listed = std::get_if<Watch>(&Item)) {
+    Watched = std::move(Listed->Upstreams);
+  }
+}
+
+void UpstreamClient::begin(const UpstreamCall &Call) {
+  HttpRequest Request;
+  Request.Host = Call.Host;
+  Request.Port = Call.Port;
+  Request.Method = Call.Method;
+  Request.Target = Call.Target;
+  Request.ContentType = Call.ContentType;
+  Request.Body = Call.Body;
+  Request.Headers = {{"X-Request-Id", Call.Request.Value},
+                     {"Idempotency-Key", Call.Key.Value}};
+  Request.IdleTimeout = AnswerIdleTimeout;
+  // A kept connection that turns out closed leaves in doubt whether the
+  // request was read.
+  Request.ReuseConnection = Call.Repeatable;
+  const std::shared_ptr<HttpExchange> Exchange =
+      startExchange(Connections, std::move(Request),
+                    std::make_shared<AttemptListener>(*this, Call.Attempt));
+  Running.emplace(Call.Attempt, Exchange);
+}
+
+void UpstreamClient::pollLoads() {
+  for (const UpstreamSpec &Spec : Watched) {
+    HttpRequest Request;
+    Request.Host = Spec.Host;
+    Request.Port = Spec.Port;
+    Request.Method = "GET";
+    Request.Target = "/load";
+    Request.IdleTimeout = LoadTimeout;
+    startExchange(Connections, std::move(Request),
+                  std::make_shared<LoadListener>(*this, Spec.Name));
+  }
+  PollTimer->expires_after(LoadPeriod);
+  PollTimer->async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      pollLoads();
+  });
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "bronzeward/Request"
+#include "bronzeward/src/Net/DutyThread.h"
+#include "bronzeward/src/Net/HttpExchange.h"
+#include "bronzeward/src/Net/Mailbox.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <variant>
+#include <vector>
+
+namespace bronzeward {
+
+/// \addtogroup Net
+/// @{
+
+struct UpstreamHead {
+  AttemptId Attempt;
+  std::uint16_t Status = 0;
+  std::string ContentType;
+};
+struct UpstreamBytes {
+  AttemptId Attempt;
+  std::string Bytes;
+};
+struct UpstreamEnded {
+  AttemptId Attempt;
+};
+struct UpstreamFailed {
+  AttemptId Attempt;
+  UpstreamFailure How = UpstreamFailure::Closed;
+};
+struct UpstreamLoad {
+  UpstreamName Name;
+  LoadReport Report;
+  bool Leaving = false;
+};
+using UpstreamEvent = std::variant<UpstreamHead, UpstreamBytes, UpstreamEnded,
+                                   UpstreamFailed, UpstreamLoad>;
+
+/// \brief Sends requests to upstreams and reads their load reports, in a
+/// thread of its own.
+class UpstreamClient : public UpstreamPort {
+public:
+  using EventHandler = std::function<void(UpstreamEvent)>;
+
+  /// \param OnEvent runs in the client's thread.
+  explicit UpstreamClient(EventHandler OnEvent);
+  ~UpstreamClient() override { Thread.stop(); }
+
+  void start();
+  void stop() { Thread.stop(); }
+  /// \brief Sends a request; where the ring is full it fails as not sent.
+  void dispatch(const UpstreamCall &Call) override;
+  void cancel(AttemptId Attempt) override;
+  /// \brief Sets whose load is read.
+  void watch(std::vector<UpstreamSpec> Upstreams);
+
+private:
+  struct Cancel {
+    AttemptId Attempt;
+  };
+  struct Watch {
+    std::vector<UpstreamSpec> Upstreams;
+  };
+  using Command = std::variant<UpstreamCall, Cancel, Watch>;
+  class AttemptListener;
+  class LoadListener;
+
+  void take(Command &Item);
+  void begin(const UpstreamCall &Call);
+  void pollLoads();
+
+  EventHandler Handler;
+  DutyThread Thread;
+  std::shared_ptr<HttpConnections> Connections;
+  std::map<AttemptId, std::shared_ptr<HttpExchange>> Running;
+  std::vector<UpstreamSpec> Watched;
+  std::unique_ptr<boost::asio::steady_timer> PollTimer;
+  Mailbox<Command> Ring;
+};
+
+/// @}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Router/ConfigurationFollower.cpp
@@ -0,0 +1,90 @@
+#include "bronzeward/src/Router/ConfigurationFollower.h"
+
+namespace bronzeward {
+
+/// Instances of a failure domain that read the head record often.
+constexpr std::size_t FrequentReaders = 2;
+/// Time between readings by those, and by the others.
+constexpr Duration FrequentPeriod = 500ms;
+constexpr Duration SeldomPeriod = 10s;
+
+ConfigurationFollower::ConfigurationFollower(InstanceId Name,
+                                             FailureDomain Home,
+                                             const Membership &Listed,
+                                             StoreClient &Client, PeerPort &Out,
+                                             TimerQueue &Queue)
+    : Self(std::move(Name)), Domain(std::move(Home)), Members(Listed),
+      Store(Client), Peers(Out), Timers(Queue) {}
+
+void ConfigurationFollower::start(TimePoint Now, AcceptedHandler OnAccepted) {
+  Accepted = std::move(OnAccepted);
+  poll(Now);
+}
+
+bool ConfigurationFollower::readsOften() const {
+  if (Version.Number == 0)
+    return true;
+  std::size_t Before = 0;
+  for (const Member &Item : Members.members())
+    if (Item.Domain == Domain && !Item.Leaving && Item.Life.Instance < Self)
+      ++Before;
+  return Before < FrequentReaders;
+}
+
+void ConfigurationFollower::poll(TimePoint Now) {
+  Store.call(
+      ReadKey{ConfigurationKey}, Now,
+      [this](const StoreReply &Reply, TimePoint At) {
+        onHead(Reply, At);
+        const Duration Pause = readsOften() ? FrequentPeriod : SeldomPeriod;
+        Timers.schedule(At + Pause, [this](TimePoint Due) { poll(Due); });
+      });
+}
+
+void ConfigurationFollower::onHead(const StoreReply &Reply, TimePoint Now) {
+  if (Reply.Status != StoreStatus::Ok || Reply.Entries.empty())
+    return;
+  const Result<ConfigurationHead> Head =
+      parseConfigurationHead(Reply.Entries.front().Value);
+  if (Head && Head.value().Current.Version > Version)
+    readText(Head.value().Current, Now);
+}
+
+void ConfigurationFollower::readText(const ConfigurationRevision &Revision,
+                                     TimePoint Now) {
+  Store.call(ReadKey{archiveKey(Revision.TextDigest)}, Now,
+             [this, Revision](const StoreReply &Reply, TimePoint At) {
+               if (Reply.Status == StoreStatus::Ok && !Reply.Entries.empty())
+                 accept(Revision.Version, Reply.Entries.front().Value, At);
+             });
+}
+
+void ConfigurationFollower::accept(ConfigurationVersion Newer,
+                                   const std::string &Text, TimePoint Now) {
+  if (Newer <= Version)
+    return;
+  auto Parsed = parseConfiguration(Text);
+  if (!Parsed)
+    return;
+  Version = Newer;
+  CurrentText = Text;
+  Accepted(Version, std::move(Parsed).value(), Now);
+}
+
+void ConfigurationFollower::onDigest(const InstanceId &From,
+                                     const PeerDigest &Message) {
+  if (Message.Configuration > Version)
+    Peers.send(From, ConfigurationWanted{});
+}
+
+void ConfigurationFollower::onText(const ConfigurationText &Message,
+                                   TimePoint Now) {
+  accept(Message.Version, Message.Text, Now);
+}
+
+void ConfigurationFollower::onWanted(const InstanceId &From) {
+  if (Version.Number > 0)
+    Peers.send(From, ConfigurationText{Version, CurrentText});
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -0,0 +1,155 @@
+#include "bronzeward/src/Router/InstanceRegistry.h"
+
+#include <boost/json.hpp>
+
+namespace bronzeward {
+
+namespace json = boost::json;
+
+/// Time after which a silent instance drops off the list.
+constexpr std::chrono::seconds LeaseTime{10};
+/// Time between two extensions of the lease.
+constexpr Duration KeepAlivePeriod = 3s;
+/// Time between two readings of the list.
+constexpr Duration ListPeriod = 2s;
+/// Longest pause before a failed call is repeated.
+constexpr Duration RetryPause = 1s;
+
+std::string encodeMember(const Member &Item) {
+  return json::serialize(json::object{{"life", registrationOf(Item.Life)},
+                                      {"failure_domain", Item.Domain.Value},
+                                      {"peer_address", Item.PeerAddress},
+                                      {"leaving", Item.Leaving}});
+}
+
+Result<Member> parseMember(const StoreEntry &Entry) {
+  try {
+    const json::value Value = json::parse(Entry.Value);
+    Member Item;
+    Item.Life.Instance.Value =
+        Entry.Key.substr(std::string_view(InstancePrefix).size());
+    const std::uint64_t Life = Value.at("life").to_number<std::uint64_t>();
+    Item.Life.Epoch = (Life == 0 ? Entry.Revision : Life) << RegistrationShift;
+    Item.Domain.Value = Value.at("failure_domain").as_string().c_str();
+    Item.PeerAddress = Value.at("peer_address").as_string().c_str();
+    Item.Leaving = Value.at("leaving").as_bool();
+    return Item;
+  } catch (const std::exception &Failure) {
+    return fail(ErrorKind::InvalidData, "parse instance entry", Entry.Key,
+                Failure.what());
+  }
+}
+
+InstanceRegistry::InstanceRegistry(Member Own, StoreClient &Client,
+                                   TimerQueue &Queue, Random &Source)
+    : Self(std::move(Own)), Store(Client), Timers(Queue), Jitter(Source) {}
+
+std::string InstanceRegistry::ownKey() const {
+  return InstancePrefix + Self.Life.Instance.Value;
+}
+
+void InstanceRegistry::start(TimePoint Now, RegisteredHandler OnRegistered,
+                             ListedHandler OnListed) {
+  Registered = std::move(OnRegistered);
+  Listed = std::move(OnListed);
+  obtainLease(Now);
+  list(Now);
+}
+
+void InstanceRegistry::retry(TimePoint Now) {
+  const double Share = 0.5 + 0.5 * Jitter.unit();
+  Timers.schedule(Now +
+                      std::chrono::duration_cast<Duration>(RetryPause * Share),
+                  [this](TimePoint At) { obtainLease(At); });
+}
+
+void InstanceRegistry::obtainLease(TimePoint Now) {
+  if (Removed)
+    return;
+  Store.call(GrantLease{LeaseTime}, Now,
+             [this](const StoreReply &Reply, TimePoint At) {
+               if (Reply.Status != StoreStatus::Ok) {
+                 retry(At);
+                 return;
+               }
+               Lease = Reply.Lease;
+               readOwnEntry(At);
+             });
+}
+
+void InstanceRegistry::readOwnEntry(TimePoint Now) {
+  Store.call(
+      ReadKey{ownKey()}, Now, [this](const StoreReply &Reply, TimePoint At) {
+        if (Reply.Status != StoreStatus::Ok) {
+          retry(At);
+          return;
+        }
+        writeOwnEntry(
+            Reply.Entries.empty() ? 0 : Reply.Entries.front().Revision, At);
+      });
+}
+
+void InstanceRegistry::writeOwnEntry(std::uint64_t ExpectedRevision,
+                                     TimePoint Now) {
+  Store.call(
+      CompareAndSwap{ownKey(), encodeMember(Self), ExpectedRevision, Lease},
+      Now, [this](const StoreReply &Reply, TimePoint At) {
+        if (Reply.Status != StoreStatus::Ok) {
+          retry(At);
+          return;
+        }
+        if (!Announced) {
+          Announced = true;
+          Self.Life.Epoch = Reply.Revision << RegistrationShift;
+          Registered(Self.Life, At);
+        }
+        Timers.schedule(At + KeepAlivePeriod,
+                        [this](TimePoint Due) { keepAlive(Due); });
+      });
+}
+
+void InstanceRegistry::keepAlive(TimePoint Now) {
+  if (Removed)
+    return;
+  Store.call(KeepAlive{Lease}, Now,
+             [this](const StoreReply &Reply, TimePoint At) {
+               if (Reply.Status == StoreStatus::Conflict) {
+                 // The lease lapsed; the life goes on under a new one.
+                 obtainLease(At);
+                 return;
+               }
+               Timers.schedule(At + KeepAlivePeriod,
+                               [this](TimePoint Due) { keepAlive(Due); });
+             });
+}
+
+void InstanceRegistry::list(TimePoint Now) {
+  Store.call(ListKeys{InstancePrefix}, Now,
+             [this](const StoreReply &Reply, TimePoint At) {
+               if (Reply.Status == StoreStatus::Ok) {
+                 std::vector<Member> Members;
+                 for (const StoreEntry &Entry : Reply.Entries) {
+                   Result<Member> Item = parseMember(Entry);
+                   if (Item)
+                     Members.push_back(std::move(Item).value());
+                 }
+                 Listed(std::move(Members), At);
+               }
+               const Duration Pause = Announced ? ListPeriod : RetryPause;
+               Timers.schedule(At + Pause,
+                               [this](TimePoint Due) { list(Due); });
+             });
+}
+
+void InstanceRegistry::leave(TimePoint Now) {
+  Self.Leaving = true;
+  if (Announced)
+    readOwnEntry(Now);
+}
+
+void InstanceRegistry::remove(TimePoint Now) {
+  Removed = true;
+  Store.call(DeleteKey{ownKey()}, Now, [](const StoreReply &, TimePoint) {});
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Router/RouterCore.cpp
@@ -0,0 +1,223 @@
+#include "bronzeward/src/Router/RouterCore.h"
+
+#include "bronzeward/src/Request/AnswerText.h"
+
+namespace bronzeward {
+
+/// Time between two digests to peers.
+constexpr Duration DigestPeriod = 500ms;
+/// Peers that get each digest.
+constexpr std::size_t DigestFanout = 3;
+/// Quarantined contents in one digest.
+constexpr std::size_t MaxDigestSuspects = 16;
+/// Time between two looks at whether a drain is done.
+constexpr Duration DrainCheckPeriod = 50ms;
+/// Time that the balancer has to notice that the instance is not ready.
+constexpr Duration UnreadyNotice = 500ms;
+
+RouterCore::RouterCore(RouterIdentity Who, RouterSurroundings Parts)
+    : Identity(std::move(Who)), Around(Parts), Source(Identity.Seed),
+      Store(Parts.Store, Timers, Source, Identity.Store),
+      Registry(Member{Incarnation{Identity.Instance, 0}, Identity.Domain,
+                      Identity.PeerAddress, false},
+               Store, Timers, Source),
+      Follower(Identity.Instance, Identity.Domain, Members, Store, Parts.Peers,
+               Timers) {}
+
+void RouterCore::start(TimePoint Now) {
+  Registry.start(
+      Now,
+      [this](const Incarnation &Registered, TimePoint At) {
+        onRegistered(Registered, At);
+      },
+      [this](std::vector<Member> Listed, TimePoint At) {
+        onListed(std::move(Listed), At);
+      });
+  Follower.start(Now, [this](ConfigurationVersion Version, Configuration Text,
+                             TimePoint At) {
+    onConfiguration(Version, std::move(Text), At);
+  });
+  sendDigests(Now);
+}
+
+void RouterCore::onRegistered(const Incarnation &Registered, TimePoint Now) {
+  Life = Registered;
+  startServing(Now);
+}
+
+void RouterCore::onListed(std::vector<Member> Listed, TimePoint Now) {
+  Members.update(Listed);
+  if (Budgets)
+    Budgets->onMembers(std::move(Listed), Now);
+}
+
+void RouterCore::onConfiguration(ConfigurationVersion Version,
+                                 Configuration Text, TimePoint Now) {
+  // Accounts are spread over the slots; the number cannot change under them.
+  if (Accepted)
+    Text.Budget.Slots = Policy.Slots;
+  Policy = Text.Budget;
+  Accepted = Text;
+  if (Engine)
+    Engine->configure(Version, std::move(Text));
+  startServing(Now);
+}
+
+void RouterCore::startServing(TimePoint Now) {
+  if (Engine || !Life || !Accepted)
+    return;
+  Engine = std::make_unique<RequestEngine>(
+      *Life, Identity.Domain,
+      RequestSurroundings{Around.Callers, Around.Upstreams, Around.Log,
+                          Around.Wall, Timers, Source});
+  Budgets = std::make_unique<BudgetAgent>(
+      *Life, Identity.Domain, Policy,
+      BudgetSurroundings{Store, Around.Peers, Timers, Source, *Engine});
+  Engine->attach(*Budgets);
+  Engine->configure(Follower.version(), *Accepted);
+  Budgets->onMembers(Members.members(), Now);
+}
+
+void RouterCore::sendDigests(TimePoint Now) {
+  PeerDigest Digest;
+  Digest.Configuration = Follower.version();
+  Digest.Draining = Draining;
+  if (Engine) {
+    Digest.Suspects = Engine->quarantine().listed(Now);
+    if (Digest.Suspects.size() > MaxDigestSuspects)
+      Digest.Suspects.resize(MaxDigestSuspects);
+  }
+  std::vector<InstanceId> Others;
+  for (const Member &Item : Members.members())
+    if (Item.Life.Instance != Identity.Instance)
+      Others.push_back(Item.Life.Instance);
+  for (std::size_t Sent = 0; Sent < DigestFanout && !Others.empty(); ++Sent) {
+    const std::size_t Index = Source.below(Others.size());
+    Around.Peers.send(Others[Index], Digest);
+    Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Index));
+  }
+  Timers.schedule(Now + DigestPeriod,
+                  [this](TimePoint At) { sendDigests(At); });
+}
+
+void RouterCore::onCallerRequest(CallerRequest In, TimePoint Now) {
+  if (Engine) {
+    Engine->onCallerRequest(std::move(In), Now);
+    return;
+  }
+  const RequestId Id{Identity.Instance.Value + "-not-ready"};
+  Around.Callers.answer(
+      In.Ticket, refusalAnswer(Id, {Outcome::NotRun, Reason::NotReady, ""}));
+}
+
+void RouterCore::onCallerGone(CallerTicket Ticket, TimePoint Now) {
+  if (Engine)
+    Engine->onCallerGone(Ticket, Now);
+}
+
+void RouterCore::onStoreReply(StoreCallId Id, const StoreReply &Reply,
+                              TimePoint Now) {
+  Store.onReply(Id, Reply, Now);
+}
+
+void RouterCore::onPeerMessage(const InstanceId &From,
+                               const PeerMessage &Message, TimePoint Now) {
+  if (const auto *Digest = std::get_if<PeerDigest>(&Message)) {
+    Follower.onDigest(From, *Digest);
+    if (Engine)
+      for (const ContentFingerprint &Content : Digest->Suspects)
+        Engine->quarantine().onReported(Content, Now);
+  } else if (const auto *Text = std::get_if<ConfigurationText>(&Message)) {
+    Follower.onText(*Text, Now);
+  } else if (std::holds_alternative<ConfigurationWanted>(Message)) {
+    Follower.onWanted(From);
+  }
+  if (Budgets)
+    Budgets->onPeerMessage(From, Message, Now);
+}
+
+void RouterCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
+  if (Budgets)
+    Budgets->onPeerUnreachable(Peer, Now);
+}
+
+void RouterCore::onLoadReport(const UpstreamName &Name,
+                              const LoadReport &Report, bool Leaving) {
+  if (!Engine)
+    return;
+  Engine->upstreams().onReport(Name, Report);
+  Engine->upstreams().onLeaving(Name, Leaving);
+}
+
+void RouterCore::liftQuarantine(const ContentFingerprint &Content,
+                                TimePoint Now) {
+  if (Engine)
+    Engine->quarantine().lift(Content, Now);
+}
+
+void RouterCore::drain(TimePoint Now) {
+  if (Draining)
+    return;
+  Draining = true;
+  Registry.leave(Now);
+  Timers.schedule(Now + UnreadyNotice, [this](TimePoint At) {
+    if (Engine)
+      Engine->drain();
+    finishDrain(At);
+  });
+}
+
+void RouterCore::finishDrain(TimePoint Now) {
+  const bool Idle = !Engine || Engine->inFlight() == 0;
+  if (Idle && Budgets)
+    Budgets->drain(Now);
+  if (Idle && (!Budgets || Budgets->drained())) {
+    Registry.remove(Now);
+    Removed = true;
+    return;
+  }
+  Timers.schedule(Now + DrainCheckPeriod,
+                  [this](TimePoint At) { finishDrain(At); });
+}
+
+bool RouterCore::drained() const { return Removed; }
+
+std::string RouterCore::notReadyReason(TimePoint Now) const {
+  if (Draining)
+    return "draining";
+  if (!Life)
+    return "not registered: the store does not answer";
+  if (!Accepted)
+    return "no configuration";
+  if (!Budgets->serving(Now))
+    return "cut off from the store and from enough peers";
+  return "";
+}
+
+RouterStatus RouterCore::status(TimePoint Now) const {
+  RouterStatus Status;
+  Status.Instance = Identity.Instance;
+  Status.Domain = Identity.Domain;
+  Status.NotReadyReason = notReadyReason(Now);
+  Status.Ready = Status.NotReadyReason.empty();
+  Status.Draining = Draining;
+  Status.Configuration = Follower.version();
+  Status.StoreFailing = Store.failingSince().has_value();
+  Status.Store = Store.counters();
+  Status.Members = Members.members();
+  if (!Engine)
+    return Status;
+  Status.InFlight = Engine->inFlight();
+  Status.Requests = Engine->counters();
+  Status.Quarantined = Engine->quarantine().listed(Now);
+  Status.PendingOperations = Budgets->pendingOperations();
+  Status.CarriedBills = Budgets->carriedBills();
+  Status.HeldGrants = Budgets->held();
+  return Status;
+}
+
+std::vector<UpstreamSpec> RouterCore::upstreams() const {
+  return Accepted ? Accepted->Upstreams : std::vector<UpstreamSpec>();
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -0,0 +1,108 @@
+#include "bronzeward/src/Router/RouterStatus.h"
+
+#include <boost/json.hpp>
+
+namespace bronzeward {
+
+namespace json = boost::json;
+
+std::string statusJson(const RouterStatus &Status) {
+  json::array Members;
+  for (const Member &Item : Status.Members)
+    Members.push_back(json::object{{"instance", Item.Life.Instance.Value},
+                                   {"failure_domain", Item.Domain.Value},
+                                   {"peer_address", Item.PeerAddress},
+                                   {"leaving", Item.Leaving}});
+  json::array Quarantined;
+  for (const ContentFingerprint &Content : Status.Quarantined)
+    Quarantined.push_back(json::value(Content.Value));
+  const json::object Object{
+      {"instance", Status.Instance.Value},
+      {"failure_domain", Status.Domain.Value},
+      {"ready", Status.Ready},
+      {"not_ready_reason", Status.NotReadyReason},
+      {"draining", Status.Draining},
+      {"configuration_version", Status.Configuration.Number},
+      {"requests_in_flight", Status.InFlight},
+      {"pending_operations", Status.PendingOperations},
+      {"carried_bills", Status.CarriedBills},
+      {"held_grants_micros", Status.HeldGrants.micros()},
+      {"store_failing", Status.StoreFailing},
+      {"members", std::move(Members)},
+      {"quarantined", std::move(Quarantined)}};
+  return json::serialize(Object) + "\n";
+}
+
+namespace internal {
+
+/// \brief Writes metrics in the Prometheus text format.
+class MetricsWriter {
+public:
+  void counter(const char *Name, const char *Help, std::uint64_t Value) {
+    write(Name, Help, "counter", std::to_string(Value));
+  }
+  void gauge(const char *Name, const char *Help, std::int64_t Value) {
+    write(Name, Help, "gauge", std::to_string(Value));
+  }
+  std::string Text;
+
+private:
+  void write(const char *Name, const char *Help, const char *Type,
+             const std::string &Value) {
+    const std::string Full = std::string("bronzeward_") + Name;
+    Text += "# HELP " + Full + " " + Help + "\n";
+    Text += "# TYPE " + Full + " " + Type + "\n";
+    Text += Full + " " + Value + "\n";
+  }
+};
+
+} // namespace internal
+
+std::string statusMetrics(const RouterStatus &Status) {
+  internal::MetricsWriter Out;
+  const RequestCounters &Requests = Status.Requests;
+  Out.counter("requests_total", "Requests received.", Requests.Accepted);
+  Out.counter("requests_answered_total", "Requests answered whole.",
+              Requests.Answered);
+  Out.counter("requests_refused_total", "Requests refused, not run.",
+              Requests.RefusedNotRun);
+  Out.counter("requests_ended_ran_total",
+              "Requests that ran and ended without their whole answer.",
+              Requests.EndedRan);
+  Out.counter("requests_ended_unknown_total",
+              "Requests that ended with an unknown outcome.",
+              Requests.EndedUnknown);
+  Out.counter("retries_total", "Attempts after the first.", Requests.Retries);
+  Out.counter("callers_gone_total", "Callers that disconnected early.",
+              Requests.CallersGone);
+  Out.counter("over_reported_total",
+              "Upstream usage reports cut to the reservation.",
+              Requests.OverReported);
+  Out.counter("quarantined_total", "Contents put under quarantine here.",
+              Requests.Quarantined);
+  Out.counter("store_reads_total", "Read calls to the store.",
+              Status.Store.Reads);
+  Out.counter("store_writes_total", "Write calls to the store.",
+              Status.Store.Writes);
+  Out.counter("store_lease_calls_total", "Lease calls to the store.",
+              Status.Store.Leases);
+  Out.counter("store_failures_total", "Store calls that failed.",
+              Status.Store.Failures);
+  Out.counter("store_calls_held_back_total",
+              "Store calls not sent: breaker open or too many in flight.",
+              Status.Store.NotSent);
+  Out.gauge("requests_in_flight", "Requests in flight.", Status.InFlight);
+  Out.gauge("pending_operations", "Ledger operations without a result.",
+            static_cast<std::int64_t>(Status.PendingOperations));
+  Out.gauge("carried_bills", "Bills carried for other instances.",
+            static_cast<std::int64_t>(Status.CarriedBills));
+  Out.gauge("held_grants_micros", "Budget held in grants here.",
+            Status.HeldGrants.micros());
+  Out.gauge("configuration_version", "Configuration version in force.",
+            static_cast<std::int64_t>(Status.Configuration.Number));
+  Out.gauge("ready", "Whether the instance takes requests.",
+            Status.Ready ? 1 : 0);
+  return Out.Text;
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "bronzeward/Request"
+#include "bronzeward/Store"
+
+#include <string>
+#include <vector>
+
+namespace bronzeward {
+
+/// \ingroup Router
+/// \brief A copy of one instance's state for operators and metrics.
+struct RouterStatus {
+  InstanceId Instance;
+  FailureDomain Domain;
+  bool Ready = false;
+  /// Why the instance is not ready; empty where it is.
+  std::string NotReadyReason;
+  bool Draining = false;
+  ConfigurationVersion Configuration;
+  std::int64_t InFlight = 0;
+  std::size_t PendingOperations = 0;
+  std::size_t CarriedBills = 0;
+  Money HeldGrants;
+  bool StoreFailing = false;
+  StoreCounters Store;
+  RequestCounters Requests;
+  std::vector<Member> Members;
+  std::vector<ContentFingerprint> Quarantined;
+};
+
+/// \returns the status as a JSON object.
+[[nodiscard]] std::string statusJson(const RouterStatus &Status);
+
+/// \returns the status in the Prometheus text format.
+[[nodiscard]] std::string statusMetrics(const RouterStatus &Status);
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Routing/Quarantine.cpp
@@ -0,0 +1,80 @@
+#include "bronzeward/src/Routing/Quarantine.h"
+
+namespace bronzeward {
+
+/// Crashes that put a content under quarantine.
+constexpr int CrashesToQuarantine = 2;
+/// How long a suspect or a quarantine is remembered.
+constexpr Duration QuarantineTime = 10min;
+/// Contents remembered at most.
+constexpr std::size_t MaxEntries = 4096;
+
+void Quarantine::prune(TimePoint Now) {
+  if (Entries.size() < MaxEntries)
+    return;
+  std::erase_if(Entries, [Now](const auto &Item) {
+    return Now >= Item.second.Until && Now >= Item.second.LiftedUntil;
+  });
+  if (Entries.size() >= MaxEntries)
+    Entries.erase(Entries.begin());
+}
+
+bool Quarantine::onCrash(const ContentFingerprint &Content, TimePoint Now) {
+  prune(Now);
+  Entry &Item = Entries[Content];
+  if (Now >= Item.Until)
+    Item.Crashes = 0;
+  ++Item.Crashes;
+  Item.Until = Now + QuarantineTime;
+  return Item.Crashes >= CrashesToQuarantine;
+}
+
+void Quarantine::onCompleted(const ContentFingerprint &Content) {
+  const auto Found = Entries.find(Content);
+  if (Found != Entries.end() && Found->second.Crashes < CrashesToQuarantine)
+    Entries.erase(Found);
+}
+
+void Quarantine::onReported(const ContentFingerprint &Content, TimePoint Now) {
+  prune(Now);
+  Entry &Item = Entries[Content];
+  if (Now < Item.LiftedUntil)
+    return;
+  // A peer's finding keeps its first expiry, so that reports that travel in
+  // circles cannot renew each other.
+  if (Item.Crashes >= CrashesToQuarantine && Now < Item.Until)
+    return;
+  Item.Crashes = CrashesToQuarantine;
+  Item.Until = Now + QuarantineTime;
+}
+
+void Quarantine::lift(const ContentFingerprint &Content, TimePoint Now) {
+  Entry &Item = Entries[Content];
+  Item.Crashes = 0;
+  Item.Until = Now;
+  Item.LiftedUntil = Now + QuarantineTime;
+}
+
+bool Quarantine::suspected(const ContentFingerprint &Content,
+                           TimePoint Now) const {
+  const auto Found = Entries.find(Content);
+  return Found != Entries.end() && Found->second.Crashes > 0 &&
+         Now < Found->second.Until;
+}
+
+bool Quarantine::quarantined(const ContentFingerprint &Content,
+                             TimePoint Now) const {
+  const auto Found = Entries.find(Content);
+  return Found != Entries.end() && Now < Found->second.Until &&
+         Found->second.Crashes >= CrashesToQuarantine;
+}
+
+std::vector<ContentFingerprint> Quarantine::listed(TimePoint Now) const {
+  std::vector<ContentFingerprint> Listed;
+  for (const auto &[Content, Item] : Entries)
+    if (Item.Crashes >= CrashesToQuarantine && Now < Item.Until)
+      Listed.push_back(Content);
+  return Listed;
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Routing/UpstreamTable.cpp
@@ -0,0 +1,184 @@
+#include "bronzeward/src/Routing/UpstreamTable.h"
+
+#include <algorithm>
+
+namespace bronzeward {
+
+/// Failures in a row that eject an upstream.
+constexpr int FailuresToEject = 3;
+/// How long a failing upstream is passed over, for each failure past that.
+constexpr Duration EjectionTime = 2s;
+constexpr int MaxEjectionSteps = 5;
+/// Own dispatches remembered to correct a report.
+constexpr std::size_t MaxRemembered = 4096;
+/// Prefix blocks remembered for each upstream.
+constexpr std::size_t MaxPrefixBlocks = 8192;
+/// Weight of a new measurement in the moving averages.
+constexpr double Smoothing = 0.1;
+/// Starting values, before anything was measured.
+constexpr Duration InitialServiceTime = 2s;
+constexpr Duration InitialPrefillTokenTime = 100us;
+/// Assumed one-way delay between failure domains.
+constexpr Duration DomainDistance = 3ms;
+/// Bytes of prompt taken as one token when the prefix is estimated.
+constexpr std::int64_t BytesPerToken = 4;
+
+void UpstreamTable::configure(const Configuration &Text) {
+  std::map<UpstreamName, UpstreamState> Fresh;
+  ByService.clear();
+  for (const UpstreamSpec &Spec : Text.Upstreams) {
+    ByService[Spec.Service].push_back(Spec.Name);
+    const auto Known = States.find(Spec.Name);
+    const bool Same = Known != States.end() &&
+                      Known->second.Spec.Host == Spec.Host &&
+                      Known->second.Spec.Port == Spec.Port;
+    UpstreamState State;
+    if (Same) {
+      State = std::move(Known->second);
+    } else {
+      State.ServiceTime = InitialServiceTime;
+      State.PrefillTokenTime = InitialPrefillTokenTime;
+      State.Prefixes = PrefixIndex(MaxPrefixBlocks);
+    }
+    State.Spec = Spec;
+    Fresh.emplace(Spec.Name, std::move(State));
+  }
+  States = std::move(Fresh);
+}
+
+UpstreamState *UpstreamTable::state(const UpstreamName &Name) {
+  const auto Found = States.find(Name);
+  return Found == States.end() ? nullptr : &Found->second;
+}
+
+const UpstreamState *UpstreamTable::find(const UpstreamName &Name) const {
+  const auto Found = States.find(Name);
+  return Found == States.end() ? nullptr : &Found->second;
+}
+
+static void remember(std::deque<TimePoint> &Times, TimePoint Now) {
+  Times.push_back(Now);
+  if (Times.size() > MaxRemembered)
+    Times.pop_front();
+}
+
+void UpstreamTable::onDispatched(const UpstreamName &Name,
+                                 const PrefixBlocks &Blocks, bool Suspect,
+                                 TimePoint Now) {
+  UpstreamState *State = state(Name);
+  if (State == nullptr)
+    return;
+  ++State->Outstanding;
+  State->Suspects += Suspect ? 1 : 0;
+  remember(State->Dispatches, Now);
+  State->Prefixes.insert(Blocks);
+}
+
+void UpstreamTable::finishOne(UpstreamState &State, bool Suspect,
+                              TimePoint Now) {
+  State.Outstanding = std::max<std::int64_t>(0, State.Outstanding - 1);
+  if (Suspect)
+    State.Suspects = std::max<std::int64_t>(0, State.Suspects - 1);
+  remember(State.Completions, Now);
+}
+
+void UpstreamTable::onCompleted(const UpstreamName &Name, bool Suspect,
+                                Duration Served, TimePoint Now) {
+  UpstreamState *State = state(Name);
+  if (State == nullptr)
+    return;
+  finishOne(*State, Suspect, Now);
+  State->ConsecutiveFailures = 0;
+  State->ServiceTime += std::chrono::duration_cast<Duration>(
+      (Served - State->ServiceTime) * Smoothing);
+}
+
+void UpstreamTable::onFailed(const UpstreamName &Name, bool Suspect,
+                             TimePoint Now) {
+  UpstreamState *State = state(Name);
+  if (State == nullptr)
+    return;
+  finishOne(*State, Suspect, Now);
+  // What the engine had cached may be gone with it.
+  State->Prefixes.clear();
+  const int Over = ++State->ConsecutiveFailures - FailuresToEject;
+  if (Over < 0)
+    return;
+  State->EjectedUntil =
+      Now + EjectionTime * std::min(Over + 1, MaxEjectionSteps);
+}
+
+void UpstreamTable::onReport(const UpstreamName &Name,
+                             const LoadReport &Report) {
+  UpstreamState *State = state(Name);
+  if (State == nullptr)
+    return;
+  if (State->Report && Report.Measured < State->Report->Measured)
+    return;
+  State->Report = Report;
+  const auto Drop = [&](std::deque<TimePoint> &Times) {
+    while (!Times.empty() && Times.front() <= Report.Measured)
+      Times.pop_front();
+  };
+  Drop(State->Dispatches);
+  Drop(State->Completions);
+}
+
+void UpstreamTable::onLeaving(const UpstreamName &Name, bool Leaving) {
+  UpstreamState *State = state(Name);
+  if (State != nullptr)
+    State->Leaving = Leaving;
+}
+
+double UpstreamTable::load(const UpstreamState &State) const {
+  const double Own = static_cast<double>(State.Outstanding);
+  if (!State.Report)
+    return Own;
+  const double Reported =
+      static_cast<double>(State.Report->Running + State.Report->Queued);
+  const double Since = static_cast<double>(State.Dispatches.size()) -
+                       static_cast<double>(State.Completions.size());
+  return std::max(Own, Reported + Since);
+}
+
+std::vector<Candidate> UpstreamTable::candidates(
+    const ServiceSpec &Service, const PrefixBlocks &Blocks,
+    const std::vector<UpstreamName> &Avoid, bool Suspect, TimePoint Now) const {
+  std::vector<Candidate> Found;
+  const auto Names = ByService.find(Service.Name);
+  if (Names == ByService.end())
+    return Found;
+  for (const UpstreamName &Name : Names->second) {
+    const UpstreamState &State = States.at(Name);
+    const bool Tried =
+        std::find(Avoid.begin(), Avoid.end(), Name) != Avoid.end();
+    if (State.Leaving || Now < State.EjectedUntil || Tried ||
+        (Suspect && State.Suspects > 0))
+      continue;
+    Candidate Item;
+    Item.Name = Name;
+    Item.Load = load(State);
+    Item.Outstanding = State.Outstanding;
+    Item.Slots = Service.UpstreamSlots;
+    Item.CachedTokens = static_cast<std::int64_t>(
+        State.Prefixes.matching(Blocks) * PrefixBlockBytes / BytesPerToken);
+    Item.ServiceTime = State.ServiceTime;
+    Item.PrefillTokenTime = State.PrefillTokenTime;
+    Item.Distance = State.Spec.Domain == Domain ? Duration() : DomainDistance;
+    Found.push_back(std::move(Item));
+  }
+  return Found;
+}
+
+bool UpstreamTable::available(const ServiceName &Service, TimePoint Now) const {
+  const auto Names = ByService.find(Service);
+  if (Names == ByService.end())
+    return false;
+  return std::any_of(Names->second.begin(), Names->second.end(),
+                     [&](const UpstreamName &Name) {
+                       const UpstreamState &State = States.at(Name);
+                       return !State.Leaving && Now >= State.EjectedUntil;
+                     });
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -0,0 +1,109 @@
+#include "bronzeward/src/Store/StoreClient.h"
+
+#include <algorithm>
+
+namespace bronzeward {
+
+static bool changesState(const StoreCall &Request) {
+  return !std::holds_alternative<ReadKey>(Request) &&
+         !std::holds_alternative<ListKeys>(Request);
+}
+
+StoreClient::StoreClient(StorePort &Out, TimerQueue &Queue, Random &Source,
+                         StorePolicy Limits)
+    : Port(Out), Timers(Queue), Jitter(Source), Policy(Limits),
+      OpenFor(Limits.MinOpen) {}
+
+void StoreClient::call(const StoreCall &Request, TimePoint Now, Handler Done) {
+  if (!available(Now)) {
+    ++Counters.NotSent;
+    Done(StoreReply{}, Now);
+    return;
+  }
+  const bool HalfOpen = ConsecutiveFailures >= Policy.FailuresToOpen;
+  Probing = Probing || HalfOpen;
+  count(Request);
+  const StoreCallId Id{++LastCall};
+  Waiting Entry;
+  Entry.Done = std::move(Done);
+  Entry.Changes = changesState(Request);
+  Entry.Timeout = Timers.schedule(Now + Policy.CallTimeout,
+                                  [this, Id](TimePoint At) { expire(Id, At); });
+  InFlight.emplace(Id, std::move(Entry));
+  Port.send(Id, Request);
+}
+
+void StoreClient::onReply(StoreCallId Id, const StoreReply &Reply,
+                          TimePoint Now) {
+  const auto Found = InFlight.find(Id);
+  if (Found == InFlight.end())
+    return;
+  const Waiting Entry = std::move(Found->second);
+  InFlight.erase(Found);
+  Timers.cancel(Entry.Timeout);
+  const bool Failed = Reply.Status == StoreStatus::Unavailable ||
+                      Reply.Status == StoreStatus::Unknown;
+  if (Failed)
+    noteFailure(Now);
+  else
+    noteSuccess();
+  Entry.Done(Reply, Now);
+}
+
+void StoreClient::expire(StoreCallId Id, TimePoint Now) {
+  const auto Found = InFlight.find(Id);
+  if (Found == InFlight.end())
+    return;
+  const Waiting Entry = std::move(Found->second);
+  InFlight.erase(Found);
+  noteFailure(Now);
+  StoreReply Lost;
+  Lost.Status = Entry.Changes ? StoreStatus::Unknown : StoreStatus::Unavailable;
+  Entry.Done(Lost, Now);
+}
+
+bool StoreClient::available(TimePoint Now) const {
+  if (InFlight.size() >= Policy.MaxInFlight)
+    return false;
+  if (ConsecutiveFailures < Policy.FailuresToOpen)
+    return true;
+  return Now >= OpenUntil && !Probing;
+}
+
+std::optional<TimePoint> StoreClient::failingSince() const {
+  return FailingSince;
+}
+
+void StoreClient::count(const StoreCall &Request) {
+  if (std::holds_alternative<ReadKey>(Request) ||
+      std::holds_alternative<ListKeys>(Request))
+    ++Counters.Reads;
+  else if (std::holds_alternative<CompareAndSwap>(Request) ||
+           std::holds_alternative<DeleteKey>(Request))
+    ++Counters.Writes;
+  else
+    ++Counters.Leases;
+}
+
+void StoreClient::noteSuccess() {
+  ConsecutiveFailures = 0;
+  OpenFor = Policy.MinOpen;
+  Probing = false;
+  FailingSince.reset();
+}
+
+void StoreClient::noteFailure(TimePoint Now) {
+  ++Counters.Failures;
+  ++ConsecutiveFailures;
+  Probing = false;
+  if (!FailingSince)
+    FailingSince = Now;
+  if (ConsecutiveFailures < Policy.FailuresToOpen)
+    return;
+  // Half fixed, half random, so that instances do not return together.
+  const double Share = 0.5 + 0.5 * Jitter.unit();
+  OpenUntil = Now + std::chrono::duration_cast<Duration>(OpenFor * Share);
+  OpenFor = std::min(2 * OpenFor, Policy.MaxOpen);
+}
+
+} // namespace bronzeward
--- /dev/null
+++ b/standins/engine.cpp
@@ -0,0 +1,279 @@
+/// \file
+/// Stand-in for a model engine: streams tokens, caches prompt prefixes,
+/// reports load, and ends all connections on a marked prompt.
+
+#include "bronzeward/Net"
+#include "daemons/Settings.h"
+
+#include <gflags/gflags.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+
+#include <iostream>
+#include <set>
+
+DEFINE_string(listen, "127.0.0.1:9001", "address, ip:port");
+DEFINE_int32(slots, 16, "requests run at a time");
+DEFINE_int32(token_ms, 20, "time for one output token");
+DEFINE_int32(prefill_us, 50, "time for one prompt token that is not cached");
+DEFINE_int32(restart_ms, 500, "time away after a crash");
+DEFINE_int32(output_tokens, 16, "tokens of an answer, if the limit allows");
+DEFINE_string(crash_mark, "crash-the-engine",
+              "text in a prompt that crashes the engine");
+
+namespace bronzeward::standins {
+
+namespace json = boost::json;
+using Timer = boost::asio::steady_timer;
+
+/// Bytes of prompt that make one token.
+constexpr std::size_t BytesPerToken = 4;
+
+/// \brief One request in the engine.
+struct Job {
+  CallerTicket Ticket;
+  std::string Model;
+  bool Streamed = false;
+  std::int64_t MaxTokens = 0;
+  std::int64_t InputTokens = 0;
+  std::int64_t CachedTokens = 0;
+  std::int64_t Made = 0;
+  std::unique_ptr<Timer> Step;
+};
+
+/// \brief The engine, in one thread beside its server's thread.
+class Engine {
+public:
+  Engine()
+      : Server(CallerLimits{}, [this](CallerEvent In) {
+          boost::asio::post(
+              Io, [this, Event = std::move(In)]() mutable { take(Event); });
+          return true;
+        }) {}
+
+  int run() {
+    const Result<SocketAddress> Address = parseAddress("listen", FLAGS_listen);
+    if (!Address)
+      return complain(Address.error());
+    const Result<std::uint16_t> Bound =
+        Server.listen(Address.value().Host, Address.value().Port);
+    if (!Bound)
+      return complain(Bound.error());
+    boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+    Signals.async_wait([this](boost::system::error_code, int) { Io.stop(); });
+    const auto Guard = boost::asio::make_work_guard(Io);
+    Io.run();
+    Server.stop();
+    return 0;
+  }
+
+private:
+  static int complain(const Error &Failure) {
+    std::cerr << describe(Failure) << "\n";
+    return SettingsExitCode;
+  }
+
+  void take(CallerEvent &Event) {
+    if (const auto *Gone = std::get_if<CallerGone>(&Event)) {
+      cancel(Gone->Ticket);
+      return;
+    }
+    const CallerRequest &Request = std::get<CallerRequest>(Event);
+    if (std::chrono::steady_clock::now() < AwayUntil) {
+      Server.disconnect(Request.Ticket);
+    } else if (Request.Target == "/load") {
+      report(Request.Ticket);
+    } else if (Request.Target == "/leave") {
+      Leaving = true;
+      report(Request.Ticket);
+    } else if (Request.Body.find(FLAGS_crash_mark) != std::string::npos) {
+      crash(Request.Ticket);
+    } else {
+      begin(Request);
+    }
+  }
+
+  void report(CallerTicket To) {
+    Answer Made;
+    Made.ContentType = "application/json";
+    Made.Body = json::serialize(json::object{{"running", Jobs.size()},
+                                             {"queued", Queue.size()},
+                                             {"executed", Executed},
+                                             {"cancelled", Cancelled},
+                                             {"crashes", Crashes},
+                                             {"leaving", Leaving},
+                                             {"age_ms", 0}});
+    Server.answer(To, Made);
+  }
+
+  void crash(CallerTicket Cause) {
+    ++Crashes;
+    AwayUntil = std::chrono::steady_clock::now() +
+                std::chrono::milliseconds(FLAGS_restart_ms);
+    Server.disconnect(Cause);
+    for (const auto &Entry : Jobs)
+      Server.disconnect(Entry.first);
+    for (const Job &Waiting : Queue)
+      Server.disconnect(Waiting.Ticket);
+    Jobs.clear();
+    Queue.clear();
+    Cached.clear();
+  }
+
+  void begin(const CallerRequest &Request) {
+    boost::system::error_code Failure;
+    const json::value Parsed = json::parse(Request.Body, Failure);
+    if (Failure || !Parsed.is_object()) {
+      Answer Made;
+      Made.Status = 400;
+      Server.answer(Request.Ticket, Made);
+      return;
+    }
+    const json::object &Body = Parsed.as_object();
+    Job Fresh;
+    Fresh.Ticket = Request.Ticket;
+    Fresh.Model = Body.at("model").as_string().c_str();
+    const json::value *Stream = Body.if_contains("stream");
+    Fresh.Streamed = Stream != nullptr && Stream->as_bool();
+    Fresh.MaxTokens = std::min<std::int64_t>(
+        FLAGS_output_tokens, Body.at("max_tokens").to_number<std::int64_t>());
+    const json::value *Messages = Body.if_contains("messages");
+    const std::string Prompt =
+        json::serialize(Messages != nullptr ? *Messages : Body.at("prompt"));
+    Fresh.InputTokens = static_cast<std::int64_t>(
+        (Prompt.size() + BytesPerToken - 1) / BytesPerToken);
+    const PrefixBlocks Blocks = prefixBlocks(Prompt);
+    Fresh.CachedTokens = static_cast<std::int64_t>(
+        Cached.matching(Blocks) * PrefixBlockBytes / BytesPerToken);
+    Cached.insert(Blocks);
+    ++Executed;
+    if (Jobs.size() < static_cast<std::size_t>(FLAGS_slots))
+      start(std::move(Fresh));
+    else
+      Queue.push_back(std::move(Fresh));
+  }
+
+  void start(Job Fresh) {
+    const CallerTicket Ticket = Fresh.Ticket;
+    Fresh.Step = std::make_unique<Timer>(Io);
+    const std::int64_t Prefill =
+        FLAGS_prefill_us * (Fresh.InputTokens - Fresh.CachedTokens);
+    Job &Placed = Jobs.emplace(Ticket, std::move(Fresh)).first->second;
+    if (Placed.Streamed) {
+      Answer Head;
+      Head.ContentType = "text/event-stream";
+      Server.beginStream(Ticket, Head);
+    }
+    wait(Placed, std::chrono::microseconds(Prefill));
+  }
+
+  void wait(Job &Item, std::chrono::microseconds Time) {
+    Item.Step->expires_after(Time);
+    Item.Step->async_wait(
+        [this, Ticket = Item.Ticket](boost::system::error_code Failure) {
+          const auto Found = Jobs.find(Ticket);
+          if (!Failure && Found != Jobs.end())
+            step(Found->second);
+        });
+  }
+
+  static json::object usage(const Job &Item) {
+    return {{"prompt_tokens", Item.InputTokens},
+            {"completion_tokens", Item.Made},
+            {"total_tokens", Item.InputTokens + Item.Made},
+            {"prompt_tokens_details",
+             json::object{{"cached_tokens", Item.CachedTokens}}}};
+  }
+
+  static json::object chunk(const Job &Item, json::value Delta,
+                            json::value Finish) {
+    return {{"object", "chat.completion.chunk"},
+            {"model", Item.Model},
+            {"choices",
+             json::array{json::object{{"index", 0},
+                                      {"delta", std::move(Delta)},
+                                      {"finish_reason", std::move(Finish)}}}},
+            {"usage", usage(Item)}};
+  }
+
+  void step(Job &Item) {
+    if (Item.Made >= Item.MaxTokens) {
+      finish(Item);
+      return;
+    }
+    ++Item.Made;
+    if (Item.Streamed)
+      Server.sendPart(
+          Item.Ticket,
+          "data: " +
+              json::serialize(chunk(
+                  Item, json::object{{"content", word(Item.Made)}}, nullptr)) +
+              "\n\n");
+    wait(Item, std::chrono::milliseconds(FLAGS_token_ms));
+  }
+
+  static std::string word(std::int64_t Index) {
+    return "word" + std::to_string(Index) + " ";
+  }
+
+  void finish(Job &Item) {
+    if (Item.Streamed) {
+      Server.endStream(
+          Item.Ticket,
+          "data: " + json::serialize(chunk(Item, json::object{}, "stop")) +
+              "\n\ndata: [DONE]\n\n");
+    } else {
+      std::string Text;
+      for (std::int64_t Index = 1; Index <= Item.Made; ++Index)
+        Text += word(Index);
+      Answer Whole;
+      Whole.ContentType = "application/json";
+      Whole.Body = json::serialize(json::object{
+          {"object", "chat.completion"},
+          {"model", Item.Model},
+          {"choices", json::array{json::object{
+                          {"index", 0},
+                          {"message", json::object{{"role", "assistant"},
+                                                   {"content", Text}}},
+                          {"finish_reason", "stop"}}}},
+          {"usage", usage(Item)}});
+      Server.answer(Item.Ticket, Whole);
+    }
+    Jobs.erase(Item.Ticket);
+    startNext();
+  }
+
+  void cancel(CallerTicket Ticket) {
+    Cancelled += static_cast<std::int64_t>(Jobs.erase(Ticket));
+    std::erase_if(Queue,
+                  [&](const Job &Item) { return Item.Ticket == Ticket; });
+    startNext();
+  }
+
+  void startNext() {
+    if (Queue.empty() || Jobs.size() >= static_cast<std::size_t>(FLAGS_slots))
+      return;
+    Job Next = std::move(Queue.front());
+    Queue.erase(Queue.begin());
+    start(std::move(Next));
+  }
+
+  boost::asio::io_context Io;
+  CallerServer Server;
+  std::map<CallerTicket, Job> Jobs;
+  std::vector<Job> Queue;
+  PrefixIndex Cached{4096};
+  TimePoint AwayUntil;
+  bool Leaving = false;
+  std::int64_t Executed = 0;
+  std::int64_t Cancelled = 0;
+  std::int64_t Crashes = 0;
+};
+
+} // namespace bronzeward::standins
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  return bronzeward::standins::Engine().run();
+}
--- /dev/null
+++ b/tools/ControlStore.cpp
@@ -0,0 +1,78 @@
+#include "tools/ControlStore.h"
+
+namespace bronzeward::tools {
+
+/// Longest wait for a reply.
+constexpr Duration ReplyTimeout = 5s;
+
+namespace {
+
+/// Keeps the parts of one answer.
+class Collector : public HttpListener {
+public:
+  void onHead(std::uint16_t Status, const std::string &) override {
+    Reply.Status = Status;
+  }
+  void onBody(std::string_view Bytes) override { Reply.Body.append(Bytes); }
+  void onEnd() override {}
+  void onFailure(HttpFailure How, const std::string &Detail) override {
+    Failure = How;
+    Why = Detail;
+  }
+
+  HttpReply Reply;
+  std::optional<HttpFailure> Failure;
+  std::string Why;
+};
+
+} // namespace
+
+Result<HttpReply> exchange(HttpRequest Request) {
+  boost::asio::io_context Io;
+  const std::shared_ptr<Collector> Sink = std::make_shared<Collector>();
+  const std::string Peer = Request.Host + ":" + std::to_string(Request.Port);
+  Request.IdleTimeout = ReplyTimeout;
+  startExchange(makeHttpConnections(Io), std::move(Request), Sink);
+  Io.run();
+  if (Sink->Failure)
+    return fail(*Sink->Failure == HttpFailure::NotSent ? ErrorKind::Unavailable
+                                                       : ErrorKind::InvalidData,
+                "send request", Peer, Sink->Why);
+  return std::move(Sink->Reply);
+}
+
+StoreReply ControlStore::call(const StoreCall &Call) {
+  const EtcdRequest Encoded = encodeEtcd(Call);
+  HttpRequest Request;
+  Request.Host = Place.Host;
+  Request.Port = Place.Port;
+  Request.Method = "POST";
+  Request.Target = Encoded.Target;
+  Request.ContentType = "application/json";
+  Request.Body = Encoded.Body;
+  const Result<HttpReply> Sent = exchange(std::move(Request));
+  StoreReply Reply;
+  if (!Sent) {
+    Reply.Status = Sent.error().Kind == ErrorKind::Unavailable
+                       ? StoreStatus::Unavailable
+                       : StoreStatus::Unknown;
+    return Reply;
+  }
+  Reply.Status = StoreStatus::Unknown;
+  if (Sent.value().Status != 200)
+    return Reply;
+  Result<StoreReply> Parsed = parseEtcd(Call, Sent.value().Body);
+  return Parsed ? std::move(Parsed).value() : Reply;
+}
+
+Result<std::optional<StoreEntry>> ControlStore::read(const std::string &Key) {
+  StoreReply Reply = call(ReadKey{Key});
+  if (Reply.Status != StoreStatus::Ok)
+    return fail(ErrorKind::Unavailable, "read " + Key, address(),
+                "the store does not answer");
+  if (Reply.Entries.empty())
+    return std::optional<StoreEntry>();
+  return std::optional<StoreEntry>(std::move(Reply.Entries.front()));
+}
+
+} // namespace bronzeward::tools
