Size grants to bridge the outage, and count segments in the promise check

(1) A grant was refilled at a quarter of its target, so an outage began on average with half the horizon in hand, and the spend rate was averaged over 20 s, a dozen requests at a small workspace. (3) The check for "answered without a bill" looked at the head record only, not at rolled segments.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -8,8 +8,6 @@
 constexpr Duration RecallWait = 60ms;
 /// Pause after a refused refill or a recall.
 constexpr Duration RefillPause = 1s;
-/// A grant is refilled when less than this part of its target is free.
-constexpr std::int64_t RefillDivisor = 4;
 /// Time for a carrier to confirm before further peers are asked.
 constexpr Duration CarrierTimeout = 300ms;
 /// A store that fails for less than this does not make an instance unready.
@@ -233,8 +231,7 @@
   Book &Budget = Books[Workspace];
   if (Draining || Now < Budget.NextRefill)
     return;
-  const Money Target = Budget.Grant.target(Policy, Now);
-  if (Budget.Grant.free() < Money(Target.micros() / RefillDivisor))
+  if (Budget.Grant.free() < Budget.Grant.lowWater(Policy, Now))
     draw(Workspace, Now);
 }
 
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -6,9 +6,14 @@
 namespace bronzeward {
 
 /// Time over which the observed spend rate is averaged.
-constexpr std::chrono::duration<double> RateWindow = 20s;
+constexpr std::chrono::duration<double> RateWindow = 60s;
+/// Spending that a grant covers, as a multiple of the expected; requests do
+/// not come evenly.
+constexpr double SpendingMargin = 1.5;
 /// Reservations' worth that a grant holds beyond the expected spending.
-constexpr std::int64_t ReservedMultiple = 2;
+constexpr std::int64_t ReservedMultiple = 4;
+/// A refill goes to this multiple of the low-water mark.
+constexpr std::int64_t RefillMultiple = 2;
 
 bool GrantBook::reserve(Money Bound) {
   if (free() < Bound)
@@ -88,11 +93,15 @@
   return SpendRate * std::exp(-Age.count() / RateWindow.count());
 }
 
-Money GrantBook::target(const BudgetPolicy &Policy, TimePoint Now) const {
+Money GrantBook::lowWater(const BudgetPolicy &Policy, TimePoint Now) const {
   const std::chrono::duration<double> Horizon = Policy.GrantHorizon;
-  const double Spending = rate(Now) * Horizon.count();
+  const double Spending = SpendingMargin * rate(Now) * Horizon.count();
   return Money(static_cast<std::int64_t>(std::min(Spending, 1e17))) +
          scaled(PeakReserved, ReservedMultiple);
 }
 
+Money GrantBook::target(const BudgetPolicy &Policy, TimePoint Now) const {
+  return scaled(lowWater(Policy, Now), RefillMultiple);
+}
+
 } // namespace bronzeward
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -40,7 +40,10 @@
   [[nodiscard]] Money held() const { return Held; }
   /// \returns what can be reserved now.
   [[nodiscard]] Money free() const;
-  /// \returns the amount to hold for the policy's horizon.
+  /// \returns the free amount that covers the policy's horizon; the grant is
+  /// refilled below it.
+  [[nodiscard]] Money lowWater(const BudgetPolicy &Policy, TimePoint Now) const;
+  /// \returns the amount to hold after a refill.
   [[nodiscard]] Money target(const BudgetPolicy &Policy, TimePoint Now) const;
   /// \returns the number of the change under way.
   [[nodiscard]] std::uint64_t sequence() const { return Sequence; }
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -19,6 +19,8 @@
   [[nodiscard]] const StoreEntry *find(const std::string &Key) const;
   /// \returns a slot's head record; empty where it was never written.
   [[nodiscard]] SlotRecord slot(SlotId Slot) const;
+  /// \returns a slot's segments, oldest first.
+  [[nodiscard]] std::vector<Segment> segments(SlotId Slot) const;
   /// \returns what verifySlot says of a slot and all its segments.
   [[nodiscard]] std::vector<std::string> verify(SlotId Slot) const;
 
@@ -142,6 +144,8 @@
   TimePoint Now{1h};
   FakeStore Store;
   TimerQueue World;
+  TimePoint NextList;
+  TimePoint NextDigest;
   bool StoreAway = false;
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<Effect> Effects;
