--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -8,6 +8,8 @@
 constexpr std::size_t KeptHeadBills = 64;
 /// Segment references that stay in the head record after a roll.
 constexpr std::size_t KeptHeadSegments = 64;
+/// Commits that an idle slot may make at once, before the interval holds.
+constexpr int CommitBurst = 10;
 /// Operations committed by one write at most.
 constexpr std::size_t MaxBatch = 2048;
 
@@ -52,6 +54,10 @@
                      [](const Queued &Item) { return !mayWait(Item.Change); });
 }
 
+TimePoint SlotCommitter::nextAllowed() const {
+  return UsedUntil - CommitBurst * Policy.CommitInterval;
+}
+
 void SlotCommitter::wakeAt(TimePoint When) {
   if (Wake)
     Timers.cancel(*Wake);
@@ -64,9 +70,9 @@
 void SlotCommitter::tryStart(TimePoint Now) {
   if (Busy || Queue.empty())
     return;
-  if (LastCommit && Now < *LastCommit + Policy.CommitInterval && !urgent()) {
+  if (Now < nextAllowed() && !urgent()) {
     if (!Wake)
-      wakeAt(*LastCommit + Policy.CommitInterval);
+      wakeAt(nextAllowed());
     return;
   }
   Busy = true;
@@ -234,7 +240,7 @@
   switch (Reply.Status) {
   case StoreStatus::Ok:
     Revision = Reply.Revision;
-    LastCommit = Now;
+    UsedUntil = std::max(UsedUntil, Now) + Policy.CommitInterval;
     for (const auto &[Id, Part] : Rolled)
       Older->insert(Id, Part);
     Rolled.clear();
--- a/bronzeward/src/Budget/SlotCommitter.h
+++ b/bronzeward/src/Budget/SlotCommitter.h
@@ -55,6 +55,8 @@
   };
 
   [[nodiscard]] bool urgent() const;
+  /// \returns when the next commit of bills may start.
+  [[nodiscard]] TimePoint nextAllowed() const;
   void tryStart(TimePoint Now);
   void load(TimePoint Now);
   void onHead(const StoreReply &Reply, TimePoint Now);
@@ -92,7 +94,8 @@
   /// Whether the record was read or written since the batch began.
   bool Validated = false;
   bool Busy = false;
-  std::optional<TimePoint> LastCommit;
+  /// Time up to which commits have used their share of the store.
+  TimePoint UsedUntil;
   std::optional<TimerQueue::Handle> Wake;
 };
 
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -14,7 +14,8 @@
 struct BudgetPolicy {
   /// Ledger records of the deployment; fixed once accounts exist.
   std::uint32_t Slots = 1;
-  /// Least time between two group commits of bills in a slot.
+  /// Time between two group commits of bills in a busy slot; an idle slot
+  /// commits a few at once.
   Duration CommitInterval = 50ms;
   /// Spending that a grant should cover: the store outage to bridge.
   Duration GrantHorizon = 90s;
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -218,8 +218,13 @@
 // Dispatch, retries and failures.
 
 void RequestEngine::dispatch(ActiveRequest &Item, TimePoint Now) {
-  const std::vector<Candidate> Candidates = Table.candidates(
-      Item.Parsed.Service, Item.Parsed.Blocks, Item.Tried, Item.Suspect, Now);
+  ChoicePolicy &Policy = policyOf(Item.Parsed.Service);
+  const std::vector<Candidate> Candidates =
+      Policy.samples()
+          ? Table.sample(Item.Parsed.Service, Item.Parsed.Blocks, Item.Tried,
+                         Item.Suspect, Around.Source, Now)
+          : Table.candidates(Item.Parsed.Service, Item.Parsed.Blocks,
+                             Item.Tried, Item.Suspect, Now);
   if (Candidates.empty()) {
     const bool Sent = Item.SentAttempts > 0;
     end(Item,
@@ -232,8 +237,7 @@
   Input.PromptTokens = Item.Parsed.PromptTokens;
   Input.PrefixHash =
       Item.Parsed.Blocks.empty() ? 0 : Item.Parsed.Blocks.front();
-  const Choice Chosen =
-      policyOf(Item.Parsed.Service).choose(Input, Candidates, Around.Source);
+  const Choice Chosen = Policy.choose(Input, Candidates, Around.Source);
   Item.Upstream = Candidates[Chosen.Index].Name;
   Item.Tried.push_back(Item.Upstream);
   Item.Attempt = AttemptId{++LastAttempt};
--- a/bronzeward/src/Routing/ChoicePolicy.cpp
+++ b/bronzeward/src/Routing/ChoicePolicy.cpp
@@ -5,11 +5,6 @@
 
 namespace bronzeward {
 
-/// Candidates drawn at random by the expected-delay policy, beside those that
-/// have the prefix cached.
-constexpr std::size_t SampleSize = 6;
-/// Candidates with a cached prefix that are looked at.
-constexpr std::size_t MaxCachedCandidates = 4;
 /// Load of a prefix-hash target, as a multiple of the mean, that sends the
 /// request on to the next.
 constexpr double HashLoadBound = 1.25;
@@ -35,36 +30,23 @@
   return std::chrono::duration<double>(Time).count();
 }
 
-/// Least expected delay over a small sample and the best cached candidates.
+/// Least expected delay among the candidates.
 class ExpectedDelayChoice : public ChoicePolicy {
 public:
   Choice choose(const ChoiceInput &Input, std::span<const Candidate> Candidates,
-                Random &Source) override {
-    Choice Best;
-    bool First = true;
-    const auto Consider = [&](std::size_t Index, const char *Reason) {
+                Random &) override {
+    Choice Best{0, seconds(expectedDelay(Input, Candidates[0])), ""};
+    for (std::size_t Index = 1; Index < Candidates.size(); ++Index) {
       const double Score = seconds(expectedDelay(Input, Candidates[Index]));
-      if (!First && Score >= Best.Score)
-        return;
-      Best = {Index, Score, Reason};
-      First = false;
-    };
-    const std::size_t Samples = std::min(SampleSize, Candidates.size());
-    const std::size_t Start = Source.below(Candidates.size());
-    const std::size_t Step =
-        std::max<std::size_t>(1, Candidates.size() / Samples);
-    for (std::size_t Round = 0; Round < Samples; ++Round)
-      Consider((Start + Round * Step) % Candidates.size(), "least delay");
-    std::size_t Cached = 0;
-    for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
-      if (Candidates[Index].CachedTokens == 0)
-        continue;
-      Consider(Index, "cached prefix");
-      if (++Cached == MaxCachedCandidates)
-        break;
+      if (Score < Best.Score)
+        Best = {Index, Score, ""};
     }
+    Best.Reason = Candidates[Best.Index].CachedTokens > 0
+                      ? "least delay, cached prefix"
+                      : "least delay";
     return Best;
   }
+  [[nodiscard]] bool samples() const override { return true; }
 };
 
 class RoundRobinChoice : public ChoicePolicy {
@@ -104,6 +86,7 @@
         Candidates[Left].Load <= Candidates[Right].Load ? Left : Right;
     return {Best, Candidates[Best].Load, "lesser of two"};
   }
+  [[nodiscard]] bool samples() const override { return true; }
 };
 
 /// Rendezvous hashing of the prefix, passing over loaded upstreams.
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -55,6 +55,8 @@
   virtual Choice choose(const ChoiceInput &Input,
                         std::span<const Candidate> Candidates,
                         Random &Source) = 0;
+  /// \returns whether a sample of the candidates is enough.
+  [[nodiscard]] virtual bool samples() const { return false; }
 };
 
 /// \returns the expected time to the first token at a candidate.
--- /dev/null
+++ b/bronzeward/src/Routing/PrefixDirectory.cpp
@@ -0,0 +1,51 @@
+#include "bronzeward/src/Routing/PrefixDirectory.h"
+
+#include <algorithm>
+
+namespace bronzeward {
+
+/// Blocks remembered over all upstreams.
+constexpr std::size_t MaxBlocks = 65536;
+/// Upstreams remembered for each block.
+constexpr std::size_t MaxHolders = 4;
+
+void PrefixDirectory::insert(const PrefixBlocks &Blocks,
+                             const UpstreamName &Name) {
+  for (const std::uint64_t Block : Blocks) {
+    const auto [Found, Fresh] = Entries.try_emplace(Block);
+    Entry &Item = Found->second;
+    if (Fresh) {
+      Recent.push_front(Block);
+      Item.Place = Recent.begin();
+    } else {
+      Recent.splice(Recent.begin(), Recent, Item.Place);
+    }
+    std::erase(Item.Holders, Name);
+    Item.Holders.insert(Item.Holders.begin(), Name);
+    if (Item.Holders.size() > MaxHolders)
+      Item.Holders.pop_back();
+    if (Entries.size() > MaxBlocks) {
+      Entries.erase(Recent.back());
+      Recent.pop_back();
+    }
+  }
+}
+
+std::vector<UpstreamName> PrefixDirectory::find(const PrefixBlocks &Blocks,
+                                                std::size_t Most) const {
+  std::vector<UpstreamName> Names;
+  for (auto Block = Blocks.rbegin(); Block != Blocks.rend(); ++Block) {
+    const auto Found = Entries.find(*Block);
+    if (Found == Entries.end())
+      continue;
+    for (const UpstreamName &Name : Found->second.Holders) {
+      if (Names.size() >= Most)
+        return Names;
+      if (std::find(Names.begin(), Names.end(), Name) == Names.end())
+        Names.push_back(Name);
+    }
+  }
+  return Names;
+}
+
+} // namespace bronzeward
--- a/bronzeward/src/Routing/UpstreamTable.cpp
+++ b/bronzeward/src/Routing/UpstreamTable.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t MaxPrefixBlocks = 8192;
 /// Weight of a new measurement in the moving averages.
 constexpr double Smoothing = 0.1;
+/// Upstreams drawn at random for one choice, and those added since they
+/// probably have the prefix.
+constexpr std::size_t SampleSize = 8;
+constexpr std::size_t MaxCached = 4;
 /// Starting values, before anything was measured.
 constexpr Duration InitialServiceTime = 2s;
 constexpr Duration InitialPrefillTokenTime = 100us;
@@ -72,6 +76,7 @@
   State->Suspects += Suspect ? 1 : 0;
   remember(State->Dispatches, Now);
   State->Prefixes.insert(Blocks);
+  Directory.insert(Blocks, Name);
 }
 
 void UpstreamTable::finishOne(UpstreamState &State, bool Suspect,
@@ -141,6 +146,31 @@
   return std::max(Own, Reported + Since);
 }
 
+bool UpstreamTable::takesWork(const UpstreamState &State,
+                              const std::vector<UpstreamName> &Avoid,
+                              bool Suspect, TimePoint Now) {
+  if (State.Leaving || Now < State.EjectedUntil ||
+      (Suspect && State.Suspects > 0))
+    return false;
+  return std::find(Avoid.begin(), Avoid.end(), State.Spec.Name) == Avoid.end();
+}
+
+Candidate UpstreamTable::describe(const UpstreamState &State,
+                                  const ServiceSpec &Service,
+                                  const PrefixBlocks &Blocks) const {
+  Candidate Item;
+  Item.Name = State.Spec.Name;
+  Item.Load = load(State);
+  Item.Outstanding = State.Outstanding;
+  Item.Slots = Service.UpstreamSlots;
+  Item.CachedTokens = static_cast<std::int64_t>(
+      State.Prefixes.matching(Blocks) * PrefixBlockBytes / BytesPerToken);
+  Item.ServiceTime = State.ServiceTime;
+  Item.PrefillTokenTime = State.PrefillTokenTime;
+  Item.Distance = State.Spec.Domain == Domain ? Duration() : DomainDistance;
+  return Item;
+}
+
 std::vector<Candidate> UpstreamTable::candidates(
     const ServiceSpec &Service, const PrefixBlocks &Blocks,
     const std::vector<UpstreamName> &Avoid, bool Suspect, TimePoint Now) const {
@@ -150,26 +180,41 @@
     return Found;
   for (const UpstreamName &Name : Names->second) {
     const UpstreamState &State = States.at(Name);
-    const bool Tried =
-        std::find(Avoid.begin(), Avoid.end(), Name) != Avoid.end();
-    if (State.Leaving || Now < State.EjectedUntil || Tried ||
-        (Suspect && State.Suspects > 0))
-      continue;
-    Candidate Item;
-    Item.Name = Name;
-    Item.Load = load(State);
-    Item.Outstanding = State.Outstanding;
-    Item.Slots = Service.UpstreamSlots;
-    Item.CachedTokens = static_cast<std::int64_t>(
-        State.Prefixes.matching(Blocks) * PrefixBlockBytes / BytesPerToken);
-    Item.ServiceTime = State.ServiceTime;
-    Item.PrefillTokenTime = State.PrefillTokenTime;
-    Item.Distance = State.Spec.Domain == Domain ? Duration() : DomainDistance;
-    Found.push_back(std::move(Item));
+    if (takesWork(State, Avoid, Suspect, Now))
+      Found.push_back(describe(State, Service, Blocks));
   }
   return Found;
 }
 
+std::vector<Candidate>
+UpstreamTable::sample(const ServiceSpec &Service, const PrefixBlocks &Blocks,
+                      const std::vector<UpstreamName> &Avoid, bool Suspect,
+                      Random &Source, TimePoint Now) const {
+  const auto Names = ByService.find(Service.Name);
+  if (Names == ByService.end())
+    return {};
+  const std::vector<UpstreamName> &All = Names->second;
+  if (All.size() <= SampleSize)
+    return candidates(Service, Blocks, Avoid, Suspect, Now);
+  std::vector<UpstreamName> Drawn = Directory.find(Blocks, MaxCached);
+  const std::size_t Wanted = Drawn.size() + SampleSize;
+  while (Drawn.size() < Wanted)
+    Drawn.push_back(All[Source.below(All.size())]);
+  std::vector<Candidate> Found;
+  std::vector<UpstreamName> Seen = Avoid;
+  for (const UpstreamName &Name : Drawn) {
+    const auto State = States.find(Name);
+    if (State == States.end() || State->second.Spec.Service != Service.Name ||
+        !takesWork(State->second, Seen, Suspect, Now))
+      continue;
+    Seen.push_back(Name);
+    Found.push_back(describe(State->second, Service, Blocks));
+  }
+  // Most may be away; then all are looked at.
+  return Found.empty() ? candidates(Service, Blocks, Avoid, Suspect, Now)
+                       : Found;
+}
+
 bool UpstreamTable::available(const ServiceName &Service, TimePoint Now) const {
   const auto Names = ByService.find(Service);
   if (Names == ByService.end())
--- a/bronzeward/src/Routing/UpstreamTable.h
+++ b/bronzeward/src/Routing/UpstreamTable.h
@@ -2,7 +2,7 @@
 
 #include "bronzeward/Config"
 #include "bronzeward/src/Routing/ChoicePolicy.h"
-#include "bronzeward/src/Routing/PrefixIndex.h"
+#include "bronzeward/src/Routing/PrefixDirectory.h"
 
 #include <deque>
 #include <map>
@@ -68,6 +68,13 @@
   candidates(const ServiceSpec &Service, const PrefixBlocks &Blocks,
              const std::vector<UpstreamName> &Avoid, bool Suspect,
              TimePoint Now) const;
+  /// \returns a few upstreams of a service that may take a request now: some
+  /// drawn at random, and those that probably have the prompt's prefix. Costs
+  /// the same however many upstreams there are.
+  [[nodiscard]] std::vector<Candidate>
+  sample(const ServiceSpec &Service, const PrefixBlocks &Blocks,
+         const std::vector<UpstreamName> &Avoid, bool Suspect, Random &Source,
+         TimePoint Now) const;
   /// \returns whether any upstream of the service takes new work.
   [[nodiscard]] bool available(const ServiceName &Service, TimePoint Now) const;
   [[nodiscard]] const UpstreamState *find(const UpstreamName &Name) const;
@@ -77,12 +84,19 @@
 
 private:
   [[nodiscard]] double load(const UpstreamState &State) const;
+  [[nodiscard]] static bool takesWork(const UpstreamState &State,
+                                      const std::vector<UpstreamName> &Avoid,
+                                      bool Suspect, TimePoint Now);
+  [[nodiscard]] Candidate describe(const UpstreamState &State,
+                                   const ServiceSpec &Service,
+                                   const PrefixBlocks &Blocks) const;
   UpstreamState *state(const UpstreamName &Name);
   void finishOne(UpstreamState &State, bool Suspect, TimePoint Now);
 
   FailureDomain Domain;
   std::map<UpstreamName, UpstreamState> States;
   std::map<ServiceName, std::vector<UpstreamName>> ByService;
+  PrefixDirectory Directory;
 };
 
 /// @}
