Test the request engine at its interfaces, and the configuration

Cause: the request flow and the configuration had been run, not proved.

Change: 12 cases drive the engine with mocked callers and upstreams (the end waits for the bill, over-reported usage is capped, late answers reach nobody, a crashing content is quarantined, a claim that never left is given back, a missing dependency is named, a leaving upstream gets no work); 5 cases for the text's faults and for versions that never fall.

--- a/cmake/BronzewardTargets.cmake
+++ b/cmake/BronzewardTargets.cmake
@@ -32,3 +32,15 @@
   target_link_libraries(bronzeward_tests PRIVATE ${Arg_DEPENDS})
   add_test(NAME ${Feature} COMMAND bronzeward_tests "[${Feature}]")
 endfunction()
+
+# bronzeward_process_test(<Feature>): process/<Feature>Test.py on real
+# processes; left out of sanitizer builds, which build the tests only.
+function(bronzeward_process_test Feature)
+  if(BRONZEWARD_SANITIZE)
+    return()
+  endif()
+  add_test(NAME ${Feature} COMMAND python3
+           ${CMAKE_CURRENT_SOURCE_DIR}/process/${Feature}Test.py)
+  set_tests_properties(${Feature} PROPERTIES ENVIRONMENT
+                       "BRONZEWARD_BIN=${CMAKE_BINARY_DIR}/bin")
+endfunction()
--- /dev/null
+++ b/test/ConfigurationTest.cpp
@@ -0,0 +1,110 @@
+#include "bronzeward/Config"
+#include "bronzeward/Router"
+
+#include <catch2/catch.hpp>
+
+namespace bronzeward {
+namespace {
+
+const char *Head = "[deployment]\nname = \"d\"\n";
+
+std::string serviceOf(const std::string &Name, const std::string &Depends) {
+  return "[[service]]\nname = \"" + Name + "\"\nkind = \"plain\"\nroute = \"/" +
+         Name + "\"\ndepends_on = [" + Depends +
+         "]\n[[upstream]]\nname = \"u-" + Name + "\"\nservice = \"" + Name +
+         "\"\naddress = \"127.0.0.1:1\"\nfailure_domain = \"a\"\n";
+}
+
+Diagnostics faultsOf(const std::string &Text) {
+  const auto Parsed = parseConfiguration(Text);
+  return Parsed ? Diagnostics() : Parsed.error();
+}
+
+TEST_CASE("A right text is accepted", "[Configuration]") {
+  CHECK(faultsOf(Head + serviceOf("a", "\"b\"") + serviceOf("b", "")).empty());
+}
+
+TEST_CASE("Several faults are reported in one run, with their places",
+          "[Configuration]") {
+  const Diagnostics Faults =
+      faultsOf(std::string(Head) +
+               "[[service]]\nname = \"x\"\nkind = \"odd\"\nspeed = 3\n"
+               "models = [\"m\"]\nmax_output_tokens = -4\n");
+  REQUIRE(Faults.size() == 4);
+  CHECK(Faults[1].Line == 5);
+  CHECK(Faults[1].Path == "service.x.kind");
+  CHECK(Faults[2].Line == 6);
+  CHECK(Faults[2].Found == "an unknown key");
+  CHECK(Faults[3].Line == 8);
+  CHECK(Faults[3].Allowed == "a whole number from 1 to 1000000");
+}
+
+TEST_CASE("A syntax error has its line and column", "[Configuration]") {
+  const Diagnostics Faults = faultsOf("[deployment]\nname = \n");
+  REQUIRE(Faults.size() == 1);
+  CHECK(Faults[0].Line == 2);
+  CHECK(Faults[0].Path == "syntax");
+}
+
+TEST_CASE("Dangling and cyclic dependencies are named", "[Configuration]") {
+  const Diagnostics Dangling = faultsOf(Head + serviceOf("a", "\"none\""));
+  REQUIRE(Dangling.size() == 1);
+  CHECK(Dangling[0].Found == "none");
+  const Diagnostics Cyclic =
+      faultsOf(Head + serviceOf("a", "\"b\"") + serviceOf("b", "\"a\""));
+  REQUIRE(Cyclic.size() == 2);
+  CHECK(Cyclic[0].Found.find("a -> b -> a") != std::string::npos);
+}
+
+/// A store and peers that do nothing until told.
+class ManualPorts : public StorePort, public PeerPort {
+public:
+  void send(StoreCallId Id, const StoreCall &Call) override {
+    Calls.emplace_back(Id, Call);
+  }
+  void send(const InstanceId &, const PeerMessage &Message) override {
+    Sent.push_back(Message);
+  }
+  std::vector<std::pair<StoreCallId, StoreCall>> Calls;
+  std::vector<PeerMessage> Sent;
+};
+
+TEST_CASE("A version in force never falls", "[Configuration]") {
+  ManualPorts Ports;
+  TimerQueue Timers;
+  Random Source(1);
+  StoreClient Client(Ports, Timers, Source, StorePolicy());
+  Membership Members;
+  ConfigurationFollower Follower(InstanceId{"i"}, FailureDomain{"a"}, Members,
+                                 Client, Ports, Timers);
+  std::vector<std::uint64_t> Seen;
+  const TimePoint Now{1h};
+  Follower.start(Now, [&](ConfigurationVersion Version, Configuration,
+                          TimePoint) { Seen.push_back(Version.Number); });
+  const std::string Text = Head + serviceOf("a", "");
+
+  Follower.onText({{5}, Text}, Now);
+  Follower.onText({{4}, Text}, Now);
+  Follower.onText({{5}, Text}, Now);
+  Follower.onText({{6}, "not a text"}, Now);
+  CHECK(Follower.version().Number == 5);
+
+  // A restored store shows an older head.
+  ConfigurationHead Old;
+  Old.Current = {{3}, sha256Hex(Text), "op", WallTime()};
+  StoreReply Reply;
+  Reply.Status = StoreStatus::Ok;
+  Reply.Entries.push_back({ConfigurationKey, encodeConfigurationHead(Old), 1});
+  Client.onReply(Ports.Calls.at(0).first, Reply, Now);
+  CHECK(Follower.version().Number == 5);
+  CHECK(Ports.Calls.size() == 1);
+
+  Follower.onDigest(InstanceId{"j"}, PeerDigest{{9}, false, {}});
+  REQUIRE(Ports.Sent.size() == 1);
+  CHECK(std::holds_alternative<ConfigurationWanted>(Ports.Sent[0]));
+  Follower.onText({{9}, Text}, Now);
+  CHECK(Seen == std::vector<std::uint64_t>{5, 9});
+}
+
+} // namespace
+} // namespace bronzeward
--- /dev/null
+++ b/test/RequestEngineTest.cpp
@@ -0,0 +1,391 @@
+#include "bronzeward/Request"
+
+#include "test/support/FakeFleet.h"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+namespace bronzeward {
+namespace {
+
+using trompeloeil::_;
+
+class MockCallers : public CallerPort {
+public:
+  MAKE_MOCK2(answer, void(CallerTicket, const Answer &), override);
+  MAKE_MOCK2(beginStream, void(CallerTicket, const Answer &), override);
+  MAKE_MOCK2(sendPart, void(CallerTicket, const std::string &), override);
+  MAKE_MOCK2(endStream, void(CallerTicket, const std::string &), override);
+};
+
+class MockUpstreams : public UpstreamPort {
+public:
+  MAKE_MOCK1(dispatch, void(const UpstreamCall &), override);
+  MAKE_MOCK1(cancel, void(AttemptId), override);
+};
+
+class SilentLog : public DecisionLog {
+public:
+  void onChoice(const ChoiceRecord &) override {}
+  void onEnd(const RequestId &, const WorkspaceId &, std::uint16_t,
+             const std::string &, const std::string &) override {}
+};
+
+class FixedClock : public Clock {
+public:
+  [[nodiscard]] TimePoint now() const override { return TimePoint(1h); }
+  [[nodiscard]] WallTime wallNow() const override { return WallTime(); }
+};
+
+/// The store answers within the call, the peers not at all.
+class InstantStore : public StorePort, public PeerPort {
+public:
+  void send(StoreCallId Id, const StoreCall &Call) override {
+    Waiting.emplace_back(Id, Call);
+  }
+  void send(const InstanceId &, const PeerMessage &) override {}
+
+  void answerAll(StoreClient &Client, TimePoint Now) {
+    while (!Waiting.empty()) {
+      const auto [Id, Call] = Waiting.front();
+      Waiting.erase(Waiting.begin());
+      Client.onReply(Id, Store.execute(Call), Now);
+    }
+  }
+
+  fakes::FakeStore Store;
+  std::vector<std::pair<StoreCallId, StoreCall>> Waiting;
+};
+
+const char *Text = R"(
+[deployment]
+name = "test"
+[[service]]
+name = "draft"
+kind = "model"
+models = ["m"]
+price = { input_token = 1, output_token = 2 }
+max_output_tokens = 4
+depends_on = ["permits"]
+[[service]]
+name = "permits"
+kind = "plain"
+route = "/permits"
+price = { call = 7 }
+[[upstream]]
+name = "e1"
+service = "draft"
+address = "127.0.0.1:1"
+failure_domain = "a"
+[[upstream]]
+name = "e2"
+service = "draft"
+address = "127.0.0.1:2"
+failure_domain = "a"
+[[upstream]]
+name = "p1"
+service = "permits"
+address = "127.0.0.1:3"
+failure_domain = "a"
+[[workspace]]
+name = "khan"
+key_sha256 = [")";
+
+/// \brief One engine with its budgets, driven by hand.
+class Bench {
+public:
+  Bench()
+      : Client(Store, Timers, Source, StorePolicy()),
+        Engine(Life, FailureDomain{"a"},
+               {Callers, Upstreams, Log, Wall, Timers, Source}),
+        Budgets(Life, FailureDomain{"a"}, Policy,
+                {Client, Store, Timers, Source, Engine}) {
+    Engine.attach(Budgets);
+    auto Parsed = parseConfiguration(Text + sha256Hex("key") + "\"]\n");
+    REQUIRE(Parsed);
+    Engine.configure({1}, std::move(Parsed).value());
+    SlotLedger Ledger{SlotRecord()};
+    Ledger.apply(
+        TopUp{WorkspaceId{"khan"}, OperationId{"t"}, Money(1'000'000)});
+    Store.Store.execute(
+        CompareAndSwap{slotKey({0}), encodeSlotRecord(Ledger.record()), 0, {}});
+  }
+
+  CallerRequest chat(bool Streamed) {
+    CallerRequest Made = plain("");
+    Made.Target = "/v1/chat/completions";
+    Made.Body = std::string("{\"model\":\"m\",\"stream\":") +
+                (Streamed ? "true" : "false") +
+                ",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}";
+    return Made;
+  }
+
+  CallerRequest plain(const std::string &Key) {
+    CallerRequest Made;
+    Made.Ticket.Number = ++LastTicket;
+    Made.Method = "POST";
+    Made.Target = "/permits/file";
+    Made.Authorization = "Bearer key";
+    Made.Key = Key;
+    Made.Body = "{}";
+    return Made;
+  }
+
+  void request(CallerRequest In) {
+    Engine.onCallerRequest(std::move(In), Now);
+    settle();
+  }
+  void settle() {
+    Store.answerAll(Client, Now);
+    Now += 60ms;
+    Timers.runDue(Now);
+    Store.answerAll(Client, Now);
+  }
+
+  Money settled() {
+    return findAccount(Store.Store.slot({0}), WorkspaceId{"khan"})->Settled;
+  }
+
+  const Incarnation Life{InstanceId{"i"}, 1 << RegistrationShift};
+  BudgetPolicy Policy;
+  InstantStore Store;
+  TimerQueue Timers;
+  Random Source{1};
+  MockCallers Callers;
+  MockUpstreams Upstreams;
+  SilentLog Log;
+  FixedClock Wall;
+  StoreClient Client;
+  RequestEngine Engine;
+  BudgetAgent Budgets;
+  TimePoint Now{1h};
+  std::uint64_t LastTicket = 0;
+};
+
+bool refusedAs(const Answer &Seen, const char *Outcome, const char *Reason) {
+  bool HasOutcome = false;
+  bool HasReason = false;
+  for (const HeaderField &Field : Seen.Headers) {
+    HasOutcome = HasOutcome ||
+                 (Field.Name == "Bronzeward-Outcome" && Field.Value == Outcome);
+    HasReason = HasReason ||
+                (Field.Name == "Bronzeward-Reason" && Field.Value == Reason);
+  }
+  return HasOutcome && HasReason;
+}
+
+const char *Token = "data: {\"choices\":[{\"delta\":{\"content\":\"x\"},"
+                    "\"finish_reason\":null}],\"usage\":{\"prompt_tokens\":5,"
+                    "\"completion_tokens\":1}}\n\n";
+const char *Stop = "data: {\"choices\":[{\"delta\":{},\"finish_reason\":"
+                   "\"stop\"}],\"usage\":{\"prompt_tokens\":5,"
+                   "\"completion_tokens\":1}}\n\ndata: [DONE]\n\n";
+
+TEST_CASE("The end of a stream waits for its bill", "[RequestEngine]") {
+  Bench Item;
+  AttemptId Attempt;
+  REQUIRE_CALL(Item.Upstreams, dispatch(_))
+      .LR_SIDE_EFFECT(Attempt = _1.Attempt);
+  Item.request(Item.chat(true));
+  Item.Engine.onUpstreamHead(Attempt, 200, "text/event-stream", Item.Now);
+  {
+    REQUIRE_CALL(Item.Callers, beginStream(_, _));
+    REQUIRE_CALL(Item.Callers, sendPart(_, Token));
+    Item.Engine.onUpstreamBytes(Attempt, Token, Item.Now);
+    Item.Engine.onUpstreamBytes(Attempt, Stop, Item.Now);
+    Item.Engine.onUpstreamEnd(Attempt, Item.Now);
+  }
+  std::string End;
+  REQUIRE_CALL(Item.Callers, endStream(_, _)).LR_SIDE_EFFECT(End = _2);
+  Item.settle();
+  CHECK(End.find("[DONE]") != std::string::npos);
+  CHECK(Item.settled() == Money(5 * 1 + 1 * 2));
+}
+
+TEST_CASE("Usage beyond the reservation is capped and counted",
+          "[RequestEngine]") {
+  Bench Item;
+  AttemptId Attempt;
+  REQUIRE_CALL(Item.Upstreams, dispatch(_))
+      .LR_SIDE_EFFECT(Attempt = _1.Attempt);
+  REQUIRE_CALL(Item.Callers, answer(_, _));
+  CallerRequest In = Item.chat(false);
+  const std::int64_t Bytes = static_cast<std::int64_t>(In.Body.size());
+  Item.request(std::move(In));
+  Item.Engine.onUpstreamHead(Attempt, 200, "application/json", Item.Now);
+  Item.Engine.onUpstreamBytes(Attempt,
+                              "{\"usage\":{\"prompt_tokens\":9000,"
+                              "\"completion_tokens\":9000}}",
+                              Item.Now);
+  Item.Engine.onUpstreamEnd(Attempt, Item.Now);
+  Item.settle();
+  CHECK(Item.settled() == Money(Bytes + 4 * 2));
+  CHECK(Item.Engine.counters().OverReported == 1);
+}
+
+TEST_CASE("A repeatable request that fails goes to another upstream",
+          "[RequestEngine]") {
+  Bench Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  Item.request(Item.chat(true));
+  Item.Engine.onUpstreamFailure(Calls.at(0).Attempt, UpstreamFailure::Closed,
+                                Item.Now);
+  REQUIRE(Calls.size() == 2);
+  CHECK(Calls[0].Upstream != Calls[1].Upstream);
+}
+
+TEST_CASE("A late answer of a failed attempt reaches nobody",
+          "[RequestEngine]") {
+  Bench Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  Item.request(Item.chat(true));
+  Item.Engine.onUpstreamFailure(Calls.at(0).Attempt, UpstreamFailure::Closed,
+                                Item.Now);
+  FORBID_CALL(Item.Callers, sendPart(_, _));
+  Item.Engine.onUpstreamBytes(Calls.at(0).Attempt, Token, Item.Now);
+}
+
+TEST_CASE("A content that crashes two upstreams is refused not-run",
+          "[RequestEngine]") {
+  Bench Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  std::vector<Answer> Answers;
+  ALLOW_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Answers.push_back(_2));
+  Item.request(Item.chat(true));
+  Item.Engine.onUpstreamFailure(Calls.at(0).Attempt, UpstreamFailure::Closed,
+                                Item.Now);
+  Item.Engine.onUpstreamFailure(Calls.at(1).Attempt, UpstreamFailure::Closed,
+                                Item.Now);
+  REQUIRE(Answers.size() == 1);
+  CHECK(refusedAs(Answers[0], "unknown", "quarantined"));
+  Item.request(Item.chat(true));
+  REQUIRE(Answers.size() == 2);
+  CHECK(refusedAs(Answers[1], "not-run", "quarantined"));
+  CHECK(Calls.size() == 2);
+}
+
+TEST_CASE("A call that may not be repeated is not sent twice",
+          "[RequestEngine]") {
+  Bench Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  std::vector<Answer> Answers;
+  ALLOW_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Answers.push_back(_2));
+  Item.request(Item.plain("k1"));
+  REQUIRE(Calls.size() == 1);
+  CHECK_FALSE(Calls[0].Repeatable);
+  Item.Engine.onUpstreamFailure(Calls[0].Attempt, UpstreamFailure::Closed,
+                                Item.Now);
+  REQUIRE(Answers.size() == 1);
+  CHECK(refusedAs(Answers[0], "unknown", "upstream-failed"));
+  Item.request(Item.plain("k1"));
+  CHECK(refusedAs(Answers.at(1), "unknown", "already-started"));
+  CHECK(Calls.size() == 1);
+}
+
+TEST_CASE("A call that never left gives its claim back", "[RequestEngine]") {
+  Bench Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  std::vector<Answer> Answers;
+  ALLOW_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Answers.push_back(_2));
+  Item.request(Item.plain("k1"));
+  Item.Engine.onUpstreamFailure(Calls.at(0).Attempt, UpstreamFailure::NotSent,
+                                Item.Now);
+  Item.settle();
+  CHECK(refusedAs(Answers.at(0), "not-run", "no-upstream"));
+  Item.request(Item.plain("k1"));
+  CHECK(Calls.size() == 2);
+}
+
+TEST_CASE("A missing dependency is refused not-run by name",
+          "[RequestEngine]") {
+  Bench Item;
+  Item.Engine.upstreams().onLeaving(UpstreamName{"p1"}, true);
+  Answer Seen;
+  REQUIRE_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Seen = _2);
+  FORBID_CALL(Item.Upstreams, dispatch(_));
+  Item.request(Item.chat(true));
+  CHECK(refusedAs(Seen, "not-run", "dependency-unavailable"));
+  CHECK(Seen.Body.find("permits") != std::string::npos);
+}
+
+TEST_CASE("A leaving upstream gets no new work", "[RequestEngine]") {
+  Bench Item;
+  Item.Engine.upstreams().onLeaving(UpstreamName{"e1"}, true);
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  for (int Number = 0; Number < 20; ++Number)
+    Item.request(Item.chat(true));
+  REQUIRE(Calls.size() == 20);
+  for (const UpstreamCall &Call : Calls)
+    CHECK(Call.Upstream.Value == "e2");
+}
+
+TEST_CASE("A caller that goes away is billed for what was made",
+          "[RequestEngine]") {
+  Bench Item;
+  AttemptId Attempt;
+  CallerRequest In = Item.chat(true);
+  const CallerTicket Ticket = In.Ticket;
+  REQUIRE_CALL(Item.Upstreams, dispatch(_))
+      .LR_SIDE_EFFECT(Attempt = _1.Attempt);
+  REQUIRE_CALL(Item.Upstreams, cancel(_));
+  REQUIRE_CALL(Item.Callers, beginStream(_, _));
+  REQUIRE_CALL(Item.Callers, sendPart(_, _));
+  Item.request(std::move(In));
+  Item.Engine.onUpstreamHead(Attempt, 200, "text/event-stream", Item.Now);
+  Item.Engine.onUpstreamBytes(Attempt, Token, Item.Now);
+  Item.Engine.onCallerGone(Ticket, Item.Now);
+  Item.settle();
+  CHECK(Item.settled() == Money(7));
+  CHECK(Item.Engine.inFlight() == 0);
+}
+
+TEST_CASE("A deadline ends a request at once with a true account",
+          "[RequestEngine]") {
+  Bench Item;
+  ALLOW_CALL(Item.Upstreams, dispatch(_));
+  REQUIRE_CALL(Item.Upstreams, cancel(_));
+  Answer Seen;
+  REQUIRE_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Seen = _2);
+  Item.request(Item.chat(true));
+  Item.Now += 61s;
+  Item.Timers.runDue(Item.Now);
+  CHECK(refusedAs(Seen, "unknown", "deadline-exceeded"));
+  CHECK(Item.Engine.inFlight() == 0);
+}
+
+TEST_CASE("Requests that are not right are refused not-run",
+          "[RequestEngine]") {
+  Bench Item;
+  FORBID_CALL(Item.Upstreams, dispatch(_));
+  std::vector<Answer> Answers;
+  ALLOW_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Answers.push_back(_2));
+  CallerRequest WrongKey = Item.chat(false);
+  WrongKey.Authorization = "Bearer other";
+  CallerRequest BadJson = Item.chat(false);
+  BadJson.Body = "{";
+  CallerRequest UnknownModel = Item.chat(false);
+  UnknownModel.Body = "{\"model\":\"none\",\"messages\":[]}";
+  CallerRequest UnknownRoute = Item.plain("k");
+  UnknownRoute.Target = "/elsewhere";
+  CallerRequest NoLimit = Item.chat(false);
+  NoLimit.Body = "{\"model\":\"m\",\"max_tokens\":0,\"messages\":[]}";
+  for (const CallerRequest &In :
+       {WrongKey, BadJson, UnknownModel, UnknownRoute, NoLimit, Item.plain("")})
+    Item.request(In);
+  REQUIRE(Answers.size() == 6);
+  CHECK(refusedAs(Answers[0], "not-run", "wrong-key"));
+  CHECK(refusedAs(Answers[1], "not-run", "invalid-request"));
+  CHECK(refusedAs(Answers[2], "not-run", "unknown-model"));
+  CHECK(refusedAs(Answers[3], "not-run", "unknown-route"));
+  CHECK(refusedAs(Answers[4], "not-run", "invalid-request"));
+  CHECK(refusedAs(Answers[5], "not-run", "idempotency-key-required"));
+}
+
+} // namespace
+} // namespace bronzeward
