Answer a slow sender before its connection is closed

Cause: the stream's own timeout closes the socket when it expires, so the 408 was written to a closed connection. Ruled out: the parser's limits (the other misuses were answered).

Change: a timer of the session's own cancels the read; the refusal then goes out.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "bronzeward/src/Request/AnswerText.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -28,7 +29,8 @@
     : public std::enable_shared_from_this<CallerServer::Session> {
 public:
   Session(CallerServer &Server, Tcp::socket Socket)
-      : Owner(Server), Stream(std::move(Socket)) {
+      : Owner(Server), Stream(std::move(Socket)),
+        ReadTimer(Stream.get_executor()) {
     ++Owner.Connections;
   }
   ~Session() { --Owner.Connections; }
@@ -86,10 +88,19 @@
   }
 
   void readRequest() {
-    Stream.expires_after(Owner.Limits.ReadTimeout);
+    // The stream's own timeout would close it before the refusal is sent.
+    Stream.expires_never();
+    ReadTimer.expires_after(Owner.Limits.ReadTimeout);
+    ReadTimer.async_wait([Self = shared_from_this()](error_code Failure) {
+      if (Failure)
+        return;
+      Self->TimedOut = true;
+      Self->Stream.cancel();
+    });
     http::async_read(
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
+          Self->ReadTimer.cancel();
           if (Failure)
             Self->failRead(Failure);
           else
@@ -99,7 +110,7 @@
 
   void failRead(error_code Failure) {
     Closing = true;
-    if (Failure == beast::error::timeout)
+    if (TimedOut)
       sendRefusal(Reason::SlowRequest);
     else if (Failure == http::error::header_limit)
       sendRefusal(Reason::HeadersTooLarge);
@@ -274,6 +285,7 @@
 
   CallerServer &Owner;
   beast::tcp_stream Stream;
+  asio::steady_timer ReadTimer;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   http::response<http::string_body> Whole;
@@ -283,6 +295,7 @@
   std::string Parts;
   std::string Sending;
   bool KeepAlive = true;
+  bool TimedOut = false;
   bool Closing = false;
   bool Writing = false;
   bool Ending = false;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -124,10 +124,10 @@
     # Processes.
 
     def spawn(self, name, program, *flags):
-        log = open(self.work / f"{name}.log", "ab")
-        self.processes[name] = subprocess.Popen(
-            [str(self.bin / program), *flags], stdout=log, stderr=log,
-            start_new_session=True)
+        with open(self.work / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [str(self.bin / program), *flags], stdout=log, stderr=log,
+                start_new_session=True)
 
     def start(self):
         self.spawn("store", "bronzeward-standin-store",
