--- a/bronzeward/src/Routing/UpstreamTable.cpp
+++ b/bronzeward/src/Routing/UpstreamTable.cpp
@@ -11,8 +11,9 @@
 constexpr int MaxEjectionSteps = 5;
 /// Own dispatches remembered to correct a report.
 constexpr std::size_t MaxRemembered = 4096;
-/// Prefix blocks remembered for each upstream.
+/// Prefix blocks remembered for one upstream, and over all.
 constexpr std::size_t MaxPrefixBlocks = 8192;
+constexpr std::size_t MaxPrefixBlocksOverAll = 200'000;
 /// Weight of a new measurement in the moving averages.
 constexpr double Smoothing = 0.1;
 /// Upstreams drawn at random for one choice, and those added since they
@@ -29,6 +30,9 @@
 
 void UpstreamTable::configure(const Configuration &Text) {
   std::map<UpstreamName, UpstreamState> Fresh;
+  const std::size_t Blocks = std::clamp<std::size_t>(
+      MaxPrefixBlocksOverAll / std::max<std::size_t>(1, Text.Upstreams.size()),
+      16, MaxPrefixBlocks);
   ByService.clear();
   for (const UpstreamSpec &Spec : Text.Upstreams) {
     ByService[Spec.Service].push_back(Spec.Name);
@@ -42,7 +46,7 @@
     } else {
       State.ServiceTime = InitialServiceTime;
       State.PrefillTokenTime = InitialPrefillTokenTime;
-      State.Prefixes = PrefixIndex(MaxPrefixBlocks);
+      State.Prefixes = PrefixIndex(Blocks);
     }
     State.Spec = Spec;
     Fresh.emplace(Spec.Name, std::move(State));
