--- a/bench/BudgetBench.cpp
+++ b/bench/BudgetBench.cpp
@@ -11,7 +11,6 @@
 namespace bronzeward::bench {
 
 using fakes::FakeFleet;
-using fakes::FakeOutcome;
 using fakes::FakeRequest;
 
 constexpr std::size_t Instances = 8;
--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -36,6 +36,7 @@
       makeChoicePolicy(ChoicePolicyKind::ExpectedDelay);
   const TimePoint Now{};
   std::vector<PrefixBlocks> Prompts;
+  Prompts.reserve(64);
   for (int Index = 0; Index < 64; ++Index)
     Prompts.push_back(
         prefixBlocks(std::string(4096, static_cast<char>('a' + Index % 26))));
--- a/bronzeward/src/Base/BoundedRing.h
+++ b/bronzeward/src/Base/BoundedRing.h
@@ -19,8 +19,9 @@
   /// \param Capacity greatest number of waiting items.
   explicit BoundedRing(std::size_t Capacity) : Items(Capacity) {}
 
-  /// \returns false, leaving Value as it was, where the ring is full.
-  [[nodiscard]] bool push(Item &&Value) {
+  /// \param Value moved from where there is room, else left as it was.
+  /// \returns whether there was room.
+  [[nodiscard]] bool push(Item &Value) {
     std::lock_guard<std::mutex> Guard(Lock);
     if (Items.full()) {
       ++Refused;
--- a/bronzeward/src/Net/Mailbox.h
+++ b/bronzeward/src/Net/Mailbox.h
@@ -27,7 +27,7 @@
 
   /// \returns false where the ring is full; the item is dropped and counted.
   bool push(Item Value) {
-    if (!Ring.push(std::move(Value)))
+    if (!Ring.push(Value))
       return false;
     wake();
     return true;
@@ -35,7 +35,7 @@
 
   /// \brief Waits for room; only for threads that the receiver never waits on.
   void pushOrWait(Item Value) {
-    while (!Ring.push(std::move(Value)))
+    while (!Ring.push(Value))
       std::this_thread::yield();
     wake();
   }
--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -86,7 +86,7 @@
   using Command = std::variant<Outgoing, Addresses>;
 
   void push(Command Item) {
-    if (Ring.push(std::move(Item)))
+    if (Ring.push(Item))
       wake();
   }
 
--- a/bronzeward/src/Net/StructuredLog.cpp
+++ b/bronzeward/src/Net/StructuredLog.cpp
@@ -41,7 +41,7 @@
 }
 
 void StructuredLog::push(Record Item) {
-  if (!Ring.push(std::move(Item)))
+  if (!Ring.push(Item))
     return;
   {
     std::lock_guard<std::mutex> Guard(Lock);
--- a/test/BudgetFailureTest.cpp
+++ b/test/BudgetFailureTest.cpp
@@ -141,7 +141,7 @@
   }
   Fleet.setStoreAway(false);
   Fleet.runFor(30s);
-  CHECK(settledOf(Fleet) == Money(70 * 60));
+  CHECK(settledOf(Fleet) == Money(4200));
   checkPromises(Fleet);
 }
 
--- a/test/BudgetSearchTest.cpp
+++ b/test/BudgetSearchTest.cpp
@@ -81,7 +81,7 @@
     while (Source.depth() < Depth) {
       if (!step())
         break;
-      const std::vector<std::string> Problems = Fleet.broken();
+      std::vector<std::string> Problems = Fleet.broken();
       if (!Problems.empty())
         return Problems;
     }
--- a/test/ConfigurationTest.cpp
+++ b/test/ConfigurationTest.cpp
@@ -79,7 +79,7 @@
                                  Client, Ports, Timers);
   std::vector<std::uint64_t> Seen;
   const TimePoint Now{1h};
-  Follower.start(Now, [&](ConfigurationVersion Version, Configuration,
+  Follower.start(Now, [&](ConfigurationVersion Version, const Configuration &,
                           TimePoint) { Seen.push_back(Version.Number); });
   const std::string Text = Head + serviceOf("a", "");
 
--- a/test/RequestEngineTest.cpp
+++ b/test/RequestEngineTest.cpp
@@ -199,7 +199,7 @@
   REQUIRE_CALL(Item.Callers, endStream(_, _)).LR_SIDE_EFFECT(End = _2);
   Item.settle();
   CHECK(End.find("[DONE]") != std::string::npos);
-  CHECK(Item.settled() == Money(5 * 1 + 1 * 2));
+  CHECK(Item.settled() == Money(7));
 }
 
 TEST_CASE("Usage beyond the reservation is capped and counted",
@@ -219,7 +219,7 @@
                               Item.Now);
   Item.Engine.onUpstreamEnd(Attempt, Item.Now);
   Item.settle();
-  CHECK(Item.settled() == Money(Bytes + 4 * 2));
+  CHECK(Item.settled() == Money(Bytes + 8));
   CHECK(Item.Engine.counters().OverReported == 1);
 }
 
--- a/test/support/FakeFleet.cpp
+++ b/test/support/FakeFleet.cpp
@@ -49,6 +49,7 @@
     Next = Index.OlderIndex;
   }
   std::vector<Segment> Older;
+  Older.reserve(Listed.size());
   for (const SegmentReference &Item : Listed)
     Older.push_back(
         decodeSegment(find(segmentKey(Slot, Item.Id))->Value, Item.Id).value());
