Send shared prefixes to common homes and let old load reports fade

Two causes: each instance placed a prefix by its own experience, so it was computed once an instance; and instances filled the same upstream at once, since a report says nothing of what the others sent after it.

Change: six homes on a consistent-hash ring; a queue is expected from 80% of the slots; a report fades to the mean of the service's upstreams over the time in which requests turn over; waiting prompts count; an upstream's speed is learnt from first tokens.

--- a/bench/SlopesBench.cpp
+++ b/bench/SlopesBench.cpp
@@ -47,7 +47,8 @@
         Table.sample(Text.Services[0], Blocks, {}, false, Source, Now);
     const Choice Chosen = Policy->choose({1024, Blocks[0]}, Found, Source);
     const UpstreamName &Name = Found[Chosen.Index].Name;
-    Table.onDispatched(Name, Blocks, false, Now);
+    Table.onFirstToken(Name, Table.onDispatched(Name, Blocks, 1024, false, Now),
+                       100ms);
     Table.onCompleted(Name, false, 1s, Now);
   }
 }
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -11,6 +11,8 @@
 /// Upstreams that one request may be offered to, counting those that could
 /// not be reached.
 constexpr std::size_t MaxUpstreamsTried = 6;
+/// Bytes of a body taken as one token where the prompt is estimated.
+constexpr std::int64_t BytesPerToken = 4;
 /// Answer bodies beyond this are refused as invalid.
 constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
 /// Time past its deadline for which a call that may not be repeated is still
@@ -234,7 +236,7 @@
     return;
   }
   ChoiceInput Input;
-  Input.PromptTokens = Item.Parsed.PromptTokens;
+  Input.PromptTokens = Item.Parsed.PromptTokens / BytesPerToken;
   Input.PrefixHash =
       Item.Parsed.Blocks.empty() ? 0 : Item.Parsed.Blocks.front();
   const Choice Chosen = Policy.choose(Input, Candidates, Around.Source);
@@ -247,7 +249,9 @@
   ByAttempt.emplace(Item.Attempt, Item.Id);
   Around.Log.onChoice({Item.Id, Item.Parsed.Service.Name, Candidates, Chosen,
                        static_cast<int>(Item.Tried.size())});
-  Table.onDispatched(Item.Upstream, Item.Parsed.Blocks, Item.Suspect, Now);
+  Item.Answered = false;
+  Item.Expected = Table.onDispatched(Item.Upstream, Item.Parsed.Blocks,
+                                     Input.PromptTokens, Item.Suspect, Now);
 
   const UpstreamSpec &Spec = Table.find(Item.Upstream)->Spec;
   UpstreamCall Call;
@@ -286,6 +290,7 @@
       onUpstreamFailure(Attempt, UpstreamFailure::Invalid, Now);
     return;
   }
+  noteFirstToken(*Item, Now);
   const std::string Forward = Item->Meter.feed(Bytes);
   if (!Forward.empty() && !Item->CallerGone) {
     if (!Item->StreamBegun) {
@@ -303,6 +308,13 @@
   complete(*Item, Now);
 }
 
+void RequestEngine::noteFirstToken(ActiveRequest &Item, TimePoint Now) {
+  if (Item.Answered)
+    return;
+  Item.Answered = true;
+  Table.onFirstToken(Item.Upstream, Item.Expected, Now - Item.DispatchedAt);
+}
+
 void RequestEngine::onUpstreamEnd(AttemptId Attempt, TimePoint Now) {
   ActiveRequest *Item = find(Attempt);
   if (Item == nullptr)
@@ -334,6 +346,8 @@
 void RequestEngine::failAttempt(ActiveRequest &Item, bool Crash,
                                 TimePoint Now) {
   ByAttempt.erase(Item.Attempt);
+  if (!Item.Answered)
+    Table.onNoAnswer(Item.Upstream, Item.Expected);
   Table.onFailed(Item.Upstream, Item.Suspect, Now);
   if (!Crash)
     return;
@@ -383,6 +397,8 @@
 void RequestEngine::releaseAttempt(ActiveRequest &Item, TimePoint Now) {
   if (ByAttempt.erase(Item.Attempt) == 0)
     return;
+  if (!Item.Answered)
+    Table.onNoAnswer(Item.Upstream, Item.Expected);
   Table.onCompleted(Item.Upstream, Item.Suspect, Now - Item.DispatchedAt, Now);
 }
 
--- a/bronzeward/src/Request/RequestEngine.h
+++ b/bronzeward/src/Request/RequestEngine.h
@@ -99,6 +99,8 @@
     int SentAttempts = 0;
     UpstreamName Upstream;
     std::vector<UpstreamName> Tried;
+    DispatchEstimate Expected;
+    bool Answered = false;
     bool Suspect = false;
     bool CallerGone = false;
     bool StreamBegun = false;
@@ -119,6 +121,7 @@
   void admit(CallerRequest In, ServiceRequest Parsed, TimePoint Now);
   void proceed(ActiveRequest &Item, TimePoint Now);
   void dispatch(ActiveRequest &Item, TimePoint Now);
+  void noteFirstToken(ActiveRequest &Item, TimePoint Now);
   void failAttempt(ActiveRequest &Item, bool Crash, TimePoint Now);
   [[nodiscard]] bool mayRetry(const ActiveRequest &Item, bool Sent,
                               TimePoint Now);
--- a/bronzeward/src/Routing/ChoicePolicy.cpp
+++ b/bronzeward/src/Routing/ChoicePolicy.cpp
@@ -9,18 +9,19 @@
 /// request on to the next.
 constexpr double HashLoadBound = 1.25;
 
+/// Share of an upstream's slots that may run before a queue is expected; the
+/// load is known late, and other instances choose at the same time.
+constexpr double BusyShare = 0.8;
+
 Duration expectedDelay(const ChoiceInput &Input, const Candidate &Item) {
   const double Slots =
       static_cast<double>(std::max<std::int64_t>(1, Item.Slots));
-  const double Ahead = std::max(0.0, Item.Load + 1.0 - Slots);
+  const double Ahead = std::max(0.0, Item.Load + 1.0 - BusyShare * Slots);
   const Duration Queue =
       std::chrono::duration_cast<Duration>(Item.ServiceTime * (Ahead / Slots));
   const std::int64_t Fresh =
       std::max<std::int64_t>(0, Input.PromptTokens - Item.CachedTokens);
-  // Running requests share the engine with the prefill.
-  const double Sharing = 1.0 + std::min(Item.Load, Slots) / Slots;
-  const Duration Prefill = std::chrono::duration_cast<Duration>(
-      Item.PrefillTokenTime * (static_cast<double>(Fresh) * Sharing));
+  const Duration Prefill = Item.PrefillTokenTime * (Fresh + Item.PrefillAhead);
   return Queue + Prefill + 2 * Item.Distance;
 }
 
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -24,6 +24,8 @@
   std::int64_t Slots = 1;
   /// Prompt tokens that it probably has cached.
   std::int64_t CachedTokens = 0;
+  /// Prompt tokens that it has to compute first.
+  std::int64_t PrefillAhead = 0;
   /// Mean time for which it serves one request.
   Duration ServiceTime{};
   /// Time to compute one prompt token.
--- a/bronzeward/src/Routing/PrefixDirectory.cpp
+++ b/bronzeward/src/Routing/PrefixDirectory.cpp
@@ -31,6 +31,13 @@
   }
 }
 
+std::size_t PrefixDirectory::known(const PrefixBlocks &Blocks) const {
+  std::size_t Count = 0;
+  while (Count < Blocks.size() && Entries.contains(Blocks[Count]))
+    ++Count;
+  return Count;
+}
+
 std::vector<UpstreamName> PrefixDirectory::find(const PrefixBlocks &Blocks,
                                                 std::size_t Most) const {
   std::vector<UpstreamName> Names;
--- a/bronzeward/src/Routing/PrefixDirectory.h
+++ b/bronzeward/src/Routing/PrefixDirectory.h
@@ -17,6 +17,9 @@
   /// \brief Notes that an upstream computes these blocks.
   void insert(const PrefixBlocks &Blocks, const UpstreamName &Name);
 
+  /// \returns how many leading blocks are known at any upstream.
+  [[nodiscard]] std::size_t known(const PrefixBlocks &Blocks) const;
+
   /// \returns upstreams that may have the longest prefixes, best first.
   /// \param Most greatest number of names.
   [[nodiscard]] std::vector<UpstreamName> find(const PrefixBlocks &Blocks,
--- a/bronzeward/src/Routing/UpstreamTable.cpp
+++ b/bronzeward/src/Routing/UpstreamTable.cpp
@@ -1,6 +1,7 @@
 #include "bronzeward/src/Routing/UpstreamTable.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bronzeward {
 
@@ -20,6 +21,16 @@
 /// probably have the prefix.
 constexpr std::size_t SampleSize = 8;
 constexpr std::size_t MaxCached = 4;
+/// Homes of a prefix that are looked at.
+constexpr std::size_t MaxHomes = 6;
+/// A further home counts as having one part in this many less of the prefix.
+constexpr std::int64_t HomeDiscount = 50;
+/// Fewer prompt tokens say little of an upstream's speed.
+constexpr std::int64_t MinMeasuredTokens = 128;
+/// Slowest speed that a measurement is taken for.
+constexpr Duration MaxPrefillTokenTime = 2ms;
+/// Most by which this instance's waiting prompts stand for all.
+constexpr double MaxPrefillScale = 8.0;
 /// Starting values, before anything was measured.
 constexpr Duration InitialServiceTime = 2s;
 constexpr Duration InitialPrefillTokenTime = 100us;
@@ -52,6 +63,18 @@
     Fresh.emplace(Spec.Name, std::move(State));
   }
   States = std::move(Fresh);
+  Homes.clear();
+  Reported.clear();
+  for (const auto &[Name, State] : States) {
+    if (!State.Report)
+      continue;
+    ReportedLoads &All = Reported[State.Spec.Service];
+    All.Count += 1.0;
+    All.Sum +=
+        static_cast<double>(State.Report->Running + State.Report->Queued);
+  }
+  for (const auto &[Service, Names] : ByService)
+    Homes[Service].build(Names);
 }
 
 UpstreamState *UpstreamTable::state(const UpstreamName &Name) {
@@ -64,23 +87,69 @@
   return Found == States.end() ? nullptr : &Found->second;
 }
 
+static std::int64_t tokensOf(std::size_t Blocks) {
+  return static_cast<std::int64_t>(Blocks * PrefixBlockBytes / BytesPerToken);
+}
+
+static std::int64_t cachedTokens(const UpstreamState &State,
+                                 const PrefixBlocks &Blocks) {
+  return tokensOf(State.Prefixes.matching(Blocks));
+}
+
 static void remember(std::deque<TimePoint> &Times, TimePoint Now) {
   Times.push_back(Now);
   if (Times.size() > MaxRemembered)
     Times.pop_front();
 }
 
-void UpstreamTable::onDispatched(const UpstreamName &Name,
-                                 const PrefixBlocks &Blocks, bool Suspect,
-                                 TimePoint Now) {
+DispatchEstimate UpstreamTable::onDispatched(const UpstreamName &Name,
+                                             const PrefixBlocks &Blocks,
+                                             std::int64_t PromptTokens,
+                                             bool Suspect, TimePoint Now) {
   UpstreamState *State = state(Name);
   if (State == nullptr)
-    return;
+    return {};
+  DispatchEstimate Expected;
+  Expected.Ahead = prefillAhead(*State, Now);
+  Expected.Fresh =
+      std::max<std::int64_t>(0, PromptTokens - cachedTokens(*State, Blocks));
+  State->PendingPrefill += Expected.Fresh;
   ++State->Outstanding;
   State->Suspects += Suspect ? 1 : 0;
   remember(State->Dispatches, Now);
   State->Prefixes.insert(Blocks);
   Directory.insert(Blocks, Name);
+  return Expected;
+}
+
+void UpstreamTable::onNoAnswer(const UpstreamName &Name,
+                               const DispatchEstimate &Expected) {
+  UpstreamState *State = state(Name);
+  if (State != nullptr)
+    State->PendingPrefill =
+        std::max<std::int64_t>(0, State->PendingPrefill - Expected.Fresh);
+}
+
+void UpstreamTable::onFirstToken(const UpstreamName &Name,
+                                 const DispatchEstimate &Expected,
+                                 Duration Waited) {
+  onNoAnswer(Name, Expected);
+  UpstreamState *State = state(Name);
+  const std::int64_t Tokens = Expected.Fresh + Expected.Ahead;
+  if (State == nullptr || Tokens < MinMeasuredTokens)
+    return;
+  const Duration PerToken = std::min(Waited / Tokens, MaxPrefillTokenTime);
+  State->PrefillTokenTime += std::chrono::duration_cast<Duration>(
+      (PerToken - State->PrefillTokenTime) * Smoothing);
+}
+
+std::int64_t UpstreamTable::prefillAhead(const UpstreamState &State,
+                                         TimePoint Now) const {
+  // Other instances' prompts are taken to wait as this one's do.
+  const double Own = std::max(1.0, static_cast<double>(State.Outstanding));
+  const double Scale = std::clamp(load(State, Now) / Own, 1.0, MaxPrefillScale);
+  return static_cast<std::int64_t>(static_cast<double>(State.PendingPrefill) *
+                                   Scale);
 }
 
 void UpstreamTable::finishOne(UpstreamState &State, bool Suspect,
@@ -124,6 +193,13 @@
     return;
   if (State->Report && Report.Measured < State->Report->Measured)
     return;
+  ReportedLoads &All = Reported[State->Spec.Service];
+  if (State->Report)
+    All.Sum -=
+        static_cast<double>(State->Report->Running + State->Report->Queued);
+  else
+    All.Count += 1.0;
+  All.Sum += static_cast<double>(Report.Running + Report.Queued);
   State->Report = Report;
   const auto Drop = [&](std::deque<TimePoint> &Times) {
     while (!Times.empty() && Times.front() <= Report.Measured)
@@ -139,15 +215,20 @@
     State->Leaving = Leaving;
 }
 
-double UpstreamTable::load(const UpstreamState &State) const {
+double UpstreamTable::load(const UpstreamState &State, TimePoint Now) const {
   const double Own = static_cast<double>(State.Outstanding);
   if (!State.Report)
     return Own;
-  const double Reported =
+  const double Seen =
       static_cast<double>(State.Report->Running + State.Report->Queued);
+  const ReportedLoads &All = Reported.at(State.Spec.Service);
+  const double Mean = All.Sum / All.Count;
+  const std::chrono::duration<double> Age = Now - State.Report->Measured;
+  const std::chrono::duration<double> Turnover = State.ServiceTime;
+  const double Weight = std::exp(-Age / Turnover);
   const double Since = static_cast<double>(State.Dispatches.size()) -
                        static_cast<double>(State.Completions.size());
-  return std::max(Own, Reported + Since);
+  return std::max(Own, Mean + Weight * (Seen - Mean) + Since);
 }
 
 bool UpstreamTable::takesWork(const UpstreamState &State,
@@ -161,14 +242,15 @@
 
 Candidate UpstreamTable::describe(const UpstreamState &State,
                                   const ServiceSpec &Service,
-                                  const PrefixBlocks &Blocks) const {
+                                  const PrefixBlocks &Blocks,
+                                  TimePoint Now) const {
   Candidate Item;
   Item.Name = State.Spec.Name;
-  Item.Load = load(State);
+  Item.Load = load(State, Now);
   Item.Outstanding = State.Outstanding;
   Item.Slots = Service.UpstreamSlots;
-  Item.CachedTokens = static_cast<std::int64_t>(
-      State.Prefixes.matching(Blocks) * PrefixBlockBytes / BytesPerToken);
+  Item.CachedTokens = cachedTokens(State, Blocks);
+  Item.PrefillAhead = prefillAhead(State, Now);
   Item.ServiceTime = State.ServiceTime;
   Item.PrefillTokenTime = State.PrefillTokenTime;
   Item.Distance = State.Spec.Domain == Domain ? Duration() : DomainDistance;
@@ -185,7 +267,7 @@
   for (const UpstreamName &Name : Names->second) {
     const UpstreamState &State = States.at(Name);
     if (takesWork(State, Avoid, Suspect, Now))
-      Found.push_back(describe(State, Service, Blocks));
+      Found.push_back(describe(State, Service, Blocks, Now));
   }
   return Found;
 }
@@ -200,19 +282,34 @@
   const std::vector<UpstreamName> &All = Names->second;
   if (All.size() <= SampleSize)
     return candidates(Service, Blocks, Avoid, Suspect, Now);
-  std::vector<UpstreamName> Drawn = Directory.find(Blocks, MaxCached);
+  std::vector<UpstreamName> Drawn;
+  if (!Blocks.empty())
+    for (const std::size_t Index :
+         Homes.at(Service.Name).homes(Blocks.front(), MaxHomes))
+      Drawn.push_back(All[Index]);
+  const std::size_t HomeCount = Drawn.size();
+  for (UpstreamName &Name : Directory.find(Blocks, MaxCached))
+    Drawn.push_back(std::move(Name));
   const std::size_t Wanted = Drawn.size() + SampleSize;
   while (Drawn.size() < Wanted)
     Drawn.push_back(All[Source.below(All.size())]);
   std::vector<Candidate> Found;
   std::vector<UpstreamName> Seen = Avoid;
-  for (const UpstreamName &Name : Drawn) {
+  const std::int64_t Known = tokensOf(Directory.known(Blocks));
+  for (std::size_t Index = 0; Index < Drawn.size(); ++Index) {
+    const UpstreamName &Name = Drawn[Index];
     const auto State = States.find(Name);
     if (State == States.end() || State->second.Spec.Service != Service.Name ||
         !takesWork(State->second, Seen, Suspect, Now))
       continue;
     Seen.push_back(Name);
-    Found.push_back(describe(State->second, Service, Blocks));
+    Found.push_back(describe(State->second, Service, Blocks, Now));
+    if (Index >= HomeCount)
+      continue;
+    // Other instances send a prefix that they know to the same homes.
+    const std::int64_t Shared =
+        Known - Known * static_cast<std::int64_t>(Index) / HomeDiscount;
+    Found.back().CachedTokens = std::max(Found.back().CachedTokens, Shared);
   }
   // Most may be away; then all are looked at.
   return Found.empty() ? candidates(Service, Blocks, Avoid, Suspect, Now)
--- a/bronzeward/src/Routing/UpstreamTable.h
+++ b/bronzeward/src/Routing/UpstreamTable.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Config"
 #include "bronzeward/src/Routing/ChoicePolicy.h"
+#include "bronzeward/src/Routing/HomeRing.h"
 #include "bronzeward/src/Routing/PrefixDirectory.h"
 
 #include <deque>
@@ -23,6 +24,14 @@
   TimePoint Measured;
 };
 
+/// \brief Prompt tokens expected at a dispatch.
+struct DispatchEstimate {
+  /// Tokens of this prompt that are not cached.
+  std::int64_t Fresh = 0;
+  /// Tokens of other prompts to be computed before.
+  std::int64_t Ahead = 0;
+};
+
 /// \brief One upstream's state as this instance knows it.
 struct UpstreamState {
   UpstreamSpec Spec;
@@ -35,6 +44,9 @@
   std::deque<TimePoint> Completions;
   Duration ServiceTime{};
   Duration PrefillTokenTime{};
+  /// Prompt tokens of this instance's requests that are not answered yet and
+  /// were probably not cached.
+  std::int64_t PendingPrefill = 0;
   int ConsecutiveFailures = 0;
   TimePoint EjectedUntil;
   bool Leaving = false;
@@ -50,8 +62,19 @@
   /// \brief Takes over a configuration; state of unchanged upstreams stays.
   void configure(const Configuration &Text);
 
-  void onDispatched(const UpstreamName &Name, const PrefixBlocks &Blocks,
-                    bool Suspect, TimePoint Now);
+  /// \brief Notes a request sent to an upstream.
+  /// \param PromptTokens estimate of the prompt's length.
+  /// \returns what was expected of it, for onFirstToken.
+  DispatchEstimate onDispatched(const UpstreamName &Name,
+                                const PrefixBlocks &Blocks,
+                                std::int64_t PromptTokens, bool Suspect,
+                                TimePoint Now);
+  /// \brief Notes that an answer began, so that its prompt is computed.
+  /// \param Waited time from dispatch to the first byte.
+  void onFirstToken(const UpstreamName &Name, const DispatchEstimate &Expected,
+                    Duration Waited);
+  /// \brief Notes that an attempt ended before its answer began.
+  void onNoAnswer(const UpstreamName &Name, const DispatchEstimate &Expected);
   /// \param Served time from dispatch to the end of the answer.
   void onCompleted(const UpstreamName &Name, bool Suspect, Duration Served,
                    TimePoint Now);
@@ -69,8 +92,8 @@
              const std::vector<UpstreamName> &Avoid, bool Suspect,
              TimePoint Now) const;
   /// \returns a few upstreams of a service that may take a request now: some
-  /// drawn at random, and those that probably have the prompt's prefix. Costs
-  /// the same however many upstreams there are.
+  /// drawn at random, the prefix's homes, and those that probably have it
+  /// cached. Its cost hardly grows with the number of upstreams.
   [[nodiscard]] std::vector<Candidate>
   sample(const ServiceSpec &Service, const PrefixBlocks &Blocks,
          const std::vector<UpstreamName> &Avoid, bool Suspect, Random &Source,
@@ -83,19 +106,32 @@
   }
 
 private:
-  [[nodiscard]] double load(const UpstreamState &State) const;
+  /// Sum of the reported loads of a service's upstreams.
+  struct ReportedLoads {
+    double Sum = 0.0;
+    double Count = 0.0;
+  };
+
+  /// \returns the estimated load now. A report counts for less the older it
+  /// is; the mean over the service's upstreams takes its place.
+  [[nodiscard]] double load(const UpstreamState &State, TimePoint Now) const;
+  [[nodiscard]] std::int64_t prefillAhead(const UpstreamState &State,
+                                          TimePoint Now) const;
   [[nodiscard]] static bool takesWork(const UpstreamState &State,
                                       const std::vector<UpstreamName> &Avoid,
                                       bool Suspect, TimePoint Now);
   [[nodiscard]] Candidate describe(const UpstreamState &State,
                                    const ServiceSpec &Service,
-                                   const PrefixBlocks &Blocks) const;
+                                   const PrefixBlocks &Blocks,
+                                   TimePoint Now) const;
   UpstreamState *state(const UpstreamName &Name);
   void finishOne(UpstreamState &State, bool Suspect, TimePoint Now);
 
   FailureDomain Domain;
   std::map<UpstreamName, UpstreamState> States;
   std::map<ServiceName, std::vector<UpstreamName>> ByService;
+  std::map<ServiceName, HomeRing> Homes;
+  std::map<ServiceName, ReportedLoads> Reported;
   PrefixDirectory Directory;
 };
 
