--- a/bench/EngineModel.cpp
+++ b/bench/EngineModel.cpp
@@ -52,12 +52,12 @@
       static_cast<double>(Running) / static_cast<double>(Costs.Slots);
   const Duration Token = std::chrono::duration_cast<Duration>(
       Costs.OutputToken * (1.0 + Costs.BatchSlowdown * Share));
-  Timers.schedule(Now + Token * Job.OutputTokens,
-                  [this, Token, Moved = std::move(Job)](TimePoint At) {
-                    --Running;
-                    Moved.OnEnd(At, Token);
-                    startNext(At);
-                  });
+  const TimePoint End = Now + Token * Job.OutputTokens;
+  Timers.schedule(End, [this, Token, Moved = std::move(Job)](TimePoint At) {
+    --Running;
+    Moved.OnEnd(At, Token);
+    startNext(At);
+  });
 }
 
 } // namespace bronzeward::bench
--- a/bronzeward/src/Config/ConfigurationParser.cpp
+++ b/bronzeward/src/Config/ConfigurationParser.cpp
@@ -266,7 +266,8 @@
         if (findService(Text, Name) == nullptr)
           Part.fault("depends_on", Name.Value, "names of services");
       std::vector<ServiceName> Path;
-      if (reaches(Spec.Name, Spec.Name, Path)) {
+      std::set<ServiceName> Visited;
+      if (reaches(Spec.Name, Spec.Name, Path, Visited)) {
         std::string Cycle = Spec.Name.Value;
         for (const ServiceName &Step : Path)
           Cycle += " -> " + Step.Value;
@@ -277,19 +278,18 @@
   }
 
   /// \returns whether the dependencies of From lead to Goal; Path gets the
-  /// way there.
+  /// way there, Visited every service looked at.
   bool reaches(const ServiceName &From, const ServiceName &Goal,
-               std::vector<ServiceName> &Path) const {
+               std::vector<ServiceName> &Path,
+               std::set<ServiceName> &Visited) const {
     const ServiceSpec *Spec = findService(Text, From);
     if (Spec == nullptr)
       return false;
     for (const ServiceName &Next : Spec->DependsOn) {
-      const bool Visited =
-          std::find(Path.begin(), Path.end(), Next) != Path.end();
-      if (Visited)
+      if (!Visited.insert(Next).second)
         continue;
       Path.push_back(Next);
-      if (Next == Goal || reaches(Next, Goal, Path))
+      if (Next == Goal || reaches(Next, Goal, Path, Visited))
         return true;
       Path.pop_back();
     }
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -56,6 +56,12 @@
   return *Place;
 }
 
+RetryBudget &RequestEngine::retriesOf(const ServiceSpec &Service) {
+  // A running request may be of a service that the text no longer has.
+  return Retries.try_emplace(Service.Name, RetryBudget(Service.RetryPercent))
+      .first->second;
+}
+
 // Arrival and admission.
 
 void RequestEngine::refuseEarly(CallerTicket Ticket, const Refusal &Why) {
@@ -134,6 +140,7 @@
     Item.Parsed.Key.Value = Id.Value;
   Item.Version = Version;
   Item.Accepted = Around.Wall.wallNow();
+  Item.AcceptedAt = Now;
   Item.Meter = StreamMeter(Item.Parsed.MaxOutputTokens);
   Item.Suspect = Crashes.suspected(Item.Parsed.Content, Now);
   Item.Deadline =
@@ -293,13 +300,8 @@
   noteFirstToken(*Item, Now);
   const std::string Forward = Item->Meter.feed(Bytes);
   if (!Forward.empty() && !Item->CallerGone) {
-    if (!Item->StreamBegun) {
-      Item->StreamBegun = true;
-      Answer Head;
-      Head.ContentType = "text/event-stream";
-      Head.Headers = {{"X-Request-Id", Item->Id.Value}};
-      Around.Callers.beginStream(Item->Ticket, Head);
-    }
+    if (!Item->StreamBegun)
+      beginStream(*Item, Now);
     Around.Callers.sendPart(Item->Ticket, Forward);
   }
   if (!Item->Meter.limitReached())
@@ -366,7 +368,7 @@
   return Item.Parsed.Repeatable && !Item.StreamBegun &&
          Item.SentAttempts < MaxSentAttempts &&
          !Crashes.quarantined(Item.Parsed.Content, Now) &&
-         Retries.at(Item.Parsed.Service.Name).takeRetry();
+         retriesOf(Item.Parsed.Service).takeRetry();
 }
 
 void RequestEngine::retryOrEnd(ActiveRequest &Item, bool Sent, TimePoint Now) {
@@ -422,7 +424,7 @@
   Crashes.onCompleted(Item.Parsed.Content);
   const bool Model = Item.Parsed.Service.Kind == ServiceKind::Model;
   if (Model && Item.UpstreamStatus >= 400) {
-    end(Item, {Outcome::NotRun, Reason::InvalidRequest, Item.Collected},
+    end(Item, {Outcome::Ran, Reason::InvalidRequest, Item.Collected},
         ClaimFate::Keep, Now);
     return;
   }
@@ -469,7 +471,7 @@
   case SettleOutcome::Committed:
   case SettleOutcome::Carried:
   case SettleOutcome::BilledBefore:
-    deliver(*Item, Done);
+    deliver(*Item, Done, Now);
     finish(Request, Now);
     return;
   case SettleOutcome::KeyReused:
@@ -486,27 +488,35 @@
   }
 }
 
-void RequestEngine::deliver(ActiveRequest &Item, const Settlement &Done) {
+void RequestEngine::beginStream(ActiveRequest &Item, TimePoint Now) {
+  Item.StreamBegun = true;
+  FirstByte.record(Now - Item.AcceptedAt);
+  Answer Head;
+  Head.ContentType = "text/event-stream";
+  Head.Headers = {{"X-Request-Id", Item.Id.Value}};
+  Around.Callers.beginStream(Item.Ticket, Head);
+}
+
+void RequestEngine::deliver(ActiveRequest &Item, const Settlement &Done,
+                            TimePoint Now) {
   ++Counters.Answered;
+  Whole.record(Now - Item.AcceptedAt);
   Around.Log.onEnd(Item.Id, Item.Parsed.Workspace.Name, Item.UpstreamStatus,
                    nameOf(Outcome::Ran), "answered");
   if (Item.CallerGone)
     return;
   if (!Item.Parsed.Streamed) {
-    Answer Whole;
-    Whole.Status = Item.UpstreamStatus;
-    Whole.ContentType = Item.UpstreamType;
-    Whole.Headers = servedHeaders(Item.Id, Done);
-    Whole.Body = std::move(Item.Collected);
-    Around.Callers.answer(Item.Ticket, Whole);
+    FirstByte.record(Now - Item.AcceptedAt);
+    Answer Made;
+    Made.Status = Item.UpstreamStatus;
+    Made.ContentType = Item.UpstreamType;
+    Made.Headers = servedHeaders(Item.Id, Done);
+    Made.Body = std::move(Item.Collected);
+    Around.Callers.answer(Item.Ticket, Made);
     return;
   }
-  if (!Item.StreamBegun) {
-    Answer Head;
-    Head.ContentType = "text/event-stream";
-    Head.Headers = {{"X-Request-Id", Item.Id.Value}};
-    Around.Callers.beginStream(Item.Ticket, Head);
-  }
+  if (!Item.StreamBegun)
+    beginStream(Item, Now);
   Around.Callers.endStream(Item.Ticket,
                            servedComment(Item.Id, Done) + Item.Meter.tail());
 }
@@ -522,15 +532,15 @@
   ++Counters.Answered;
   Settlement Done;
   Done.Outcome = SettleOutcome::BilledBefore;
-  Answer Whole;
-  Whole.Status = Kept->Status;
-  Whole.ContentType = Kept->ContentType;
-  Whole.Headers = servedHeaders(Item.Id, Done);
-  Whole.Headers.push_back({"Bronzeward-Replayed", "true"});
-  Whole.Body = Kept->Body;
+  Answer Made;
+  Made.Status = Kept->Status;
+  Made.ContentType = Kept->ContentType;
+  Made.Headers = servedHeaders(Item.Id, Done);
+  Made.Headers.push_back({"Bronzeward-Replayed", "true"});
+  Made.Body = Kept->Body;
   Around.Log.onEnd(Item.Id, Item.Parsed.Workspace.Name, Kept->Status,
                    nameOf(Outcome::Ran), "replayed");
-  Around.Callers.answer(Item.Ticket, Whole);
+  Around.Callers.answer(Item.Ticket, Made);
 }
 
 void RequestEngine::end(ActiveRequest &Item, const Refusal &Why, ClaimFate Fate,
--- a/bronzeward/src/Request/RequestEngine.h
+++ b/bronzeward/src/Request/RequestEngine.h
@@ -3,6 +3,7 @@
 #include "bronzeward/Budget"
 #include "bronzeward/Routing"
 #include "bronzeward/src/Request/Admission.h"
+#include "bronzeward/src/Request/LatencyHistogram.h"
 #include "bronzeward/src/Request/Messages.h"
 #include "bronzeward/src/Request/RequestLifecycle.h"
 #include "bronzeward/src/Request/ServiceRequest.h"
@@ -74,6 +75,12 @@
 
   [[nodiscard]] std::int64_t inFlight() const { return Limits.inFlight(); }
   [[nodiscard]] const RequestCounters &counters() const { return Counters; }
+  /// \returns times from arrival to the first byte for the caller.
+  [[nodiscard]] LatencyCounts firstByteLatency() const {
+    return FirstByte.counts();
+  }
+  /// \returns times from arrival to the end of the whole answer.
+  [[nodiscard]] LatencyCounts wholeLatency() const { return Whole.counts(); }
   UpstreamTable &upstreams() { return Table; }
   Quarantine &quarantine() { return Crashes; }
   [[nodiscard]] const ConfigurationIndex *configuration() const {
@@ -92,6 +99,7 @@
     RequestLifecycle Lifecycle;
     WallTime Accepted;
     WallTime Dispatched;
+    TimePoint AcceptedAt;
     TimePoint DispatchedAt;
     std::optional<TimerQueue::Handle> Deadline;
     AttemptId Attempt;
@@ -130,12 +138,14 @@
   void completeModel(ActiveRequest &Item, Bill &Settled);
   void releaseAttempt(ActiveRequest &Item, TimePoint Now);
   void onDeadline(const RequestId &Request, TimePoint Now);
-  void deliver(ActiveRequest &Item, const Settlement &Done);
+  void beginStream(ActiveRequest &Item, TimePoint Now);
+  void deliver(ActiveRequest &Item, const Settlement &Done, TimePoint Now);
   void replay(ActiveRequest &Item, const std::optional<RecordedAnswer> &Kept);
   void end(ActiveRequest &Item, const Refusal &Why, ClaimFate Fate,
            TimePoint Now);
   void finish(const RequestId &Request, TimePoint Now);
   ChoicePolicy &policyOf(const ServiceSpec &Service);
+  RetryBudget &retriesOf(const ServiceSpec &Service);
 
   Incarnation Self;
   RequestSurroundings Around;
@@ -155,6 +165,8 @@
   std::uint64_t LastRequest = 0;
   std::uint64_t LastAttempt = 0;
   RequestCounters Counters;
+  LatencyHistogram FirstByte;
+  LatencyHistogram Whole;
   bool Draining = false;
 };
 
--- a/bronzeward/src/Router/RouterCore.cpp
+++ b/bronzeward/src/Router/RouterCore.cpp
@@ -209,6 +209,8 @@
     return Status;
   Status.InFlight = Engine->inFlight();
   Status.Requests = Engine->counters();
+  Status.FirstByte = Engine->firstByteLatency();
+  Status.Whole = Engine->wholeLatency();
   Status.Quarantined = Engine->quarantine().listed(Now);
   Status.PendingOperations = Budgets->pendingOperations();
   Status.CarriedBills = Budgets->carriedBills();
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -44,9 +44,25 @@
   void gauge(const char *Name, const char *Help, std::int64_t Value) {
     write(Name, Help, "gauge", std::to_string(Value));
   }
+  void latencies(const char *Name, const char *Help,
+                 const LatencyCounts &Seen) {
+    const std::string Full = std::string("bronzeward_") + Name;
+    Text += "# HELP " + Full + " " + Help + "\n";
+    Text += "# TYPE " + Full + " histogram\n";
+    for (const LatencyBucket &Item : Seen.Buckets)
+      bucket(Full, json::serialize(json::value(Item.Bound)), Item.Count);
+    bucket(Full, "+Inf", Seen.Total);
+    Text += Full + "_sum " + std::to_string(Seen.SumSeconds) + "\n";
+    Text += Full + "_count " + std::to_string(Seen.Total) + "\n";
+  }
   std::string Text;
 
 private:
+  void bucket(const std::string &Full, const std::string &Bound,
+              std::uint64_t Count) {
+    Text +=
+        Full + "_bucket{le=\"" + Bound + "\"} " + std::to_string(Count) + "\n";
+  }
   void write(const char *Name, const char *Help, const char *Type,
              const std::string &Value) {
     const std::string Full = std::string("bronzeward_") + Name;
@@ -91,6 +107,12 @@
   Out.counter("store_calls_held_back_total",
               "Store calls not sent: breaker open or too many in flight.",
               Status.Store.NotSent);
+  Out.latencies("first_byte_seconds",
+                "Time from arrival to the first byte for the caller.",
+                Status.FirstByte);
+  Out.latencies("whole_answer_seconds",
+                "Time from arrival to the end of the whole answer.",
+                Status.Whole);
   Out.gauge("requests_in_flight", "Requests in flight.", Status.InFlight);
   Out.gauge("pending_operations", "Ledger operations without a result.",
             static_cast<std::int64_t>(Status.PendingOperations));
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -25,6 +25,8 @@
   bool StoreFailing = false;
   StoreCounters Store;
   RequestCounters Requests;
+  LatencyCounts FirstByte;
+  LatencyCounts Whole;
   std::vector<Member> Members;
   std::vector<ContentFingerprint> Quarantined;
 };
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -2,17 +2,10 @@
 /// Stand-in for a model engine: streams tokens, caches prompt prefixes,
 /// reports load, and ends all connections on a marked prompt.
 
-#include "bronzeward/Net"
-#include "daemons/Settings.h"
+#include "standins/Service.h"
 
 #include <gflags/gflags.h>
 
-#include <boost/asio/signal_set.hpp>
-#include <boost/json.hpp>
-
-#include <iostream>
-#include <set>
-
 DEFINE_string(listen, "127.0.0.1:9001", "address, ip:port");
 DEFINE_int32(slots, 16, "requests run at a time");
 DEFINE_int32(token_ms, 20, "time for one output token");
@@ -43,38 +36,9 @@
 };
 
 /// \brief The engine, in one thread beside its server's thread.
-class Engine {
-public:
-  Engine()
-      : Server(CallerLimits{}, [this](CallerEvent In) {
-          boost::asio::post(
-              Io, [this, Event = std::move(In)]() mutable { take(Event); });
-          return true;
-        }) {}
-
-  int run() {
-    const Result<SocketAddress> Address = parseAddress("listen", FLAGS_listen);
-    if (!Address)
-      return complain(Address.error());
-    const Result<std::uint16_t> Bound =
-        Server.listen(Address.value().Host, Address.value().Port);
-    if (!Bound)
-      return complain(Bound.error());
-    boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
-    Signals.async_wait([this](boost::system::error_code, int) { Io.stop(); });
-    const auto Guard = boost::asio::make_work_guard(Io);
-    Io.run();
-    Server.stop();
-    return 0;
-  }
-
+class Engine : public Service {
 private:
-  static int complain(const Error &Failure) {
-    std::cerr << describe(Failure) << "\n";
-    return SettingsExitCode;
-  }
-
-  void take(CallerEvent &Event) {
+  void take(CallerEvent &Event) override {
     if (const auto *Gone = std::get_if<CallerGone>(&Event)) {
       cancel(Gone->Ticket);
       return;
@@ -95,16 +59,13 @@
   }
 
   void report(CallerTicket To) {
-    Answer Made;
-    Made.ContentType = "application/json";
-    Made.Body = json::serialize(json::object{{"running", Jobs.size()},
-                                             {"queued", Queue.size()},
-                                             {"executed", Executed},
-                                             {"cancelled", Cancelled},
-                                             {"crashes", Crashes},
-                                             {"leaving", Leaving},
-                                             {"age_ms", 0}});
-    Server.answer(To, Made);
+    answerJson(To, {{"running", Jobs.size()},
+                    {"queued", Queue.size()},
+                    {"executed", Executed},
+                    {"cancelled", Cancelled},
+                    {"crashes", Crashes},
+                    {"leaving", Leaving},
+                    {"age_ms", 0}});
   }
 
   void crash(CallerTicket Cause) {
@@ -259,8 +220,6 @@
     start(std::move(Next));
   }
 
-  boost::asio::io_context Io;
-  CallerServer Server;
   std::map<CallerTicket, Job> Jobs;
   std::vector<Job> Queue;
   PrefixIndex Cached{4096};
@@ -275,5 +234,5 @@
 
 int main(int Argc, char **Argv) {
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
-  return bronzeward::standins::Engine().run();
+  return bronzeward::standins::Engine().run(FLAGS_listen);
 }
--- a/test/RequestEngineTest.cpp
+++ b/test/RequestEngineTest.cpp
@@ -235,6 +235,22 @@
   CHECK(Calls[0].Upstream != Calls[1].Upstream);
 }
 
+TEST_CASE("A text that drops a service leaves its running request alone",
+          "[RequestEngine]") {
+  Bench Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  Answer Seen;
+  REQUIRE_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Seen = _2);
+  Item.request(Item.chat(true));
+  Configuration Empty;
+  Item.Engine.configure({2}, std::move(Empty));
+  Item.Engine.onUpstreamFailure(Calls.at(0).Attempt, UpstreamFailure::Closed,
+                                Item.Now);
+  CHECK(refusedAs(Seen, "unknown", "no-upstream"));
+  CHECK(Item.Engine.inFlight() == 0);
+}
+
 TEST_CASE("A late answer of a failed attempt reaches nobody",
           "[RequestEngine]") {
   Bench Item;
