Bring an accepted configuration to the instances without the store

Cause: an instance learnt of a change from the store or from a peer that had read it there; with the store away right after the acceptance nobody had.

Versions only rise, so a late or doubled message does nothing.

--- a/test/process/FleetFaultTest.py
+++ b/test/process/FleetFaultTest.py
@@ -92,6 +92,19 @@
                 lambda i=index: self.fleet.status(i)[
                     "configuration_version"] == wanted)
 
+    def test_configuration_with_the_store_away_right_after(self):
+        path = self.fleet.work / "away.toml"
+        path.write_text(self.fleet.text() + "# while the store is away\n")
+        wanted = self.fleet.status(0)["configuration_version"] + 1
+        for port in self.fleet.store_ports:
+            self.fleet.faults(port=port, outage=1)
+        self.fleet.ctl("apply", str(path))
+        for index in range(3):
+            fleet_module.wait_until(
+                "the change is in force without the store",
+                lambda i=index: self.fleet.status(i)[
+                    "configuration_version"] >= wanted)
+
     def test_wrong_settings(self):
         for flags, named in [(["--instance=a b"], "--instance"),
                              (["--instance=a", "--failure_domain=d",
--- a/tools/ConfigurationCommands.cpp
+++ b/tools/ConfigurationCommands.cpp
@@ -1,4 +1,5 @@
 #include "tools/Commands.h"
+#include "tools/PeerNotice.h"
 
 #include <boost/json.hpp>
 
@@ -177,10 +178,12 @@
   const ConfigurationHead Next =
       succeed(Found.value().Head, Text.value(), Context.Operator,
               SystemClock().wallNow());
+  const PeerNotice Notice(Context.Store);
   const StoreReply Reply = Context.Store.call(
       CompareAndSwap{ConfigurationKey, encodeConfigurationHead(Next),
                      Found.value().Revision, StoreLeaseId{}});
   if (Reply.Status == StoreStatus::Ok) {
+    Notice.send(Next.Current.Version, Text.value());
     printRevision(Context, "accepted", Next.Current);
     return Success;
   }
@@ -197,6 +200,7 @@
       Seen.TextDigest == Next.Current.TextDigest &&
       Seen.Operator == Next.Current.Operator &&
       Seen.Accepted == Next.Current.Accepted) {
+    Notice.send(Seen.Version, Text.value());
     printRevision(Context, "accepted", Seen);
     return Success;
   }
