--- a/bronzeward/schema/Ledger.capnp
+++ b/bronzeward/schema/Ledger.capnp
@@ -141,6 +141,10 @@
       request @17 :Text;
     }
     reclaimGrants @18 :Incarnation;
+    raisePrepaid :group {
+      workspace @21 :Text;
+      total @22 :Int64;
+    }
   }
 }
 
@@ -151,4 +155,5 @@
   holders @3 :List(Incarnation);
   answer @4 :RecordedAnswer;
   hasAnswer @5 :Bool;
+  unsettled @6 :Int64;
 }
--- a/bronzeward/schema/Ledger.capnp.h
+++ b/bronzeward/schema/Ledger.capnp.h
@@ -34,6 +34,7 @@
 CAPNP_DECLARE_SCHEMA(cb1c4172ed12fe40);
 CAPNP_DECLARE_SCHEMA(9ece53817b34bba8);
 CAPNP_DECLARE_SCHEMA(e729f008e5fa96be);
+CAPNP_DECLARE_SCHEMA(f36efd6ef03bcfc3);
 CAPNP_DECLARE_SCHEMA(db966aaedae76adc);
 
 }  // namespace schemas
@@ -221,6 +222,7 @@
     OPEN_CLAIM,
     RELEASE_CLAIM,
     RECLAIM_GRANTS,
+    RAISE_PREPAID,
   };
   struct TopUp;
   struct DrawGrant;
@@ -228,6 +230,7 @@
   struct CommitBill;
   struct OpenClaim;
   struct ReleaseClaim;
+  struct RaisePrepaid;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(b7248d561eec80ce, 4, 3)
@@ -327,6 +330,21 @@
   };
 };
 
+struct Operation::RaisePrepaid {
+  RaisePrepaid() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f36efd6ef03bcfc3, 4, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct OperationResult {
   OperationResult() = delete;
 
@@ -335,7 +353,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db966aaedae76adc, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(db966aaedae76adc, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1674,6 +1692,9 @@
   inline bool hasReclaimGrants() const;
   inline  ::bronzeward::schema::Incarnation::Reader getReclaimGrants() const;
 
+  inline bool isRaisePrepaid() const;
+  inline typename RaisePrepaid::Reader getRaisePrepaid() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1735,6 +1756,10 @@
   inline void adoptReclaimGrants(::capnp::Orphan< ::bronzeward::schema::Incarnation>&& value);
   inline ::capnp::Orphan< ::bronzeward::schema::Incarnation> disownReclaimGrants();
 
+  inline bool isRaisePrepaid();
+  inline typename RaisePrepaid::Builder getRaisePrepaid();
+  inline typename RaisePrepaid::Builder initRaisePrepaid();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2351,6 +2376,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class Operation::RaisePrepaid::Reader {
+public:
+  typedef RaisePrepaid Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::int64_t getTotal() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operation::RaisePrepaid::Builder {
+public:
+  typedef RaisePrepaid Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::int64_t getTotal();
+  inline void setTotal( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operation::RaisePrepaid::Pipeline {
+public:
+  typedef RaisePrepaid Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class OperationResult::Reader {
 public:
   typedef OperationResult Reads;
@@ -2382,6 +2493,8 @@
 
   inline bool getHasAnswer() const;
 
+  inline  ::int64_t getUnsettled() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2436,6 +2549,9 @@
   inline bool getHasAnswer();
   inline void setHasAnswer(bool value);
 
+  inline  ::int64_t getUnsettled();
+  inline void setUnsettled( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4306,6 +4422,29 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Operation::Reader::isRaisePrepaid() const {
+  return which() == Operation::RAISE_PREPAID;
+}
+inline bool Operation::Builder::isRaisePrepaid() {
+  return which() == Operation::RAISE_PREPAID;
+}
+inline typename Operation::RaisePrepaid::Reader Operation::Reader::getRaisePrepaid() const {
+  KJ_IREQUIRE((which() == Operation::RAISE_PREPAID),
+              "Must check which() before get()ing a union member.");
+  return typename Operation::RaisePrepaid::Reader(_reader);
+}
+inline typename Operation::RaisePrepaid::Builder Operation::Builder::getRaisePrepaid() {
+  KJ_IREQUIRE((which() == Operation::RAISE_PREPAID),
+              "Must check which() before get()ing a union member.");
+  return typename Operation::RaisePrepaid::Builder(_builder);
+}
+inline typename Operation::RaisePrepaid::Builder Operation::Builder::initRaisePrepaid() {
+  _builder.setDataField<Operation::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Operation::RAISE_PREPAID);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  return typename Operation::RaisePrepaid::Builder(_builder);
+}
 inline bool Operation::TopUp::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4846,6 +4985,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Operation::RaisePrepaid::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Operation::RaisePrepaid::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Operation::RaisePrepaid::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Operation::RaisePrepaid::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Operation::RaisePrepaid::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Operation::RaisePrepaid::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Operation::RaisePrepaid::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Operation::RaisePrepaid::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Operation::RaisePrepaid::Reader::getTotal() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Operation::RaisePrepaid::Builder::getTotal() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Operation::RaisePrepaid::Builder::setTotal( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint16_t OperationResult::Reader::getStatus() const {
   return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4975,6 +5162,20 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t OperationResult::Reader::getUnsettled() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t OperationResult::Builder::getUnsettled() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void OperationResult::Builder::setUnsettled( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -35,15 +35,30 @@
       configuration @13 :UInt64;
       draining @14 :Bool;
       suspects @15 :List(Text);
+      upstreamRevision @19 :UInt64;
+      storeAway @20 :Bool;
+      peerAddress @21 :Text;
     }
     configuration :group {
       version @16 :UInt64;
       text @17 :Text;
     }
     configurationWanted @18 :Void;
+    upstreams :group {
+      revision @22 :UInt64;
+      entries @23 :List(UpstreamEntry);
+      whole @24 :Bool;
+    }
   }
 }
 
+struct UpstreamEntry {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  deleted @3 :Bool;
+}
+
 interface Peer {
   deliver @0 (message :PeerMessage) -> ();
 }
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -28,6 +28,8 @@
 CAPNP_DECLARE_SCHEMA(d6c998045f785de1);
 CAPNP_DECLARE_SCHEMA(ea15aedcded37e1c);
 CAPNP_DECLARE_SCHEMA(e4cf3feee73780e4);
+CAPNP_DECLARE_SCHEMA(b5d2d9a927b4db2d);
+CAPNP_DECLARE_SCHEMA(898b99c3e9530d15);
 CAPNP_DECLARE_SCHEMA(aeb0e4be9a88795a);
 CAPNP_DECLARE_SCHEMA(b815e66954940e26);
 CAPNP_DECLARE_SCHEMA(e4374e7f84e9ff83);
@@ -54,6 +56,7 @@
     DIGEST,
     CONFIGURATION,
     CONFIGURATION_WANTED,
+    UPSTREAMS,
   };
   struct Submit;
   struct Results;
@@ -62,9 +65,10 @@
   struct Forget;
   struct Digest;
   struct Configuration;
+  struct Upstreams;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -79,7 +83,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5f3482ee0253bc7, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5f3482ee0253bc7, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -94,7 +98,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(98d675a7d77d631d, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(98d675a7d77d631d, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -109,7 +113,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d0313e9fd4b2a478, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d0313e9fd4b2a478, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -124,7 +128,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfc3a9d7eaba38a0, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cfc3a9d7eaba38a0, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -139,7 +143,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6c998045f785de1, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d6c998045f785de1, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -154,7 +158,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea15aedcded37e1c, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ea15aedcded37e1c, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -169,7 +173,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4cf3feee73780e4, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e4cf3feee73780e4, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerMessage::Upstreams {
+  Upstreams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b5d2d9a927b4db2d, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct UpstreamEntry {
+  UpstreamEntry() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(898b99c3e9530d15, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -275,6 +309,9 @@
   inline bool isConfigurationWanted() const;
   inline  ::capnp::Void getConfigurationWanted() const;
 
+  inline bool isUpstreams() const;
+  inline typename Upstreams::Reader getUpstreams() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -347,6 +384,10 @@
   inline  ::capnp::Void getConfigurationWanted();
   inline void setConfigurationWanted( ::capnp::Void value = ::capnp::VOID);
 
+  inline bool isUpstreams();
+  inline typename Upstreams::Builder getUpstreams();
+  inline typename Upstreams::Builder initUpstreams();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -840,6 +881,13 @@
   inline bool hasSuspects() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSuspects() const;
 
+  inline  ::uint64_t getUpstreamRevision() const;
+
+  inline bool getStoreAway() const;
+
+  inline bool hasPeerAddress() const;
+  inline  ::capnp::Text::Reader getPeerAddress() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -882,6 +930,19 @@
   inline void adoptSuspects(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSuspects();
 
+  inline  ::uint64_t getUpstreamRevision();
+  inline void setUpstreamRevision( ::uint64_t value);
+
+  inline bool getStoreAway();
+  inline void setStoreAway(bool value);
+
+  inline bool hasPeerAddress();
+  inline  ::capnp::Text::Builder getPeerAddress();
+  inline void setPeerAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPeerAddress(unsigned int size);
+  inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -994,6 +1055,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerMessage::Upstreams::Reader {
+public:
+  typedef Upstreams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline bool getWhole() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::Upstreams::Builder {
+public:
+  typedef Upstreams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::Upstreams::Pipeline {
+public:
+  typedef Upstreams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamEntry::Reader {
+public:
+  typedef UpstreamEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool getDeleted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamEntry::Builder {
+public:
+  typedef UpstreamEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class UpstreamEntry::Pipeline {
+public:
+  typedef UpstreamEntry Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -1408,7 +1661,10 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::DIGEST);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Digest::Builder(_builder);
 }
 inline bool PeerMessage::Reader::isConfiguration() const {
@@ -1460,6 +1716,30 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::Reader::isUpstreams() const {
+  return which() == PeerMessage::UPSTREAMS;
+}
+inline bool PeerMessage::Builder::isUpstreams() {
+  return which() == PeerMessage::UPSTREAMS;
+}
+inline typename PeerMessage::Upstreams::Reader PeerMessage::Reader::getUpstreams() const {
+  KJ_IREQUIRE((which() == PeerMessage::UPSTREAMS),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::Upstreams::Reader(_reader);
+}
+inline typename PeerMessage::Upstreams::Builder PeerMessage::Builder::getUpstreams() {
+  KJ_IREQUIRE((which() == PeerMessage::UPSTREAMS),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::Upstreams::Builder(_builder);
+}
+inline typename PeerMessage::Upstreams::Builder PeerMessage::Builder::initUpstreams() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::UPSTREAMS);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::Upstreams::Builder(_builder);
+}
 inline  ::uint64_t PeerMessage::Submit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1814,6 +2094,68 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerMessage::Digest::Reader::getUpstreamRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Digest::Builder::getUpstreamRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Digest::Builder::setUpstreamRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Digest::Reader::getStoreAway() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerMessage::Digest::Builder::getStoreAway() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Digest::Builder::setStoreAway(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Digest::Reader::hasPeerAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Digest::Builder::hasPeerAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerMessage::Digest::Reader::getPeerAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerMessage::Digest::Builder::getPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Digest::Builder::setPeerAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerMessage::Digest::Builder::initPeerAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Digest::Builder::adoptPeerAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Digest::Builder::disownPeerAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerMessage::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1862,6 +2204,164 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerMessage::Upstreams::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Upstreams::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Upstreams::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Upstreams::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Upstreams::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Upstreams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Upstreams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Upstreams::Builder::setEntries( ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Upstreams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Upstreams::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>> PeerMessage::Upstreams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Upstreams::Reader::getWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerMessage::Upstreams::Builder::getWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Upstreams::Builder::setWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamEntry::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamEntry::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamEntry::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamEntry::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamEntry::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamEntry::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamEntry::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamEntry::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool UpstreamEntry::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamEntry::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader UpstreamEntry::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder UpstreamEntry::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void UpstreamEntry::Builder::setValue( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder UpstreamEntry::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamEntry::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> UpstreamEntry::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t UpstreamEntry::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t UpstreamEntry::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamEntry::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool UpstreamEntry::Reader::getDeleted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool UpstreamEntry::Builder::getDeleted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamEntry::Builder::setDeleted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -6,6 +6,8 @@
 
 /// Time for recalled budget to come back before it is drawn again.
 constexpr Duration RecallWait = 60ms;
+/// Wanted in a first grant that is drawn ahead; the draw's share bounds it.
+constexpr Money FirstGrantWanted(std::int64_t{1} << 40U);
 /// Pause after a refused refill or a recall.
 constexpr Duration RefillPause = 1s;
 /// Time for a carrier to confirm before further peers are asked.
@@ -40,8 +42,11 @@
   if (!serving(Now))
     return ReserveOutcome::Unavailable;
   Book &Budget = Books[Workspace];
+  if (Budget.Unsettled && Bound > *Budget.Unsettled)
+    return ReserveOutcome::Exhausted;
   Reservation Wanted{Workspace, Bound, Budget.LostGrants, false, {}};
-  if (Budget.Waiting.empty() && Budget.Grant.reserve(Bound)) {
+  const bool NextInLine = Budget.Waiting.empty() || Bound.isZero();
+  if (NextInLine && Budget.Grant.reserve(Bound)) {
     Wanted.Granted = true;
     Reservations.emplace(Request, std::move(Wanted));
     refill(Workspace, Now);
@@ -101,8 +106,12 @@
   Change.Minimum = Minimum;
   Change.Wanted = std::max(
       {Minimum, Missing - Free, Target + Missing - Budget.Grant.held()});
-  Change.Share = static_cast<std::uint32_t>(
-      2 * std::max<std::size_t>(1, Members.members().size()));
+  if (Budget.DrawAhead)
+    Change.Wanted = std::max(Change.Wanted, FirstGrantWanted);
+  Change.Share = std::max(
+      Policy.LeastDrawShares,
+      static_cast<std::uint32_t>(
+          2 * std::max<std::size_t>(1, Members.members().size())));
   Change.Holder = holder(Budget);
   Budget.Grant.drawSent();
   Change.Sequence = Budget.Grant.sequence();
@@ -124,6 +133,7 @@
   case OperationStatus::Applied:
   case OperationStatus::Repeated:
     Budget.Grant.drawn(std::max(Money(), Outcome.Amount));
+    Budget.DrawAhead = false;
     serveWaiting(Workspace, Now);
     if (!Budget.Waiting.empty())
       draw(Workspace, Now);
@@ -136,6 +146,7 @@
     draw(Workspace, Now);
     return;
   default:
+    // The workspace has no account yet, so nothing is prepaid.
     Budget.Grant.drawRefused();
     refuseWaiting(Workspace, ReserveOutcome::Exhausted, Now);
     break;
@@ -150,7 +161,13 @@
   Book &Budget = Books[Workspace];
   Budget.Grant.drawRefused();
   Budget.NextRefill = Now + RefillPause;
+  Budget.Unsettled = Outcome.Unsettled;
   serveWaiting(Workspace, Now);
+  while (!Books[Workspace].Waiting.empty() &&
+         Books[Workspace].Waiting.front().Bound > Outcome.Unsettled) {
+    const RequestId First = Books[Workspace].Waiting.front().Request;
+    expireWaiting(Workspace, First, Now);
+  }
   if (Budget.Waiting.empty())
     return;
   bool Recalled = false;
@@ -218,15 +235,60 @@
   if (Waiter == Budget.Waiting.end())
     return;
   Around.Timers.cancel(Waiter->Timeout);
+  const Money Bound = Waiter->Bound;
   Budget.Waiting.erase(Waiter);
   Reservations.erase(Request);
-  const ReserveOutcome Outcome = Around.Store.failingSince()
-                                     ? ReserveOutcome::Unavailable
-                                     : ReserveOutcome::Exhausted;
+  const ReserveOutcome Outcome = shortage(Budget, Bound);
   Around.Listener.onReserved(Request, Outcome, Now);
   serveWaiting(Workspace, Now);
 }
 
+ReserveOutcome BudgetAgent::shortage(const Book &Budget, Money Bound) const {
+  if (Budget.Unsettled && Bound > *Budget.Unsettled)
+    return ReserveOutcome::Exhausted;
+  return Around.Store.failingSince() ? ReserveOutcome::Unavailable
+                                     : ReserveOutcome::Held;
+}
+
+void BudgetAgent::raisePrepaid(const WorkspaceId &Workspace, Money Total,
+                               TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  if (Total <= Budget.Stated)
+    return;
+  Budget.DrawAhead = Policy.DrawAhead && Budget.Stated.isZero();
+  Budget.Stated = Total;
+  Budget.Unsettled.reset();
+  submitStated(Workspace, Total, Now);
+}
+
+void BudgetAgent::submitStated(const WorkspaceId &Workspace, Money Total,
+                               TimePoint Now) {
+  const std::uint64_t Number = Router.submit(
+      slot(Workspace), RaisePrepaid{Workspace, Total}, Now,
+      [this, Workspace](const OperationResult &, TimePoint At) {
+        Books[Workspace].Unsettled.reset();
+        if (Books[Workspace].DrawAhead)
+          draw(Workspace, At);
+      });
+  if (Number != 0)
+    return;
+  Around.Timers.schedule(Now + RefillPause,
+                         [this, Workspace, Total](TimePoint At) {
+                           submitStated(Workspace, Total, At);
+                         });
+}
+
+void BudgetAgent::returnExcess(TimePoint Now) {
+  for (auto &[Workspace, Budget] : Books) {
+    const bool Wanted = !Budget.Waiting.empty() || Budget.DrawAhead;
+    if (Wanted || Budget.Grant.lifecycle().changing())
+      continue;
+    const Money Amount = Budget.Grant.excess(Policy, Now);
+    if (!Amount.isZero())
+      returnAmount(Workspace, Amount, Now);
+  }
+}
+
 void BudgetAgent::refill(const WorkspaceId &Workspace, TimePoint Now) {
   Book &Budget = Books[Workspace];
   if (Draining || Now < Budget.NextRefill)
@@ -252,8 +314,14 @@
   Budget.ReturnWanted = false;
   Budget.NextRefill = Now + RefillPause;
   const Money Amount = Budget.Grant.free();
-  if (Amount.isZero() || !Budget.Waiting.empty() ||
-      Budget.Grant.lifecycle().state() != GrantState::Held)
+  if (!Amount.isZero() && Budget.Waiting.empty())
+    returnAmount(Workspace, Amount, Now);
+}
+
+void BudgetAgent::returnAmount(const WorkspaceId &Workspace, Money Amount,
+                               TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  if (Budget.Grant.lifecycle().state() != GrantState::Held)
     return;
   ReturnGrant Change;
   Change.Workspace = Workspace;
@@ -383,29 +451,51 @@
     Around.Listener.onSettled(Request, {}, Now);
     return;
   }
+  const WorkspaceId Workspace = Found->second.Workspace;
+  const std::uint64_t Number = addBill(Request, std::move(Settled), Now);
+  Bills.at(Number).Hold = Around.Timers.schedule(
+      Now + Policy.AnswerHold,
+      [this, Number](TimePoint At) { expireHold(Number, At); });
+  submitBill(Number, Now);
+  serveWaiting(Workspace, Now);
+  refill(Workspace, Now);
+}
+
+void BudgetAgent::settleReleased(const RequestId &Request, Bill Settled,
+                                 TimePoint Now) {
+  const auto Found = Reservations.find(Request);
+  if (Found == Reservations.end())
+    return;
+  const WorkspaceId Workspace = Found->second.Workspace;
+  const std::uint64_t Number = addBill(Request, std::move(Settled), Now);
+  Bills.at(Number).Answered = true;
+  Bills.at(Number).Released = true;
+  submitBill(Number, Now);
+  serveWaiting(Workspace, Now);
+  refill(Workspace, Now);
+}
+
+std::uint64_t BudgetAgent::addBill(const RequestId &Request, Bill Settled,
+                                   TimePoint Now) {
+  const auto Found = Reservations.find(Request);
   const Reservation Item = std::move(Found->second);
   Reservations.erase(Found);
   Book &Budget = Books[Item.Workspace];
   Settled.Cost = std::min(Settled.Cost, Item.Bound);
   Settled.Holder = {Self.Instance, Self.Epoch + Item.LostGrants};
   if (Item.LostGrants == Budget.LostGrants)
-    Budget.Grant.settle(Item.Bound, Settled.Cost, Now);
+    Budget.Grant.settle(Item.Bound, Settled.Cost, Policy, Now);
 
   const std::uint64_t Number = ++LastBill;
   PendingBill Waiting;
   Waiting.Request = Request;
   Waiting.Settled = std::move(Settled);
   Waiting.LostGrants = Item.LostGrants;
-  Waiting.Hold = Around.Timers.schedule(
-      Now + Policy.AnswerHold,
-      [this, Number](TimePoint At) { expireHold(Number, At); });
   Waiting.Carry = Around.Timers.schedule(
       Now + Policy.CarryAfter,
       [this, Number](TimePoint At) { carryBill(Number, At); });
   Bills.emplace(Number, std::move(Waiting));
-  submitBill(Number, Now);
-  serveWaiting(Item.Workspace, Now);
-  refill(Item.Workspace, Now);
+  return Number;
 }
 
 void BudgetAgent::submitBill(std::uint64_t Number, TimePoint Now) {
@@ -419,7 +509,14 @@
   if (Found == Bills.end())
     return;
   Found->second.Operation = Submitted;
-  if (Submitted == 0)
+  if (Submitted != 0)
+    return;
+  if (Found->second.Released)
+    Around.Timers.schedule(Now + RefillPause, [this, Number](TimePoint At) {
+      if (Bills.contains(Number))
+        submitBill(Number, At);
+    });
+  else
     expireHold(Number, Now);
 }
 
@@ -534,9 +631,13 @@
 
 void BudgetAgent::carryBill(std::uint64_t Number, TimePoint Now) {
   const auto Found = Bills.find(Number);
-  if (Found == Bills.end() || Found->second.Answered)
+  if (Found == Bills.end())
     return;
   PendingBill &Item = Found->second;
+  // A withheld answer is not billed, so its bill must not travel.
+  const bool Withheld = Item.Answered && !Item.Released;
+  if (Withheld || Item.Carriers.size() >= Policy.Carriers)
+    return;
   const std::size_t Missing = Policy.Carriers - Item.Carriers.size();
   std::vector<InstanceId> Candidates = carrierCandidates(Item);
   Candidates.resize(std::min(Candidates.size(), Missing));
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -19,8 +19,10 @@
   Granted,
   /// The answer follows through \ref BudgetListener.
   Waiting,
-  /// The budget is spent or set aside for running requests.
+  /// The record shows that the prepaid amount does not cover the request.
   Exhausted,
+  /// What is left is set aside, here or at other instances; it may come back.
+  Held,
   /// The store has been away for longer than the policy serves without it.
   Unavailable,
 };
@@ -115,6 +117,15 @@
   /// \param Settled bill without holder, order and write-off; its cost is
   /// lowered to the reservation where it exceeds it.
   void settle(const RequestId &Request, Bill Settled, TimePoint Now);
+  /// \brief Bills a request whose whole answer the caller already has. The
+  /// listener hears nothing more; until the bill is durable its cost stays
+  /// charged to the grant.
+  void settleReleased(const RequestId &Request, Bill Settled, TimePoint Now);
+  /// \brief States a workspace's whole prepaid amount; the record follows where
+  /// it is higher. Draws a first grant where the policy says so.
+  void raisePrepaid(const WorkspaceId &Workspace, Money Total, TimePoint Now);
+  /// \brief Returns what is not needed here, where the policy says so.
+  void returnExcess(TimePoint Now);
 
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now);
@@ -147,6 +158,13 @@
     bool RedrawScheduled = false;
     TimePoint NextRefill;
     bool ReturnWanted = false;
+    /// Whether the first grant is to be drawn before it is asked for.
+    bool DrawAhead = false;
+    /// Total last stated for the record.
+    Money Stated;
+    /// Prepaid and unsettled as the record last showed; it only falls until a
+    /// higher total is stated.
+    std::optional<Money> Unsettled;
   };
   struct Reservation {
     WorkspaceId Workspace;
@@ -178,6 +196,10 @@
   [[nodiscard]] Incarnation holder(const Book &Budget) const;
   [[nodiscard]] SlotId slot(const WorkspaceId &Workspace) const;
 
+  void submitStated(const WorkspaceId &Workspace, Money Total, TimePoint Now);
+  std::uint64_t addBill(const RequestId &Request, Bill Settled, TimePoint Now);
+  [[nodiscard]] ReserveOutcome shortage(const Book &Budget, Money Bound) const;
+  void returnAmount(const WorkspaceId &Workspace, Money Amount, TimePoint Now);
   void draw(const WorkspaceId &Workspace, TimePoint Now);
   void onDrawn(const WorkspaceId &Workspace, const OperationResult &Outcome,
                TimePoint Now);
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -5,15 +5,10 @@
 
 namespace bronzeward {
 
-/// Time over which the observed spend rate is averaged.
-constexpr std::chrono::duration<double> RateWindow = 60s;
-/// Spending that a grant covers, as a multiple of the expected; requests do
-/// not come evenly.
-constexpr double SpendingMargin = 1.5;
-/// Reservations' worth that a grant holds beyond the expected spending.
-constexpr std::int64_t ReservedMultiple = 4;
-/// A refill goes to this multiple of the low-water mark.
-constexpr std::int64_t RefillMultiple = 2;
+static Money multiplied(Money Amount, double Factor) {
+  const double Product = static_cast<double>(Amount.micros()) * Factor;
+  return Money(static_cast<std::int64_t>(std::min(Product, 1e17)));
+}
 
 bool GrantBook::reserve(Money Bound) {
   if (free() < Bound)
@@ -25,11 +20,13 @@
 
 void GrantBook::release(Money Bound) { Reserved -= std::min(Reserved, Bound); }
 
-void GrantBook::settle(Money Bound, Money Cost, TimePoint Now) {
+void GrantBook::settle(Money Bound, Money Cost, const BudgetPolicy &Policy,
+                       TimePoint Now) {
   release(Bound);
   Unbilled += Cost;
+  const std::chrono::duration<double> Window = Policy.RateWindow;
   SpendRate =
-      rate(Now) + static_cast<double>(Cost.micros()) / RateWindow.count();
+      rate(Policy, Now) + static_cast<double>(Cost.micros()) / Window.count();
   LastSpend = Now;
 }
 
@@ -88,20 +85,29 @@
   return Held > Used ? Held - Used : Money();
 }
 
-double GrantBook::rate(TimePoint Now) const {
+double GrantBook::rate(const BudgetPolicy &Policy, TimePoint Now) const {
   const std::chrono::duration<double> Age = Now - LastSpend;
-  return SpendRate * std::exp(-Age.count() / RateWindow.count());
+  const std::chrono::duration<double> Window = Policy.RateWindow;
+  return SpendRate * std::exp(-Age.count() / Window.count());
 }
 
 Money GrantBook::lowWater(const BudgetPolicy &Policy, TimePoint Now) const {
   const std::chrono::duration<double> Horizon = Policy.GrantHorizon;
-  const double Spending = SpendingMargin * rate(Now) * Horizon.count();
+  const double Spending =
+      Policy.SpendingMargin * rate(Policy, Now) * Horizon.count();
   return Money(static_cast<std::int64_t>(std::min(Spending, 1e17))) +
-         scaled(PeakReserved, ReservedMultiple);
+         scaled(PeakReserved, Policy.ReservedMultiple);
 }
 
 Money GrantBook::target(const BudgetPolicy &Policy, TimePoint Now) const {
-  return scaled(lowWater(Policy, Now), RefillMultiple);
+  return multiplied(lowWater(Policy, Now), Policy.RefillMultiple);
+}
+
+Money GrantBook::excess(const BudgetPolicy &Policy, TimePoint Now) const {
+  const Money Kept = target(Policy, Now);
+  const Money Limit = multiplied(Kept, Policy.ReturnMultiple);
+  return Policy.ReturnMultiple > 0.0 && free() > Limit ? free() - Kept
+                                                       : Money();
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -20,7 +20,8 @@
   /// \brief Gives a reservation back unspent.
   void release(Money Bound);
   /// \brief Turns a reservation into an amount that waits for its bill.
-  void settle(Money Bound, Money Cost, TimePoint Now);
+  void settle(Money Bound, Money Cost, const BudgetPolicy &Policy,
+              TimePoint Now);
   /// \brief Ends the wait for a bill that was charged to the grant.
   void charged(Money Cost);
   /// \brief Ends the wait for a bill that was not charged to the grant.
@@ -45,12 +46,15 @@
   [[nodiscard]] Money lowWater(const BudgetPolicy &Policy, TimePoint Now) const;
   /// \returns the amount to hold after a refill.
   [[nodiscard]] Money target(const BudgetPolicy &Policy, TimePoint Now) const;
+  /// \returns the free amount that is not needed here; zero unless the policy
+  /// returns such.
+  [[nodiscard]] Money excess(const BudgetPolicy &Policy, TimePoint Now) const;
   /// \returns the number of the change under way.
   [[nodiscard]] std::uint64_t sequence() const { return Sequence; }
   [[nodiscard]] const GrantLifecycle &lifecycle() const { return Lifecycle; }
 
 private:
-  [[nodiscard]] double rate(TimePoint Now) const;
+  [[nodiscard]] double rate(const BudgetPolicy &Policy, TimePoint Now) const;
 
   GrantLifecycle Lifecycle;
   Money Held;
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Ledger"
+#include "bronzeward/src/Store/StorePort.h"
 
 #include <cstdint>
 #include <string>
@@ -55,6 +56,13 @@
   bool Draining = false;
   /// Content fingerprints under quarantine.
   std::vector<ContentFingerprint> Suspects;
+  /// Store revision up to which the sender knows the upstreams.
+  std::uint64_t UpstreamRevision = 0;
+  /// Whether the store does not answer the sender, so that it depends on what
+  /// peers tell it.
+  bool StoreAway = false;
+  /// Where the sender listens for peers, "ip:port"; it may not be listed yet.
+  std::string PeerAddress;
 };
 
 /// \brief An accepted configuration, for a peer whose version is older.
@@ -66,11 +74,20 @@
 /// \brief Asks a peer for its configuration.
 struct ConfigurationWanted {};
 
+/// \brief Registry entries of upstreams, for peers that the store does not
+/// answer: every one, or those that just changed.
+struct UpstreamList {
+  /// Store revision up to which the sender knows the entries.
+  std::uint64_t Revision = 0;
+  std::vector<StoreEntry> Entries;
+  bool Whole = false;
+};
+
 /// \brief One message between instances.
 using PeerMessage =
     std::variant<SubmitOperations, OperationResults, RecallGrant, CarryBill,
                  BillCarried, ForgetBills, PeerDigest, ConfigurationText,
-                 ConfigurationWanted>;
+                 ConfigurationWanted, UpstreamList>;
 
 /// \brief Sends messages to other instances; any of them may be lost.
 class PeerPort {
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -19,6 +19,23 @@
   Duration CommitInterval = 50ms;
   /// Spending that a grant should cover: the store outage to bridge.
   Duration GrantHorizon = 90s;
+  /// Time over which the observed rate of spending is averaged.
+  Duration RateWindow = 60s;
+  /// Spending that a grant covers, as a multiple of the expected; requests do
+  /// not come evenly.
+  double SpendingMargin = 1.5;
+  /// Peak reservations' worth that a grant holds beyond expected spending.
+  std::int64_t ReservedMultiple = 4;
+  /// A refill goes to this multiple of the low-water mark.
+  double RefillMultiple = 2.0;
+  /// Free budget above this multiple of the refill's target is returned while
+  /// it is not needed; zero keeps it until it is recalled.
+  double ReturnMultiple = 0.0;
+  /// One draw takes at most a part in this many of the free budget beyond what
+  /// waits for it; the number of instances may ask for a smaller part.
+  std::uint32_t LeastDrawShares = 2;
+  /// Whether a grant is drawn before the first request asks for it.
+  bool DrawAhead = false;
   /// How long a request waits for budget before it is refused.
   Duration BudgetWait = 400ms;
   /// How long a claim may take to become durable before it is refused.
--- a/bronzeward/src/Ledger/LedgerCodec.cpp
+++ b/bronzeward/src/Ledger/LedgerCodec.cpp
@@ -273,6 +273,12 @@
   write(Out.initReclaimGrants(), In.Holder);
 }
 
+static void writeOne(schema::Operation::Builder Out, const RaisePrepaid &In) {
+  schema::Operation::RaisePrepaid::Builder Group = Out.initRaisePrepaid();
+  Group.setWorkspace(In.Workspace.Value);
+  Group.setTotal(In.Total.micros());
+}
+
 static Operation readDrawGrant(schema::Operation::DrawGrant::Reader In) {
   return DrawGrant{WorkspaceId{In.getWorkspace().cStr()},
                    read(In.getHolder()),
@@ -314,6 +320,10 @@
                         RequestId{In.getReleaseClaim().getRequest().cStr()}};
   case schema::Operation::RECLAIM_GRANTS:
     return ReclaimGrants{read(In.getReclaimGrants())};
+  case schema::Operation::RAISE_PREPAID:
+    return RaisePrepaid{
+        WorkspaceId{In.getRaisePrepaid().getWorkspace().cStr()},
+        Money(In.getRaisePrepaid().getTotal())};
   }
   // An operation of a later version: applied, it is rejected.
   return TopUp{};
@@ -324,6 +334,7 @@
   Out.setAmount(In.Amount.micros());
   Out.setOrder(In.Order);
   writeList(Out.initHolders(In.Holders.size()), In.Holders);
+  Out.setUnsettled(In.Unsettled.micros());
   Out.setHasAnswer(In.Answer.has_value());
   if (In.Answer)
     write(Out.initAnswer(), *In.Answer);
@@ -335,6 +346,7 @@
   Out.Amount = Money(In.getAmount());
   Out.Order = In.getOrder();
   Out.Holders = readList<Incarnation>(In.getHolders());
+  Out.Unsettled = Money(In.getUnsettled());
   if (In.getHasAnswer())
     Out.Answer = read(In.getAnswer());
   return Out;
--- a/bronzeward/src/Ledger/Operation.h
+++ b/bronzeward/src/Ledger/Operation.h
@@ -18,6 +18,14 @@
   Money Amount;
 };
 
+/// \brief Raises the whole prepaid amount to a total that the operators state.
+/// A total at or below the present one has no effect, so that instances may
+/// state it in any order and as often as they like.
+struct RaisePrepaid {
+  WorkspaceId Workspace;
+  Money Total;
+};
+
 /// \brief Sets budget aside for a holder. Repeating a Sequence has no effect.
 struct DrawGrant {
   WorkspaceId Workspace;
@@ -68,7 +76,8 @@
 
 /// \brief One idempotent change of a slot record.
 using Operation = std::variant<TopUp, DrawGrant, ReturnGrant, CommitBill,
-                               OpenClaim, ReleaseClaim, ReclaimGrants>;
+                               OpenClaim, ReleaseClaim, ReclaimGrants,
+                               RaisePrepaid>;
 
 /// \brief What an operation did.
 enum class OperationStatus : std::uint16_t {
@@ -101,6 +110,10 @@
   std::uint64_t Order = 0;
   /// Holders with budget set aside, where Status is Insufficient.
   std::vector<Incarnation> Holders;
+  /// Prepaid and not settled, where Status is Insufficient. It can only fall
+  /// until the next top-up, so a request that costs more is certainly not
+  /// covered.
+  Money Unsettled;
   std::optional<RecordedAnswer> Answer;
   bool operator==(const OperationResult &) const = default;
 };
--- a/bronzeward/src/Ledger/SlotLedger.cpp
+++ b/bronzeward/src/Ledger/SlotLedger.cpp
@@ -73,14 +73,26 @@
                                : &Found->second;
 }
 
+Account &SlotLedger::accountOf(const WorkspaceId &Workspace) {
+  if (Account *Known = findAccount(Workspace))
+    return *Known;
+  Account Fresh;
+  Fresh.Workspace = Workspace;
+  Record.Accounts.push_back(std::move(Fresh));
+  return Record.Accounts.back();
+}
+
+OperationResult SlotLedger::applyOne(const RaisePrepaid &Change) {
+  Account &Budget = accountOf(Change.Workspace);
+  if (Change.Total <= Budget.Prepaid)
+    return result(OperationStatus::Repeated, Budget.Prepaid);
+  const std::string Id = "total-" + std::to_string(Change.Total.micros());
+  return applyOne(TopUp{Change.Workspace, OperationId{Id},
+                        Change.Total - Budget.Prepaid});
+}
+
 OperationResult SlotLedger::applyOne(const TopUp &Change) {
-  Account *Budget = findAccount(Change.Workspace);
-  if (Budget == nullptr) {
-    Account Fresh;
-    Fresh.Workspace = Change.Workspace;
-    Record.Accounts.push_back(std::move(Fresh));
-    Budget = &Record.Accounts.back();
-  }
+  Account *Budget = &accountOf(Change.Workspace);
   const auto Earlier = std::find_if(
       Budget->TopUps.begin(), Budget->TopUps.end(),
       [&](const TopUpEntry &Entry) { return Entry.Id == Change.Id; });
@@ -115,6 +127,7 @@
   if (Free < Change.Minimum) {
     OperationResult Refusal = result(OperationStatus::Insufficient, Free);
     Refusal.Holders = holdersOf(*Budget);
+    Refusal.Unsettled = Budget->Prepaid - Budget->Settled;
     return Refusal;
   }
   if (Line == nullptr) {
--- a/bronzeward/src/Ledger/SlotLedger.h
+++ b/bronzeward/src/Ledger/SlotLedger.h
@@ -50,6 +50,7 @@
   OperationResult applyOne(const OpenClaim &Change);
   OperationResult applyOne(const ReleaseClaim &Change);
   OperationResult applyOne(const ReclaimGrants &Change);
+  OperationResult applyOne(const RaisePrepaid &Change);
 
   OperationResult repeatBill(const BilledKey &Earlier, const Bill &Again) const;
   void charge(Account &Budget, Bill &Settled) const;
@@ -57,6 +58,7 @@
   [[nodiscard]] const BilledKey *findBilled(const WorkspaceId &Workspace,
                                             const IdempotencyKey &Key) const;
   Account *findAccount(const WorkspaceId &Workspace);
+  Account &accountOf(const WorkspaceId &Workspace);
 
   SlotRecord Record;
   std::shared_ptr<const BilledKeys> OlderBilled;
--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -23,6 +23,36 @@
 constexpr Duration WriteTimeout = 30s;
 /// Connections that may wait to be accepted.
 constexpr int ListenBacklog = 1024;
+/// Size of one read while a request's headers arrive.
+constexpr std::size_t HeadReadBytes = 4096;
+
+/// \brief What the raw bytes of a request's head show.
+struct HeadScan {
+  bool Complete = false;
+  bool Invalid = false;
+  /// Bytes of the head so far.
+  std::size_t Length = 0;
+};
+
+/// \returns whether the head has ended, and whether it has a folded line or a
+/// line end that readers understand differently.
+static HeadScan scanHead(std::string_view Bytes) {
+  HeadScan Scan;
+  const std::size_t End = Bytes.find("\r\n\r\n");
+  Scan.Complete = End != std::string_view::npos;
+  Scan.Length = Scan.Complete ? End + 4 : Bytes.size();
+  const std::string_view Head = Bytes.substr(0, Scan.Length);
+  for (std::size_t At = 0; At < Head.size(); ++At) {
+    const char Next = At + 1 < Head.size() ? Head[At + 1] : '\n';
+    const bool BareLf = Head[At] == '\n' && (At == 0 || Head[At - 1] != '\r');
+    const bool BareCr = Head[At] == '\r' && Next != '\n';
+    const bool Folded = Head[At] == '\n' && At + 1 < Head.size() &&
+                        (Next == ' ' || Next == '\t');
+    if (BareLf || BareCr || Folded || Head[At] == '\0')
+      Scan.Invalid = true;
+  }
+  return Scan;
+}
 
 /// \brief One caller's connection: one request at a time.
 class CallerServer::Session
@@ -35,6 +65,13 @@
   }
   ~Session() { --Owner.Connections; }
 
+  void close() {
+    markAnswering(false);
+    error_code Ignored;
+    Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
+    Stream.close();
+  }
+
   void start() { awaitRequest(); }
 
   void refuseConnection() {
@@ -71,23 +108,25 @@
         static_cast<std::uint32_t>(Owner.Limits.MaxHeaderBytes));
     Parser->body_limit(Owner.Limits.MaxBodyBytes);
     if (Buffer.size() > 0) {
-      readRequest();
+      beginRequest();
       return;
     }
+    Owner.Idle.insert(this);
     Stream.expires_after(Owner.Limits.IdleTimeout);
     Stream.async_read_some(
-        Buffer.prepare(4096),
+        Buffer.prepare(HeadReadBytes),
         [Self = shared_from_this()](error_code Failure, std::size_t Length) {
+          Self->Owner.Idle.erase(Self.get());
           if (Failure) {
             Self->close();
             return;
           }
           Self->Buffer.commit(Length);
-          Self->readRequest();
+          Self->beginRequest();
         });
   }
 
-  void readRequest() {
+  void beginRequest() {
     // The stream's own timeout would close it before the refusal is sent.
     Stream.expires_never();
     ReadTimer.expires_after(Owner.Limits.ReadTimeout);
@@ -97,17 +136,76 @@
       Self->TimedOut = true;
       Self->Stream.cancel();
     });
+    readHead();
+  }
+
+  [[nodiscard]] std::string_view received() const {
+    return {static_cast<const char *>(Buffer.data().data()), Buffer.size()};
+  }
+
+  /// Reads up to the end of the headers and checks their raw bytes; the parser
+  /// is more lenient than a router may be that others trust.
+  void readHead() {
+    while (received().starts_with("\r\n"))
+      Buffer.consume(2);
+    const HeadScan Scan = scanHead(received());
+    if (Scan.Invalid) {
+      refuseRead(Reason::InvalidRequest);
+    } else if (Scan.Length > Owner.Limits.MaxHeaderBytes ||
+               received().size() >
+                   Owner.Limits.MaxHeaderBytes + Owner.Limits.MaxBodyBytes) {
+      refuseRead(Reason::HeadersTooLarge);
+    } else if (Scan.Complete) {
+      readRequest();
+    } else {
+      Stream.async_read_some(
+          Buffer.prepare(HeadReadBytes),
+          [Self = shared_from_this()](error_code Failure, std::size_t Length) {
+            if (Failure) {
+              Self->ReadTimer.cancel();
+              Self->failRead(Failure);
+              return;
+            }
+            Self->Buffer.commit(Length);
+            Self->readHead();
+          });
+    }
+  }
+
+  void refuseRead(Reason Why) {
+    ReadTimer.cancel();
+    Closing = true;
+    sendRefusal(Why);
+  }
+
+  void readRequest() {
     http::async_read(
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
           Self->ReadTimer.cancel();
           if (Failure)
             Self->failRead(Failure);
+          else if (!Self->wellFramed())
+            Self->refuseRead(Reason::InvalidRequest);
           else
             Self->forward();
         });
   }
 
+  /// \returns whether the request has one meaning to every reader: one host,
+  /// one length and nothing behind its end.
+  [[nodiscard]] bool wellFramed() const {
+    const http::request<http::string_body> &In = Parser->get();
+    const std::size_t Lengths = In.count(http::field::content_length);
+    const std::size_t Codings = In.count(http::field::transfer_encoding);
+    if (In.version() != 11 || In.count(http::field::host) != 1 ||
+        Lengths + Codings > 1 || Buffer.size() > 0)
+      return false;
+    return (Codings == 0 ||
+            beast::iequals(In[http::field::transfer_encoding], "chunked")) &&
+           In.target().starts_with("/");
+  }
+
   void failRead(error_code Failure) {
     Closing = true;
     if (TimedOut)
@@ -132,6 +230,10 @@
     Request.Ticket = Ticket = CallerTicket{++Owner.LastTicket};
     Request.Method = std::string(In.method_string());
     Request.Target = std::string(In.target());
+    Request.Host = std::string(In[http::field::host]);
+    for (const auto &Field : In)
+      Request.Headers.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
     Request.Authorization = std::string(In[http::field::authorization]);
     Request.Key = std::string(In["Idempotency-Key"]);
     Request.ContentType = std::string(In[http::field::content_type]);
@@ -181,8 +283,8 @@
     if (!In.ContentType.empty())
       Out.set(http::field::content_type, In.ContentType);
     for (const HeaderField &Field : In.Headers)
-      Out.set(Field.Name, Field.Value);
-    Out.keep_alive(KeepAlive && !Closing);
+      Out.insert(Field.Name, Field.Value);
+    Out.keep_alive(KeepAlive && !Closing && !Owner.Draining);
   }
 
   void sendRefusal(Reason Why) {
@@ -269,20 +371,13 @@
 
   void afterAnswer(error_code Failure) {
     markAnswering(false);
-    if (Failure || Closing || !KeepAlive) {
+    if (Failure || Closing || !KeepAlive || Owner.Draining) {
       close();
       return;
     }
     awaitRequest();
   }
 
-  void close() {
-    markAnswering(false);
-    error_code Ignored;
-    Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
-    Stream.close();
-  }
-
   CallerServer &Owner;
   beast::tcp_stream Stream;
   asio::steady_timer ReadTimer;
@@ -302,8 +397,10 @@
   bool InAnswer = false;
 };
 
-CallerServer::CallerServer(CallerLimits Bounds, EventHandler OnEvent)
-    : Limits(Bounds), Handler(std::move(OnEvent)), Acceptor(Thread.context()),
+CallerServer::CallerServer(CallerLimits Bounds, EventHandler OnEvent,
+                           asio::io_context *Shared)
+    : Limits(Bounds), Handler(std::move(OnEvent)), Thread(Shared),
+      Acceptor(Thread.context()),
       Ring(Thread.context(), RingCapacity,
            [this](Outgoing &Item) { take(Item); }) {}
 
@@ -349,6 +446,19 @@
   });
 }
 
+void CallerServer::setLimits(CallerLimits Bounds) {
+  asio::post(Thread.context(), [this, Bounds] { Limits = Bounds; });
+}
+
+void CallerServer::drain() {
+  asio::post(Thread.context(), [this] {
+    Draining = true;
+    const std::set<Session *> Closing = Idle;
+    for (Session *Item : Closing)
+      Item->close();
+  });
+}
+
 void CallerServer::push(Outgoing Item) {
   // A full ring loses the answer; the connection's own timeout ends it.
   Ring.push(std::move(Item));
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <variant>
 
 namespace bronzeward {
@@ -41,7 +42,9 @@
   using EventHandler = std::function<bool(CallerEvent)>;
 
   /// \param OnEvent runs in the server's thread.
-  CallerServer(CallerLimits Bounds, EventHandler OnEvent);
+  /// \param Shared loop to run in; null for a thread of its own.
+  CallerServer(CallerLimits Bounds, EventHandler OnEvent,
+               boost::asio::io_context *Shared = nullptr);
   ~CallerServer() override;
 
   /// \brief Binds and starts to accept.
@@ -49,13 +52,16 @@
   [[nodiscard]] Result<std::uint16_t> listen(const std::string &Host,
                                              std::uint16_t Port);
   void stop() { Thread.stop(); }
+  /// \brief Sets the limits for requests that begin from now on.
+  void setLimits(CallerLimits Bounds);
+  /// \brief Closes idle connections, and every other after its answer.
+  void drain();
 
   void answer(CallerTicket To, const Answer &Whole) override;
   void beginStream(CallerTicket To, const Answer &Head) override;
   void sendPart(CallerTicket To, const std::string &Part) override;
   void endStream(CallerTicket To, const std::string &LastPart) override;
-  /// \brief Closes a connection without an answer.
-  void disconnect(CallerTicket To);
+  void disconnect(CallerTicket To) override;
 
   /// \returns callers whose answer is not yet written whole.
   [[nodiscard]] std::size_t answering() const { return Answering; }
@@ -81,6 +87,9 @@
   DutyThread Thread;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::map<CallerTicket, std::weak_ptr<Session>> Waiting;
+  /// Sessions that wait for a request.
+  std::set<Session *> Idle;
+  bool Draining = false;
   std::size_t Connections = 0;
   std::atomic<std::size_t> Answering = 0;
   std::uint64_t LastTicket = 0;
--- a/bronzeward/src/Net/CoreThread.h
+++ b/bronzeward/src/Net/CoreThread.h
@@ -49,11 +49,17 @@
     std::function<void(std::vector<UpstreamSpec>)> OnUpstreams;
     std::function<void(const std::vector<Member> &)> OnMembers;
     std::function<void()> OnDrained;
+    /// Callers' connections are to be closed after the answers under way.
+    std::function<void()> OnClosing;
+    std::function<void(const CallerBounds &)> OnCallerBounds;
     /// Counts of the rings into the other threads.
     std::function<std::vector<RingCount>()> Rings;
   };
 
-  CoreThread(RouterIdentity Who, RouterSurroundings Parts, Notices Out);
+  /// \param Shared loop to run in; null for a thread of its own.
+  CoreThread(boost::asio::io_context *Shared,
+             std::unique_ptr<InstanceCore> Decider, const Clock &Source,
+             Notices Out);
   ~CoreThread() { Thread.stop(); }
 
   void start();
@@ -71,17 +77,20 @@
   void takeCaller(CallerEvent &Event, TimePoint Now);
   void takeUpstream(const UpstreamEvent &Event, TimePoint Now);
   void armTimer();
+  void tellChanges();
   void housekeeping();
 
-  RouterCore Core;
+  std::unique_ptr<InstanceCore> Core;
   Notices Tell;
-  SystemClock Time;
+  const Clock &Time;
   DutyThread Thread;
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer Housekeeping;
   std::optional<TimePoint> Armed;
   ConfigurationVersion Seen;
   std::vector<Member> SeenMembers;
+  std::optional<CallerBounds> SeenBounds;
+  bool ClosingTold = false;
   bool DrainTold = false;
   mutable std::mutex StatusLock;
   std::shared_ptr<const RouterStatus> Status;
--- a/bronzeward/src/Net/DutyThread.h
+++ b/bronzeward/src/Net/DutyThread.h
@@ -3,25 +3,35 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <memory>
 #include <thread>
 
 namespace bronzeward {
 
 /// \ingroup Net
-/// \brief A thread with an `io_context` of its own, for one duty.
+/// \brief The loop of one duty: a thread of its own, or a loop that several
+/// duties share behind the same rings. docs/DESIGN.md weighs the two.
 class DutyThread {
 public:
-  DutyThread() : Guard(Io.get_executor()) {}
+  /// \param Shared loop that its owner runs; null for a thread of its own.
+  explicit DutyThread(boost::asio::io_context *Shared = nullptr)
+      : Own(Shared == nullptr ? std::make_unique<boost::asio::io_context>(1)
+                              : nullptr),
+        Io(Shared == nullptr ? *Own : *Shared), Guard(Io.get_executor()) {}
   ~DutyThread() { stop(); }
   DutyThread(const DutyThread &) = delete;
   DutyThread &operator=(const DutyThread &) = delete;
 
   void start() {
-    Worker = std::thread([this] { Io.run(); });
+    if (Own)
+      Worker = std::thread([this] { Io.run(); });
   }
-  /// \brief Ends the thread; what it had not done is dropped.
+  /// \brief Ends the thread; what it had not done is dropped. A shared loop is
+  /// its owner's to end.
   void stop() {
     Guard.reset();
+    if (!Own)
+      return;
     Io.stop();
     if (Worker.joinable())
       Worker.join();
@@ -29,7 +39,8 @@
   boost::asio::io_context &context() { return Io; }
 
 private:
-  boost::asio::io_context Io{1};
+  std::unique_ptr<boost::asio::io_context> Own;
+  boost::asio::io_context &Io;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard;
   std::thread Worker;
--- a/bronzeward/src/Net/EtcdCodec.cpp
+++ b/bronzeward/src/Net/EtcdCodec.cpp
@@ -1,38 +1,13 @@
 #include "bronzeward/src/Net/EtcdCodec.h"
 
+#include "bronzeward/src/Net/Base64.h"
+
 #include <boost/json.hpp>
-#include <openssl/evp.h>
 
 namespace bronzeward {
 
 namespace json = boost::json;
 
-std::string encodeBase64(std::string_view Bytes) {
-  std::string Text(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
-  const int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Text.resize(static_cast<std::size_t>(Length));
-  return Text;
-}
-
-std::string decodeBase64(std::string_view Text) {
-  std::string Bytes(3 * Text.size() / 4 + 3, '\0');
-  const int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  if (Length < 0)
-    return "";
-  std::size_t Padding = 0;
-  while (Padding < 2 && Padding < Text.size() &&
-         Text[Text.size() - 1 - Padding] == '=')
-    ++Padding;
-  Bytes.resize(static_cast<std::size_t>(Length) - Padding);
-  return Bytes;
-}
-
 std::string prefixEnd(std::string Prefix) {
   while (!Prefix.empty()) {
     if (static_cast<unsigned char>(Prefix.back()) != 0xFF) {
@@ -68,8 +43,12 @@
           {"success", json::array{json::object{{"request_put", Put}}}}};
 }
 
-EtcdRequest encodeEtcd(const StoreCall &Call) {
-  EtcdRequest Made;
+std::optional<StoreHttpCall> EtcdCodec::encode(const StoreCall &Call) const {
+  // The gateway's watch is one stream without an end; callers list instead.
+  if (std::holds_alternative<WatchKeys>(Call))
+    return std::nullopt;
+  StoreHttpCall Made;
+  Made.Method = "POST";
   json::object Body;
   if (const auto *Read = std::get_if<ReadKey>(&Call)) {
     Made.Target = "/v3/kv/range";
@@ -129,25 +108,36 @@
     Reply.Status = StoreStatus::Conflict;
 }
 
-Result<StoreReply> parseEtcd(const StoreCall &Call, std::string_view Body) {
+static StoreReply parseBody(const StoreCall &Call, std::string_view Body) {
+  const json::value Parsed = json::parse({Body.data(), Body.size()});
+  const json::object &Object = Parsed.as_object();
+  StoreReply Reply;
+  Reply.Status = StoreStatus::Ok;
+  if (std::holds_alternative<ReadKey>(Call) ||
+      std::holds_alternative<ListKeys>(Call))
+    parseRange(Object, Reply);
+  else if (std::holds_alternative<CompareAndSwap>(Call))
+    parseTxn(Object, Reply);
+  else if (std::holds_alternative<GrantLease>(Call))
+    Reply.Lease.Number = number(Object, "ID");
+  else if (std::holds_alternative<KeepAlive>(Call))
+    parseKeepAlive(Object, Reply);
+  return Reply;
+}
+
+StoreReply EtcdCodec::parse(const StoreCall &Call, std::uint16_t Status,
+                            std::string_view Body) const {
+  StoreReply Reply;
+  Reply.Status = StoreStatus::Unknown;
+  if (Status == 404 && std::holds_alternative<KeepAlive>(Call))
+    Reply.Status = StoreStatus::Conflict;
+  if (Status != 200)
+    return Reply;
   try {
-    const json::value Parsed = json::parse({Body.data(), Body.size()});
-    const json::object &Object = Parsed.as_object();
-    StoreReply Reply;
-    Reply.Status = StoreStatus::Ok;
-    if (std::holds_alternative<ReadKey>(Call) ||
-        std::holds_alternative<ListKeys>(Call))
-      parseRange(Object, Reply);
-    else if (std::holds_alternative<CompareAndSwap>(Call))
-      parseTxn(Object, Reply);
-    else if (std::holds_alternative<GrantLease>(Call))
-      Reply.Lease.Number = number(Object, "ID");
-    else if (std::holds_alternative<KeepAlive>(Call))
-      parseKeepAlive(Object, Reply);
+    return parseBody(Call, Body);
+  } catch (const std::exception &) {
+    // What the call did cannot be told from such a reply.
     return Reply;
-  } catch (const std::exception &Failure) {
-    return fail(ErrorKind::InvalidData, "parse store reply", "store",
-                Failure.what());
   }
 }
 
--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -5,7 +5,9 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <charconv>
 #include <map>
+#include <netinet/tcp.h>
 #include <optional>
 
 namespace bronzeward {
@@ -21,32 +23,51 @@
 /// Size of one read.
 constexpr std::size_t ReadBytes = 16384;
 
+/// Time before a peer's own idle timeout at which a connection is given up, so
+/// that a request does not cross the peer's close.
+constexpr Duration KeepMargin = 1s;
+/// How long a connection is kept whose peer states no idle timeout; it may be
+/// under a second.
+constexpr Duration UnstatedKeep = 500ms;
+
 class HttpConnections {
 public:
+  using Stream = std::unique_ptr<beast::tcp_stream>;
+
   explicit HttpConnections(asio::io_context &Context) : Io(Context) {}
 
   asio::io_context &context() { return Io; }
 
-  /// \returns a kept connection that is still open, or nothing.
-  std::unique_ptr<beast::tcp_stream> take(const Tcp::endpoint &Peer) {
-    std::vector<std::unique_ptr<beast::tcp_stream>> &Kept = Idle[Peer];
-    while (!Kept.empty()) {
-      std::unique_ptr<beast::tcp_stream> Stream = std::move(Kept.back());
-      Kept.pop_back();
-      if (open(*Stream))
-        return Stream;
-    }
-    return nullptr;
+  /// \returns a kept connection that is still open, or null.
+  Stream take(const Tcp::endpoint &Peer, Duration MaxIdle) {
+    const TimePoint Now = std::chrono::steady_clock::now();
+    std::vector<Kept> &Idle = ByPeer[Peer];
+    std::erase_if(Idle, [Now](const Kept &Item) {
+      return Now >= Item.Until || !open(*Item.Connection);
+    });
+    if (Idle.empty() || Now - Idle.back().Since > MaxIdle)
+      return nullptr;
+    Stream Newest = std::move(Idle.back().Connection);
+    Idle.pop_back();
+    return Newest;
   }
 
-  void keep(const Tcp::endpoint &Peer,
-            std::unique_ptr<beast::tcp_stream> Stream) {
-    std::vector<std::unique_ptr<beast::tcp_stream>> &Kept = Idle[Peer];
-    if (Kept.size() < MaxKept)
-      Kept.push_back(std::move(Stream));
+  /// \param For how long the peer keeps it open.
+  void keep(const Tcp::endpoint &Peer, Stream Connection, Duration For) {
+    std::vector<Kept> &Idle = ByPeer[Peer];
+    if (Idle.size() >= MaxKept || For <= Duration())
+      return;
+    const TimePoint Now = std::chrono::steady_clock::now();
+    Idle.push_back({std::move(Connection), Now, Now + For});
   }
 
 private:
+  struct Kept {
+    Stream Connection;
+    TimePoint Since;
+    TimePoint Until;
+  };
+
   /// An idle connection has nothing to read; an end or stray bytes rule it out.
   static bool open(beast::tcp_stream &Stream) {
     error_code Failure;
@@ -58,7 +79,7 @@
   }
 
   asio::io_context &Io;
-  std::map<Tcp::endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>> Idle;
+  std::map<Tcp::endpoint, std::vector<Kept>> ByPeer;
 };
 
 std::shared_ptr<HttpConnections> makeHttpConnections(asio::io_context &Io) {
@@ -82,8 +103,8 @@
       fail(HttpFailure::NotSent, Failure.message());
       return;
     }
-    if (In.ReuseConnection)
-      Stream = Connections->take(Peer);
+    if (In.MaxIdle > Duration())
+      Stream = Connections->take(Peer, In.MaxIdle);
     if (Stream) {
       write();
       return;
@@ -97,8 +118,7 @@
         Self->fail(HttpFailure::NotSent, Result.message());
         return;
       }
-      error_code Ignored;
-      Self->Stream->socket().set_option(Tcp::no_delay(true), Ignored);
+      Self->setOptions();
       Self->write();
     });
   }
@@ -111,18 +131,30 @@
   }
 
 private:
+  void setOptions() {
+    error_code Ignored;
+    Stream->socket().set_option(Tcp::no_delay(true), Ignored);
+    if (In.UnackedTimeout.count() == 0)
+      return;
+    using UserTimeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    Stream->socket().set_option(
+        UserTimeout(static_cast<int>(In.UnackedTimeout.count())), Ignored);
+  }
+
   void write() {
     Request.method_string(In.Method);
     Request.target(In.Target);
     Request.version(11);
-    Request.set(http::field::host, In.Host + ":" + std::to_string(In.Port));
+    Request.set(http::field::host,
+                In.HostHeader.empty() ? In.Host + ":" + std::to_string(In.Port)
+                                      : In.HostHeader);
     if (!In.ContentType.empty())
       Request.set(http::field::content_type, In.ContentType);
-    for (const auto &[Name, Value] : In.Headers)
-      Request.set(Name, Value);
+    for (const HeaderField &Item : In.Headers)
+      Request.insert(Item.Name, Item.Value);
     Request.body() = std::move(In.Body);
     Request.prepare_payload();
-    Parser.body_limit(boost::none);
     Stream->expires_after(In.IdleTimeout);
     http::async_write(
         *Stream, Request,
@@ -137,35 +169,50 @@
   }
 
   void readHead() {
+    Parser.emplace();
+    Parser->body_limit(boost::none);
     Stream->expires_after(In.IdleTimeout);
     http::async_read_header(
-        *Stream, Buffer, Parser,
+        *Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Result, std::size_t) {
           if (Self->Cancelled)
             return;
-          if (Result) {
+          if (Result)
             Self->failRead(Result);
-            return;
-          }
-          Self->Listener->onHead(
-              static_cast<std::uint16_t>(Self->Parser.get().result_int()),
-              std::string(Self->Parser.get()[http::field::content_type]));
-          Self->readBody();
+          else
+            Self->takeHead();
         });
   }
 
+  void takeHead() {
+    HttpHead Head;
+    Head.Status = static_cast<std::uint16_t>(Parser->get().result_int());
+    for (const auto &Field : Parser->get().base())
+      Head.Headers.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+    const std::string *Matched =
+        In.Match.Name.empty() ? nullptr
+                              : findHeader(Head.Headers, In.Match.Name);
+    const bool Interim = Head.Status < 200;
+    const bool Foreign = Matched != nullptr && *Matched != In.Match.Value;
+    Skipping = Interim || Foreign;
+    if (!Skipping)
+      Listener->onHead(Head);
+    readBody();
+  }
+
   void readBody() {
     if (Cancelled)
       return;
-    if (Parser.is_done()) {
+    if (Parser->is_done()) {
       finish();
       return;
     }
-    Parser.get().body().data = Chunk.data();
-    Parser.get().body().size = Chunk.size();
+    Parser->get().body().data = Chunk.data();
+    Parser->get().body().size = Chunk.size();
     Stream->expires_after(In.IdleTimeout);
     http::async_read_some(
-        *Stream, Buffer, Parser,
+        *Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Result, std::size_t) {
           if (Self->Cancelled)
             return;
@@ -176,17 +223,42 @@
             return;
           }
           const std::size_t Length =
-              Self->Chunk.size() - Self->Parser.get().body().size;
-          if (Length > 0)
+              Self->Chunk.size() - Self->Parser->get().body().size;
+          if (Length > 0 && !Self->Skipping)
             Self->Listener->onBody({Self->Chunk.data(), Length});
           Self->readBody();
         });
   }
 
+  /// \returns for how long the peer keeps this connection open.
+  [[nodiscard]] Duration keepTime() const {
+    const auto Field = Parser->get().find(http::field::keep_alive);
+    if (Field == Parser->get().end())
+      return UnstatedKeep;
+    constexpr std::string_view Name = "timeout=";
+    const std::string Value(Field->value());
+    const std::size_t At = Value.find(Name);
+    if (At == std::string::npos)
+      return UnstatedKeep;
+    int Seconds = 0;
+    std::from_chars(Value.data() + At + Name.size(),
+                    Value.data() + Value.size(), Seconds);
+    return std::chrono::seconds(Seconds) - KeepMargin;
+  }
+
   void finish() {
-    if (Parser.get().keep_alive()) {
+    if (Skipping && Parser->get().keep_alive()) {
+      readHead();
+      return;
+    }
+    if (Skipping) {
+      fail(HttpFailure::Closed, "another request's answer closed it");
+      return;
+    }
+    // Bytes past the answer belong to no request.
+    if (Parser->get().keep_alive() && Buffer.size() == 0) {
       Stream->expires_never();
-      Connections->keep(Peer, std::move(Stream));
+      Connections->keep(Peer, std::move(Stream), keepTime());
     }
     const std::shared_ptr<HttpListener> Sink = std::move(Listener);
     Cancelled = true;
@@ -219,9 +291,11 @@
   Tcp::endpoint Peer;
   std::unique_ptr<beast::tcp_stream> Stream;
   http::request<http::string_body> Request;
-  http::response_parser<http::buffer_body> Parser;
+  std::optional<http::response_parser<http::buffer_body>> Parser;
   beast::flat_buffer Buffer;
   std::array<char, ReadBytes> Chunk{};
+  /// Whether the answer being read is not the one asked for.
+  bool Skipping = false;
   bool Cancelled = false;
 };
 
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -24,17 +24,27 @@
   std::string Target;
   std::string ContentType;
   std::string Body;
-  /// Further headers, each a name and a value.
-  std::vector<std::pair<std::string, std::string>> Headers;
+  /// Host header; the address where empty.
+  std::string HostHeader;
+  /// Further headers.
+  std::vector<HeaderField> Headers;
+  /// Header that the answer repeats. An answer with another value belongs to
+  /// an earlier request and is skipped. Empty where answers carry none.
+  HeaderField Match;
   /// Time for the connection to open.
   Duration ConnectTimeout = 1s;
   /// Time without a byte after which the exchange fails.
   Duration IdleTimeout = 60s;
-  /// Whether a kept connection may be used. Such a connection may turn out to
-  /// be closed after the request was written.
-  bool ReuseConnection = true;
+  /// Longest time for which a kept connection may have been idle; zero for a
+  /// connection of its own. A kept one may turn out to be closed after the
+  /// request was written.
+  Duration MaxIdle = 60s;
+  /// Time for which sent bytes may stay unacknowledged by the peer's machine;
+  /// zero for the system's own limit.
+  std::chrono::milliseconds UnackedTimeout{0};
 };
 
+
 /// \brief How far a failed exchange came.
 enum class HttpFailure { NotSent, Closed, TimedOut, Invalid };
 
@@ -42,7 +52,7 @@
 class HttpListener {
 public:
   virtual ~HttpListener() = default;
-  virtual void onHead(std::uint16_t Status, const std::string &ContentType) = 0;
+  virtual void onHead(const HttpHead &Head) = 0;
   virtual void onBody(std::string_view Bytes) = 0;
   virtual void onEnd() = 0;
   virtual void onFailure(HttpFailure How, const std::string &Detail) = 0;
--- a/bronzeward/src/Net/EtcdStore.h
+++ b/bronzeward/src/Net/HttpStore.h
@@ -11,14 +11,27 @@
 namespace bronzeward {
 
 /// \ingroup Net
-/// \brief The platform's store over HTTP, in a thread of its own.
-class EtcdStore : public StorePort {
+/// \brief Where the platform's store is and how it is spoken to.
+struct HttpStorePlace {
+  std::string Host;
+  std::uint16_t Port = 0;
+  /// Silence after which a call's connection is given up, beside the wait that
+  /// a watch asks for.
+  Duration CallTimeout = 1s;
+};
+
+/// \ingroup Net
+/// \brief The platform's store over HTTP, in the published form that its codec
+/// speaks.
+class HttpStore : public StorePort {
 public:
   using ReplyHandler = std::function<void(StoreCallId, StoreReply)>;
 
+  /// \param Shared loop to run in; null for a thread of its own.
   /// \param OnReply runs in the store's thread.
-  EtcdStore(std::string Host, std::uint16_t Port, ReplyHandler OnReply);
-  ~EtcdStore() override { Thread.stop(); }
+  HttpStore(boost::asio::io_context *Shared, HttpStorePlace Where,
+            const StoreCodec &Form, ReplyHandler OnReply);
+  ~HttpStore() override { Thread.stop(); }
 
   void start() { Thread.start(); }
   void stop() { Thread.stop(); }
@@ -30,15 +43,19 @@
   [[nodiscard]] std::uint64_t refused() const { return Ring.refused(); }
 
 private:
+  class ReplyCollector;
   struct Outgoing {
     StoreCallId Id;
     StoreCall Call;
+    /// Entries of the pages read so far.
+    StoreReply SoFar;
   };
 
-  void exchange(const Outgoing &Item);
+  void exchange(Outgoing Item);
+  void finish(Outgoing Item, StoreReply Reply);
 
-  std::string StoreHost;
-  std::uint16_t StorePortNumber;
+  HttpStorePlace Place;
+  const StoreCodec &Codec;
   ReplyHandler Handler;
   DutyThread Thread;
   std::shared_ptr<HttpConnections> Connections;
--- a/bronzeward/src/Net/Mailbox.h
+++ b/bronzeward/src/Net/Mailbox.h
@@ -34,9 +34,14 @@
   }
 
   /// \brief Waits for room; only for threads that the receiver never waits on.
+  /// Where both share a loop, the receiver takes what waits at once.
   void pushOrWait(Item Value) {
-    while (!Ring.push(Value))
-      std::this_thread::yield();
+    while (!Ring.push(Value)) {
+      if (Io.get_executor().running_in_this_thread())
+        drain();
+      else
+        std::this_thread::yield();
+    }
     wake();
   }
 
--- a/bronzeward/src/Net/OperatorServer.cpp
+++ b/bronzeward/src/Net/OperatorServer.cpp
@@ -13,12 +13,17 @@
   return Made;
 }
 
-OperatorServer::OperatorServer(CoreThread &Instance)
-    : Core(Instance), Server(CallerLimits{}, [this](CallerEvent Event) {
-        if (const auto *Request = std::get_if<CallerRequest>(&Event))
-          Server.answer(Request->Ticket, respond(*Request));
-        return true;
-      }) {}
+OperatorServer::OperatorServer(CoreThread &Instance,
+                               boost::asio::io_context *Shared)
+    : Core(Instance), Server(
+                          CallerLimits{},
+                          [this](CallerEvent Event) {
+                            if (const auto *Request =
+                                    std::get_if<CallerRequest>(&Event))
+                              Server.answer(Request->Ticket, respond(*Request));
+                            return true;
+                          },
+                          Shared) {}
 
 Result<std::uint16_t> OperatorServer::listen(const std::string &Host,
                                              std::uint16_t Port) {
--- a/bronzeward/src/Net/OperatorServer.h
+++ b/bronzeward/src/Net/OperatorServer.h
@@ -9,7 +9,9 @@
 /// \brief Liveness, readiness, status, metrics and orders for operators.
 class OperatorServer {
 public:
-  explicit OperatorServer(CoreThread &Instance);
+  /// \param Shared loop to run in; null for a thread of its own.
+  explicit OperatorServer(CoreThread &Instance,
+                          boost::asio::io_context *Shared = nullptr);
 
   [[nodiscard]] Result<std::uint16_t> listen(const std::string &Host,
                                              std::uint16_t Port);
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -50,6 +50,9 @@
   schema::PeerMessage::Digest::Builder Group = Out.initDigest();
   Group.setConfiguration(In.Configuration.Number);
   Group.setDraining(In.Draining);
+  Group.setUpstreamRevision(In.UpstreamRevision);
+  Group.setStoreAway(In.StoreAway);
+  Group.setPeerAddress(In.PeerAddress);
   auto List = Group.initSuspects(In.Suspects.size());
   for (unsigned Index = 0; Index < In.Suspects.size(); ++Index)
     List.set(Index, In.Suspects[Index].Value);
@@ -65,6 +68,22 @@
   Out.setConfigurationWanted();
 }
 
+static void writeOne(Builder Out, const UpstreamList &In) {
+  schema::PeerMessage::Upstreams::Builder Group = Out.initUpstreams();
+  Group.setRevision(In.Revision);
+  Group.setWhole(In.Whole);
+  auto List = Group.initEntries(In.Entries.size());
+  for (unsigned Index = 0; Index < In.Entries.size(); ++Index) {
+    const StoreEntry &Entry = In.Entries[Index];
+    List[Index].setKey(Entry.Key);
+    List[Index].setValue(capnp::Data::Reader(
+        reinterpret_cast<const kj::byte *>(Entry.Value.data()),
+        Entry.Value.size()));
+    List[Index].setRevision(Entry.Revision);
+    List[Index].setDeleted(Entry.Deleted);
+  }
+}
+
 void write(Builder Out, const InstanceId &Sender, const PeerMessage &In) {
   Out.setSender(Sender.Value);
   std::visit([&](const auto &Item) { writeOne(Out, Item); }, In);
@@ -101,6 +120,25 @@
   Out.Draining = In.getDraining();
   for (capnp::Text::Reader Item : In.getSuspects())
     Out.Suspects.push_back(ContentFingerprint{Item.cStr()});
+  Out.UpstreamRevision = In.getUpstreamRevision();
+  Out.StoreAway = In.getStoreAway();
+  Out.PeerAddress = In.getPeerAddress().cStr();
+  return Out;
+}
+
+static PeerMessage readUpstreams(schema::PeerMessage::Upstreams::Reader In) {
+  UpstreamList Out;
+  Out.Revision = In.getRevision();
+  Out.Whole = In.getWhole();
+  for (schema::UpstreamEntry::Reader Item : In.getEntries()) {
+    StoreEntry Entry;
+    Entry.Key = Item.getKey().cStr();
+    Entry.Value.assign(Item.getValue().asChars().begin(),
+                       Item.getValue().asChars().end());
+    Entry.Revision = Item.getRevision();
+    Entry.Deleted = Item.getDeleted();
+    Out.Entries.push_back(std::move(Entry));
+  }
   return Out;
 }
 
@@ -127,6 +165,8 @@
         In.getConfiguration().getText().cStr()};
   case schema::PeerMessage::CONFIGURATION_WANTED:
     return ConfigurationWanted{};
+  case schema::PeerMessage::UPSTREAMS:
+    return readUpstreams(In.getUpstreams());
   }
   // A message of a later version carries nothing that this one knows.
   return ForgetBills{};
--- a/bronzeward/src/Net/StructuredLog.h
+++ b/bronzeward/src/Net/StructuredLog.h
@@ -25,8 +25,7 @@
   void onEnd(const RequestId &Request, const WorkspaceId &Workspace,
              std::uint16_t Status, const std::string &Outcome,
              const std::string &Reason) override;
-  /// \brief Logs an event of the instance itself.
-  void onEvent(const std::string &Event, const std::string &Detail);
+  void onEvent(const std::string &Event, const std::string &Detail) override;
 
   /// \returns lines dropped since the ring was full.
   [[nodiscard]] std::uint64_t dropped() const { return Ring.refused(); }
--- a/bronzeward/src/Net/SystemClock.h
+++ b/bronzeward/src/Net/SystemClock.h
@@ -2,14 +2,20 @@
 
 #include "bronzeward/Base"
 
+#include <ctime>
+
 namespace bronzeward {
 
 /// \ingroup Net
-/// \brief Time of the machine.
+/// \brief Time of the machine. Counts the time for which the machine was
+/// suspended, since callers' deadlines run on meanwhile.
 class SystemClock : public Clock {
 public:
   [[nodiscard]] TimePoint now() const override {
-    return std::chrono::steady_clock::now();
+    timespec Reading{};
+    clock_gettime(CLOCK_BOOTTIME, &Reading);
+    return TimePoint(std::chrono::seconds(Reading.tv_sec) +
+                     std::chrono::nanoseconds(Reading.tv_nsec));
   }
   [[nodiscard]] WallTime wallNow() const override {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -1,5 +1,7 @@
 #include "bronzeward/src/Net/UpstreamClient.h"
 
+#include "bronzeward/src/Net/SystemClock.h"
+
 #include <boost/json.hpp>
 
 namespace bronzeward {
@@ -18,8 +20,8 @@
   AttemptListener(UpstreamClient &Client, AttemptId Number)
       : Owner(Client), Attempt(Number) {}
 
-  void onHead(std::uint16_t Status, const std::string &ContentType) override {
-    Owner.Handler(UpstreamHead{Attempt, Status, ContentType});
+  void onHead(const HttpHead &Head) override {
+    Owner.Handler(UpstreamHead{Attempt, Head});
   }
   void onBody(std::string_view Bytes) override {
     Owner.Handler(UpstreamBytes{Attempt, std::string(Bytes)});
@@ -47,11 +49,9 @@
 public:
   LoadListener(UpstreamClient &Client, UpstreamName Upstream)
       : Owner(Client), Name(std::move(Upstream)),
-        Asked(std::chrono::steady_clock::now()) {}
+        Asked(SystemClock().now()) {}
 
-  void onHead(std::uint16_t Code, const std::string &) override {
-    Status = Code;
-  }
+  void onHead(const HttpHead &Head) override { Status = Head.Status; }
   void onBody(std::string_view Bytes) override { Body.append(Bytes); }
   void onEnd() override {
     if (Status != 200)
@@ -85,18 +85,14 @@
   std::string Body;
 };
 
-UpstreamClient::UpstreamClient(EventHandler OnEvent)
-    : Handler(std::move(OnEvent)),
+UpstreamClient::UpstreamClient(boost::asio::io_context *Shared,
+                               EventHandler OnEvent)
+    : Handler(std::move(OnEvent)), Thread(Shared),
       Connections(makeHttpConnections(Thread.context())),
       PollTimer(std::make_unique<boost::asio::steady_timer>(Thread.context())),
       Ring(Thread.context(), RingCapacity,
            [this](Command &Item) { take(Item); }) {}
 
-void UpstreamClient::start() {
-  pollLoads();
-  Thread.start();
-}
-
 void UpstreamClient::dispatch(const UpstreamCall &Call) {
   if (Ring.push(Call))
     return;
@@ -122,7 +118,10 @@
     Found->second->cancel();
     Running.erase(Found);
   } else if (auto *Listed = std::get_if<Watch>(&Item)) {
+    const bool Idle = Watched.empty();
     Watched = std::move(Listed->Upstreams);
+    if (Idle)
+      pollLoads();
   }
 }
 
@@ -134,12 +133,13 @@
   Request.Target = Call.Target;
   Request.ContentType = Call.ContentType;
   Request.Body = Call.Body;
-  Request.Headers = {{"X-Request-Id", Call.Request.Value},
-                     {"Idempotency-Key", Call.Key.Value}};
+  Request.HostHeader = Call.HostHeader;
+  Request.Headers = Call.Headers;
+  Request.Match = Call.Match;
+  Request.ConnectTimeout = Call.ConnectTimeout;
+  Request.UnackedTimeout = Call.UnackedTimeout;
   Request.IdleTimeout = AnswerIdleTimeout;
-  // A kept connection that turns out closed leaves in doubt whether the
-  // request was read.
-  Request.ReuseConnection = Call.Repeatable;
+  Request.MaxIdle = Call.MaxIdle;
   const std::shared_ptr<HttpExchange> Exchange =
       startExchange(Connections, std::move(Request),
                     std::make_shared<AttemptListener>(*this, Call.Attempt));
@@ -147,6 +147,8 @@
 }
 
 void UpstreamClient::pollLoads() {
+  if (Watched.empty())
+    return;
   for (const UpstreamSpec &Spec : Watched) {
     HttpRequest Request;
     Request.Host = Spec.Host;
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -18,8 +18,7 @@
 
 struct UpstreamHead {
   AttemptId Attempt;
-  std::uint16_t Status = 0;
-  std::string ContentType;
+  HttpHead Head;
 };
 struct UpstreamBytes {
   AttemptId Attempt;
@@ -46,16 +45,17 @@
 public:
   using EventHandler = std::function<void(UpstreamEvent)>;
 
+  /// \param Shared loop to run in; null for a thread of its own.
   /// \param OnEvent runs in the client's thread.
-  explicit UpstreamClient(EventHandler OnEvent);
+  UpstreamClient(boost::asio::io_context *Shared, EventHandler OnEvent);
   ~UpstreamClient() override { Thread.stop(); }
 
-  void start();
+  void start() { Thread.start(); }
   void stop() { Thread.stop(); }
   /// \brief Sends a request; where the ring is full it fails as not sent.
   void dispatch(const UpstreamCall &Call) override;
   void cancel(AttemptId Attempt) override;
-  /// \brief Sets whose load is read.
+  /// \brief Sets whose load is read, at a fixed period.
   void watch(std::vector<UpstreamSpec> Upstreams);
 
   /// \returns items that the full ring into the thread refused.
--- /dev/null
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "bronzeward/Routing"
+#include "bronzeward/src/Relay/Placement.h"
+#include "bronzeward/src/Relay/UpstreamDirectory.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bronzeward {
+
+/// \addtogroup Relay
+/// @{
+
+/// \brief How one try at an upstream ended, as far as its health goes.
+enum class TryEnd {
+  /// A whole answer, of whatever status below 500.
+  Answered,
+  /// A whole answer that says the upstream failed.
+  Failed,
+  /// The answer broke off or broke the protocol.
+  Broken,
+  /// The connection could not be opened.
+  Unreachable,
+  /// The upstream had no place for it.
+  TurnedAway,
+  /// Another upstream has the address.
+  Misdirected,
+  /// This instance ended it; says nothing, unless it had waited for long.
+  Cancelled,
+};
+
+/// \brief What a call asks of the pool.
+struct PlacementQuery {
+  ServiceName Service;
+  /// Beginnings of the prompt and the tokens of each part; of equal length.
+  PrefixBlocks Prefixes;
+  std::vector<std::int64_t> PartTokens;
+  std::int64_t PromptTokens = 0;
+  /// Upstreams tried before.
+  std::vector<UpstreamName> Avoid;
+};
+
+/// \brief The usable upstreams, their load and their health, judged by their
+/// answers alone.
+class UpstreamPool {
+public:
+  explicit UpstreamPool(FailureDomain Home) : Domain(std::move(Home)) {}
+
+  /// \brief Takes over who may get new calls. What is known of an upstream
+  /// stays, unless it started anew.
+  /// \returns upstreams that started anew under the same name.
+  std::vector<UpstreamName>
+  setUsable(const std::vector<UpstreamEntry> &Usable, TimePoint Now);
+
+  void onDispatched(AttemptId Attempt, const UpstreamName &Name,
+                    const PlacementQuery &Query, TimePoint Now);
+  /// \brief The first part of the answer came.
+  void onFirstByte(AttemptId Attempt, TimePoint Now);
+  void onEnded(AttemptId Attempt, TryEnd How, TimePoint Now);
+  void onLoad(const UpstreamName &Name, const StatedLoad &Load, TimePoint Now);
+
+  /// \returns upstreams that may take a call: those in good standing, or, where
+  /// there are none, any that are usable.
+  [[nodiscard]] std::vector<Candidate> candidates(const PlacementQuery &Query,
+                                                  Random &Source,
+                                                  TimePoint Now) const;
+  [[nodiscard]] const UpstreamEntry *find(const UpstreamName &Name) const;
+  /// \returns whether any upstream of the service is usable.
+  [[nodiscard]] bool serves(const ServiceName &Service) const;
+  /// \returns whether bytes came from an upstream within this time.
+  [[nodiscard]] bool heardWithin(const UpstreamName &Name, Duration Time,
+                                 TimePoint Now) const;
+  [[nodiscard]] std::size_t size() const { return States.size(); }
+
+private:
+  /// One call under way.
+  struct Try {
+    UpstreamName Upstream;
+    std::int64_t FreshTokens = 0;
+    /// Expected time to the first byte.
+    Duration Expected{};
+    TimePoint At;
+    bool Answered = false;
+  };
+  struct State {
+    UpstreamEntry Entry;
+    std::int64_t Outstanding = 0;
+    /// Prompt tokens of calls from here without a first byte.
+    std::int64_t PendingTokens = 0;
+    StatedLoad Load;
+    std::optional<TimePoint> LoadAt;
+    double Failures = 0.0;
+    TimePoint FailuresAt;
+    double Slowness = 1.0;
+    TimePoint SlownessAt;
+    TimePoint ShunnedUntil;
+    Duration ShunTime{};
+    TimePoint LastHeard;
+    /// Calls without a first byte, oldest first.
+    std::map<AttemptId, TimePoint> Unanswered;
+    Duration ServiceTime{};
+    PrefixIndex Prefixes{0};
+  };
+  /// What holds for a service as a whole.
+  struct ServiceState {
+    HomeRing Homes;
+    std::vector<UpstreamName> Names;
+    Duration TokenTime{};
+  };
+
+  [[nodiscard]] bool inGoodStanding(const State &Item, TimePoint Now) const;
+  [[nodiscard]] Candidate describe(const State &Item,
+                                   const PlacementQuery &Query,
+                                   std::size_t HomeRank, TimePoint Now) const;
+  [[nodiscard]] std::vector<std::size_t>
+  considered(const ServiceState &Service, const PlacementQuery &Query,
+             Random &Source) const;
+  [[nodiscard]] static double failureShare(const State &Item, TimePoint Now);
+  [[nodiscard]] static double slowdown(const State &Item, TimePoint Now);
+  [[nodiscard]] static double load(const State &Item, TimePoint Now);
+  void noteOutcome(State &Item, double Failed, double Weight, TimePoint Now);
+  void shun(State &Item, TimePoint Now);
+  void learn(State &Item, const Try &Done, TimePoint Now);
+  State *state(const UpstreamName &Name);
+
+  FailureDomain Domain;
+  std::map<UpstreamName, State> States;
+  std::map<ServiceName, ServiceState> Services;
+  std::map<AttemptId, Try> Tries;
+};
+
+/// @}
+
+} // namespace bronzeward
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -29,18 +29,15 @@
   CallerTicket Ticket;
   std::string Method;
   std::string Target;
+  std::string Host;
+  /// Every header as it came, also those that have a field of their own.
+  std::vector<HeaderField> Headers;
   std::string Authorization;
   std::string Key;
   std::string ContentType;
   std::string Body;
 };
 
-/// \brief One header of an answer.
-struct HeaderField {
-  std::string Name;
-  std::string Value;
-};
-
 /// \brief One HTTP answer, or the head of a streamed one.
 struct Answer {
   std::uint16_t Status = 200;
@@ -57,6 +54,8 @@
   virtual void beginStream(CallerTicket To, const Answer &Head) = 0;
   virtual void sendPart(CallerTicket To, const std::string &Part) = 0;
   virtual void endStream(CallerTicket To, const std::string &LastPart) = 0;
+  /// \brief Closes the connection, so that what was sent looks cut off.
+  virtual void disconnect(CallerTicket To) = 0;
 };
 
 /// \brief One request to an upstream.
@@ -69,9 +68,18 @@
   std::string Target;
   std::string ContentType;
   std::string Body;
-  RequestId Request;
-  IdempotencyKey Key;
-  bool Repeatable = true;
+  /// Host header; the upstream's address where empty.
+  std::string HostHeader;
+  /// Further headers.
+  std::vector<HeaderField> Headers;
+  /// Header that tells this call's answer from a late one.
+  HeaderField Match;
+  /// Longest idle time of a connection to use again; zero for a new one.
+  Duration MaxIdle = 60s;
+  Duration ConnectTimeout = 1s;
+  /// Time for which the upstream's machine may leave bytes unacknowledged;
+  /// zero for the system's own limit.
+  std::chrono::milliseconds UnackedTimeout{0};
 };
 
 /// \brief How an attempt failed.
@@ -111,6 +119,9 @@
   virtual void onEnd(const RequestId &Request, const WorkspaceId &Workspace,
                      std::uint16_t Status, const std::string &Outcome,
                      const std::string &Reason) = 0;
+  /// \brief The instance began or ceased to believe something.
+  virtual void onEvent(const std::string &Event,
+                       const std::string &Detail) = 0;
 };
 
 /// @}
--- a/bronzeward/src/Request/Refusal.cpp
+++ b/bronzeward/src/Request/Refusal.cpp
@@ -62,6 +62,11 @@
       {402, "budget-lost",
        "the budget set aside was taken back while the request ran", true,
        seconds(5)},
+      {503, "budget-held",
+       "what is left of the budget is set aside for other requests", true,
+       seconds(1)},
+      {503, "overloaded", "the service has no place for this request in time",
+       true, seconds(1)},
   };
   return Forms[static_cast<std::size_t>(Why)];
 }
--- a/bronzeward/src/Request/Refusal.h
+++ b/bronzeward/src/Request/Refusal.h
@@ -40,6 +40,8 @@
   AnswerNotKept,
   BillNotDurable,
   BudgetLost,
+  BudgetHeld,
+  Overloaded,
 };
 
 /// \brief The fixed part of a refusal.
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -172,6 +172,10 @@
     end(*Item, {Outcome::NotRun, Reason::BudgetExhausted, ""},
         ClaimFate::Release, Now);
     return;
+  case ReserveOutcome::Held:
+    end(*Item, {Outcome::NotRun, Reason::BudgetHeld, ""}, ClaimFate::Release,
+        Now);
+    return;
   case ReserveOutcome::Waiting:
     return;
   }
@@ -270,9 +274,12 @@
   Call.Target = Item.Target;
   Call.ContentType = Item.ContentType;
   Call.Body = Item.Parsed.Body;
-  Call.Request = Item.Id;
-  Call.Key = Item.Parsed.Key;
-  Call.Repeatable = Item.Parsed.Repeatable;
+  Call.Headers = {{"X-Request-Id", Item.Id.Value},
+                  {"Idempotency-Key", Item.Parsed.Key.Value}};
+  // A kept connection that turns out closed leaves in doubt whether the
+  // request was read.
+  if (!Item.Parsed.Repeatable)
+    Call.MaxIdle = Duration();
   Around.Upstreams.dispatch(Call);
 }
 
--- a/bronzeward/src/Request/RequestEngine.h
+++ b/bronzeward/src/Request/RequestEngine.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Request/Admission.h"
 #include "bronzeward/src/Request/LatencyHistogram.h"
 #include "bronzeward/src/Request/Messages.h"
+#include "bronzeward/src/Request/RequestCounters.h"
 #include "bronzeward/src/Request/RequestLifecycle.h"
 #include "bronzeward/src/Request/ServiceRequest.h"
 #include "bronzeward/src/Request/StreamMeter.h"
@@ -18,19 +19,6 @@
 /// \addtogroup Request
 /// @{
 
-/// \brief Counts of ended requests, for the metrics.
-struct RequestCounters {
-  std::uint64_t Accepted = 0;
-  std::uint64_t Answered = 0;
-  std::uint64_t RefusedNotRun = 0;
-  std::uint64_t EndedUnknown = 0;
-  std::uint64_t EndedRan = 0;
-  std::uint64_t Retries = 0;
-  std::uint64_t CallersGone = 0;
-  std::uint64_t OverReported = 0;
-  std::uint64_t Quarantined = 0;
-};
-
 /// \brief Interfaces through which a \ref RequestEngine reaches the outside.
 struct RequestSurroundings {
   CallerPort &Callers;
--- /dev/null
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -0,0 +1,390 @@
+#include "bronzeward/src/Router/FleetCore.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bronzeward {
+
+/// Time between two digests to peers, and while the store does not answer.
+constexpr Duration GossipPeriod = 500ms;
+constexpr Duration UrgentGossipPeriod = 250ms;
+/// Peers that get each digest while the store answers.
+constexpr std::size_t GossipFanout = 3;
+/// Quarantined contents in one digest.
+constexpr std::size_t MaxDigestSuspects = 16;
+/// Time between two looks at what changes without an event.
+constexpr Duration HousekeepingPeriod = 100ms;
+/// Time between two returns of budget that is not needed.
+constexpr Duration ReturnPeriod = 1s;
+/// Time between two looks at whether a drain is done.
+constexpr Duration DrainCheckPeriod = 50ms;
+/// Time after which an instance that the store never answered takes requests
+/// with what its peers told it.
+constexpr Duration RegistrationPatience = 5s;
+
+static Member ownMember(const RouterIdentity &Who) {
+  return Member{Incarnation{Who.Instance, 0}, Who.Domain, Who.PeerAddress,
+                false};
+}
+
+FleetCore::FleetCore(RouterIdentity Who, FleetPolicy Settings,
+                     RouterSurroundings Parts, FleetCodecs Forms)
+    : Identity(std::move(Who)), Policy(std::move(Settings)), Around(Parts),
+      Codecs(Forms), Source(Identity.Seed),
+      Store(Parts.Store, Timers, Source, Identity.Store),
+      Registry(ownMember(Identity), Store, Timers, Source),
+      Configurations(*this), Registrations(*this),
+      ConfigurationKeys(Forms.Deployment.configurationKey(), Policy.WatchWait,
+                        Store, Timers, Source, Configurations),
+      UpstreamKeys(Forms.Deployment.upstreamPrefix(), Policy.WatchWait, Store,
+                   Timers, Source, Registrations),
+      Engine(Identity.Domain, Policy.Retries,
+             RelaySurroundings{Parts.Callers, Parts.Upstreams, Parts.Log,
+                               Parts.Wall, Timers, Source, Forms.Calls,
+                               Members}) {
+  for (const std::string &Address : Policy.PeerSeeds)
+    if (Address != Identity.PeerAddress)
+      Unlisted[InstanceId{"seed-" + Address}] =
+          Member{Incarnation{InstanceId{"seed-" + Address}, 0}, {}, Address,
+                 false};
+}
+
+void FleetCore::start(TimePoint Now) {
+  StartedAt = Now;
+  Registry.start(
+      Now,
+      [this](const Incarnation &Registered, TimePoint At) {
+        onRegistered(Registered, At);
+      },
+      [this](std::vector<Member> Listed, TimePoint At) {
+        onMembersListed(std::move(Listed), At);
+      });
+  ConfigurationKeys.start(Now);
+  UpstreamKeys.start(Now);
+  gossip(Now);
+  housekeeping(Now);
+}
+
+// Registration and membership.
+
+void FleetCore::onRegistered(const Incarnation &Registered, TimePoint Now) {
+  Life = Registered;
+  Around.Log.onEvent("registered",
+                     "life " + std::to_string(registrationOf(Registered)));
+  Budgets = std::make_unique<BudgetAgent>(
+      *Life, Identity.Domain, Policy.Budget,
+      BudgetSurroundings{Store, Around.Peers, Timers, Source, Engine});
+  Budgets->onMembers(Members.members(), Now);
+  Engine.attach(*Budgets, *Life, Now);
+}
+
+void FleetCore::onMembersListed(std::vector<Member> Listed, TimePoint Now) {
+  for (const Member &Item : Listed)
+    Unlisted.erase(Item.Life.Instance);
+  Members.update(Listed);
+  if (Budgets)
+    Budgets->onMembers(std::move(Listed), Now);
+}
+
+std::vector<Member> FleetCore::peers() const {
+  std::vector<Member> All = Members.members();
+  for (const auto &[Name, Item] : Unlisted)
+    All.push_back(Item);
+  return All;
+}
+
+std::vector<InstanceId> FleetCore::otherPeers() const {
+  std::vector<InstanceId> Others;
+  std::set<std::string> Seen{Identity.PeerAddress};
+  for (const Member &Item : peers())
+    if (Seen.insert(Item.PeerAddress).second)
+      Others.push_back(Item.Life.Instance);
+  return Others;
+}
+
+// Configuration.
+
+void FleetCore::ConfigurationFeed::onListed(
+    const std::vector<StoreEntry> &Entries, std::uint64_t, TimePoint Now) {
+  for (const StoreEntry &Entry : Entries)
+    onChanged(Entry, Now);
+}
+
+void FleetCore::ConfigurationFeed::onChanged(const StoreEntry &Entry,
+                                             TimePoint Now) {
+  if (!Entry.Deleted &&
+      Entry.Key == Owner.Codecs.Deployment.configurationKey())
+    Owner.onConfigurationText(Entry.Value, "store", Now);
+}
+
+void FleetCore::onConfigurationText(const std::string &Text,
+                                    const std::string &From, TimePoint Now) {
+  Result<FleetConfiguration> Parsed =
+      Codecs.Deployment.parseConfiguration(Text);
+  if (!Parsed) {
+    Around.Log.onEvent("configuration-invalid", describe(Parsed.error()));
+    return;
+  }
+  if (Parsed.value().Version <= Version)
+    return;
+  Version = Parsed.value().Version;
+  CurrentText = Text;
+  Around.Log.onEvent("configuration", "version " +
+                                          std::to_string(Version.Number) +
+                                          " from " + From);
+  Engine.configure(std::move(Parsed).value(), Now);
+}
+
+// Upstreams.
+
+void FleetCore::UpstreamFeed::onListed(const std::vector<StoreEntry> &Entries,
+                                       std::uint64_t Revision, TimePoint Now) {
+  Owner.takeUpstreams(Entries, Revision, Owner.UpstreamKeys.inTouchSince(),
+                      Now);
+}
+
+void FleetCore::UpstreamFeed::onChanged(const StoreEntry &Entry,
+                                        TimePoint Now) {
+  Owner.takeUpstream(Entry, Owner.UpstreamKeys.inTouchSince(), Now);
+  Owner.refreshUsable(Now);
+  // A peer that the store does not answer may not know so yet.
+  const UpstreamList Changed{Entry.Revision, {Entry}, false};
+  for (const InstanceId &Peer : Owner.otherPeers())
+    Owner.Around.Peers.send(Peer, Changed);
+}
+
+void FleetCore::takeUpstreams(const std::vector<StoreEntry> &Listed,
+                              std::uint64_t Revision,
+                              std::optional<TimePoint> InTouchSince,
+                              TimePoint Now) {
+  std::vector<std::pair<UpstreamEntry, std::uint64_t>> Known;
+  std::map<std::string, StoreEntry> Fresh;
+  for (const StoreEntry &Entry : Listed) {
+    const Result<UpstreamEntry> Parsed =
+        Codecs.Deployment.parseUpstream(Entry);
+    if (Parsed)
+      Known.emplace_back(Parsed.value(), Entry.Revision);
+    else
+      Around.Log.onEvent("upstream-entry-skipped", describe(Parsed.error()));
+    Fresh[Entry.Key] = Entry;
+  }
+  Entries = std::move(Fresh);
+  Directory.onListed(Known, Revision, InTouchSince, Now);
+  refreshUsable(Now);
+}
+
+void FleetCore::takeUpstream(const StoreEntry &Entry,
+                             std::optional<TimePoint> InTouchSince,
+                             TimePoint Now) {
+  StoreEntry &Place = Entries[Entry.Key];
+  if (Entry.Revision < Place.Revision)
+    return;
+  Place = Entry;
+  if (Entry.Deleted) {
+    Directory.onRemoved(Codecs.Deployment.upstreamOf(Entry.Key), Entry.Revision,
+                        InTouchSince, Now);
+    return;
+  }
+  const Result<UpstreamEntry> Parsed = Codecs.Deployment.parseUpstream(Entry);
+  if (Parsed)
+    Directory.onEntry(Parsed.value(), Entry.Revision, Now);
+  else
+    Around.Log.onEvent("upstream-entry-skipped", describe(Parsed.error()));
+}
+
+void FleetCore::onUpstreamList(const UpstreamList &Message, TimePoint Now) {
+  if (Message.Whole && Message.Revision > Directory.revision()) {
+    takeUpstreams(Message.Entries, Message.Revision, std::nullopt, Now);
+    return;
+  }
+  for (const StoreEntry &Entry : Message.Entries)
+    takeUpstream(Entry, UpstreamKeys.inTouchSince(), Now);
+  refreshUsable(Now);
+}
+
+void FleetCore::refreshUsable(TimePoint Now) {
+  Engine.setUsable(Directory.usable(Now), Now);
+  LapseCheck = Directory.nextLapse(Now);
+}
+
+// Peers.
+
+PeerDigest FleetCore::digest(TimePoint) const {
+  PeerDigest Made;
+  Made.Configuration = Version;
+  Made.Draining = DrainingSince.has_value();
+  Made.UpstreamRevision = Directory.revision();
+  Made.StoreAway = storeAway();
+  Made.PeerAddress = Identity.PeerAddress;
+  return Made;
+}
+
+void FleetCore::gossip(TimePoint Now) {
+  PeerDigest Made = digest(Now);
+  Made.Suspects = Engine.quarantine().listed(Now);
+  Made.Suspects.resize(std::min(Made.Suspects.size(), MaxDigestSuspects));
+  std::vector<InstanceId> Others = otherPeers();
+  const std::size_t Fanout = Made.StoreAway ? Others.size() : GossipFanout;
+  for (std::size_t Sent = 0; Sent < Fanout && !Others.empty(); ++Sent) {
+    const std::size_t Index = Source.below(Others.size());
+    Around.Peers.send(Others[Index], Made);
+    Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Index));
+  }
+  const Duration Pause = Made.StoreAway ? UrgentGossipPeriod : GossipPeriod;
+  Timers.schedule(Now + Pause, [this](TimePoint At) { gossip(At); });
+}
+
+void FleetCore::onDigest(const InstanceId &From, const PeerDigest &Message,
+                         TimePoint Now) {
+  if (Members.find(From) == nullptr && !Message.PeerAddress.empty())
+    Unlisted[From] =
+        Member{Incarnation{From, 0}, {}, Message.PeerAddress, Message.Draining};
+  for (const ContentFingerprint &Content : Message.Suspects)
+    Engine.quarantine().onReported(Content, Now);
+  if (Message.Configuration < Version)
+    Around.Peers.send(From, ConfigurationText{Version, CurrentText});
+  else if (Message.Configuration > Version)
+    Around.Peers.send(From, ConfigurationWanted{});
+  if (!Message.StoreAway || storeAway() ||
+      Message.UpstreamRevision >= Directory.revision())
+    return;
+  UpstreamList Whole;
+  Whole.Revision = Directory.revision();
+  Whole.Whole = true;
+  for (const auto &[Key, Entry] : Entries)
+    if (!Entry.Deleted)
+      Whole.Entries.push_back(Entry);
+  Around.Peers.send(From, Whole);
+}
+
+void FleetCore::onPeerMessage(const InstanceId &From,
+                              const PeerMessage &Message, TimePoint Now) {
+  if (const auto *Digest = std::get_if<PeerDigest>(&Message))
+    onDigest(From, *Digest, Now);
+  else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
+    onConfigurationText(Text->Text, From.Value, Now);
+  else if (std::holds_alternative<ConfigurationWanted>(Message))
+    Around.Peers.send(From, ConfigurationText{Version, CurrentText});
+  else if (const auto *List = std::get_if<UpstreamList>(&Message))
+    onUpstreamList(*List, Now);
+  if (Budgets)
+    Budgets->onPeerMessage(From, Message, Now);
+}
+
+void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
+  if (Budgets)
+    Budgets->onPeerUnreachable(Peer, Now);
+}
+
+// The store and time.
+
+void FleetCore::onStoreReply(StoreCallId Id, const StoreReply &Reply,
+                             TimePoint Now) {
+  Store.onReply(Id, Reply, Now);
+}
+
+bool FleetCore::storeAway() const {
+  return Store.failingSince().has_value() ||
+         !UpstreamKeys.inTouchSince().has_value();
+}
+
+void FleetCore::checkStore(TimePoint) {
+  if (storeAway() == StoreWasAway)
+    return;
+  StoreWasAway = !StoreWasAway;
+  Around.Log.onEvent(StoreWasAway ? "store-lost" : "store-regained",
+                     "upstreams known to revision " +
+                         std::to_string(Directory.revision()));
+}
+
+void FleetCore::housekeeping(TimePoint Now) {
+  checkStore(Now);
+  if (LapseCheck && Now >= *LapseCheck)
+    refreshUsable(Now);
+  if (Budgets && Now >= NextReturn) {
+    NextReturn = Now + ReturnPeriod;
+    Budgets->returnExcess(Now);
+  }
+  Timers.schedule(Now + HousekeepingPeriod,
+                  [this](TimePoint At) { housekeeping(At); });
+}
+
+void FleetCore::liftQuarantine(const ContentFingerprint &Content,
+                               TimePoint Now) {
+  Engine.quarantine().lift(Content, Now);
+}
+
+// Stopping.
+
+void FleetCore::drain(TimePoint Now) {
+  if (DrainingSince)
+    return;
+  DrainingSince = Now;
+  Registry.leave(Now);
+  Timers.schedule(Now + Policy.UnreadyNotice, [this](TimePoint At) {
+    Closing = true;
+    finishDrain(At);
+  });
+}
+
+void FleetCore::finishDrain(TimePoint Now) {
+  const bool Idle = Engine.inFlight() == 0;
+  if (Idle && Budgets)
+    Budgets->drain(Now);
+  const bool Settled = !Budgets || Budgets->drained();
+  const bool Late = Now >= *DrainingSince + Policy.DrainLimit;
+  if (Idle && (Settled || Late)) {
+    Registry.remove(Now);
+    Removed = true;
+    return;
+  }
+  Timers.schedule(Now + DrainCheckPeriod,
+                  [this](TimePoint At) { finishDrain(At); });
+}
+
+// Queries.
+
+std::string FleetCore::notReadyReason(TimePoint Now) const {
+  if (DrainingSince)
+    return "draining";
+  if (Version.Number == 0)
+    return "no configuration";
+  if (Engine.upstreams().size() == 0)
+    return "no upstreams";
+  if (!Life && StartedAt && Now < *StartedAt + RegistrationPatience)
+    return "not registered: the store does not answer";
+  return "";
+}
+
+RouterStatus FleetCore::status(TimePoint Now) const {
+  RouterStatus Status;
+  Status.Instance = Identity.Instance;
+  Status.Domain = Identity.Domain;
+  Status.NotReadyReason = notReadyReason(Now);
+  Status.Ready = Status.NotReadyReason.empty();
+  Status.Draining = DrainingSince.has_value();
+  Status.Configuration = Version;
+  Status.StoreFailing = storeAway();
+  Status.Store = Store.counters();
+  Status.Members = Members.members();
+  Status.Upstreams = Engine.upstreams().size();
+  Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
+  Status.Requests = Engine.counters();
+  Status.FirstByte = Engine.firstByteLatency();
+  Status.Whole = Engine.wholeLatency();
+  if (!Budgets)
+    return Status;
+  Status.PendingOperations = Budgets->pendingOperations();
+  Status.CarriedBills = Budgets->carriedBills();
+  Status.HeldGrants = Budgets->held();
+  return Status;
+}
+
+std::optional<CallerBounds> FleetCore::callerBounds() const {
+  const RouteTable *Routes = Engine.routes();
+  if (Routes == nullptr)
+    return std::nullopt;
+  return Routes->text().Bounds;
+}
+
+} // namespace bronzeward
--- a/bronzeward/src/Router/RouterCore.cpp
+++ b/bronzeward/src/Router/RouterCore.cpp
@@ -115,6 +115,31 @@
     Engine->onCallerGone(Ticket, Now);
 }
 
+void RouterCore::onUpstreamHead(AttemptId Attempt, const HttpHead &Head,
+                                TimePoint Now) {
+  const std::string *Type = findHeader(Head.Headers, "Content-Type");
+  if (Engine)
+    Engine->onUpstreamHead(Attempt, Head.Status, Type == nullptr ? "" : *Type,
+                           Now);
+}
+
+void RouterCore::onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
+                                 TimePoint Now) {
+  if (Engine)
+    Engine->onUpstreamBytes(Attempt, Bytes, Now);
+}
+
+void RouterCore::onUpstreamEnd(AttemptId Attempt, TimePoint Now) {
+  if (Engine)
+    Engine->onUpstreamEnd(Attempt, Now);
+}
+
+void RouterCore::onUpstreamFailure(AttemptId Attempt, UpstreamFailure How,
+                                   TimePoint Now) {
+  if (Engine)
+    Engine->onUpstreamFailure(Attempt, How, Now);
+}
+
 void RouterCore::onStoreReply(StoreCallId Id, const StoreReply &Reply,
                               TimePoint Now) {
   Store.onReply(Id, Reply, Now);
@@ -218,7 +243,7 @@
   return Status;
 }
 
-std::vector<UpstreamSpec> RouterCore::upstreams() const {
+std::vector<UpstreamSpec> RouterCore::polledUpstreams() const {
   return Accepted ? Accepted->Upstreams : std::vector<UpstreamSpec>();
 }
 
--- a/bronzeward/src/Router/RouterCore.h
+++ b/bronzeward/src/Router/RouterCore.h
@@ -2,8 +2,8 @@
 
 #include "bronzeward/Request"
 #include "bronzeward/src/Router/ConfigurationFollower.h"
+#include "bronzeward/src/Router/InstanceCore.h"
 #include "bronzeward/src/Router/InstanceRegistry.h"
-#include "bronzeward/src/Router/RouterStatus.h"
 
 #include <memory>
 #include <optional>
@@ -13,68 +13,53 @@
 /// \addtogroup Router
 /// @{
 
-/// \brief What an instance knows of itself from its settings.
-struct RouterIdentity {
-  InstanceId Instance;
-  FailureDomain Domain;
-  /// Address at which peers reach it, "ip:port".
-  std::string PeerAddress;
-  /// Seed of its random numbers.
-  std::uint64_t Seed = 0;
-  StorePolicy Store;
-};
-
-/// \brief Interfaces through which an instance reaches the outside.
-struct RouterSurroundings {
-  StorePort &Store;
-  PeerPort &Peers;
-  CallerPort &Callers;
-  UpstreamPort &Upstreams;
-  DecisionLog &Log;
-  const Clock &Wall;
-};
-
 /// \brief One router instance, driven by events; see docs/DESIGN.md.
-class RouterCore {
+class RouterCore : public InstanceCore {
 public:
   RouterCore(RouterIdentity Who, RouterSurroundings Parts);
   RouterCore(const RouterCore &) = delete;
   RouterCore &operator=(const RouterCore &) = delete;
 
   /// \brief Registers the instance and reads the configuration.
-  void start(TimePoint Now);
-  /// \brief Runs every timer due at Now.
-  void runTimers(TimePoint Now) { Timers.runDue(Now); }
+  void start(TimePoint Now) override;
+  void runTimers(TimePoint Now) override { Timers.runDue(Now); }
 
-  void onCallerRequest(CallerRequest In, TimePoint Now);
-  void onCallerGone(CallerTicket Ticket, TimePoint Now);
-  void onStoreReply(StoreCallId Id, const StoreReply &Reply, TimePoint Now);
+  void onCallerRequest(CallerRequest In, TimePoint Now) override;
+  void onCallerGone(CallerTicket Ticket, TimePoint Now) override;
+  void onUpstreamHead(AttemptId Attempt, const HttpHead &Head,
+                      TimePoint Now) override;
+  void onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
+                       TimePoint Now) override;
+  void onUpstreamEnd(AttemptId Attempt, TimePoint Now) override;
+  void onUpstreamFailure(AttemptId Attempt, UpstreamFailure How,
+                         TimePoint Now) override;
+  void onStoreReply(StoreCallId Id, const StoreReply &Reply,
+                    TimePoint Now) override;
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
-                     TimePoint Now);
-  void onPeerUnreachable(const InstanceId &Peer, TimePoint Now);
+                     TimePoint Now) override;
+  void onPeerUnreachable(const InstanceId &Peer, TimePoint Now) override;
   void onLoadReport(const UpstreamName &Name, const LoadReport &Report,
-                    bool Leaving);
-  /// \returns the engine, for the upstreams' events.
-  RequestEngine &requests() { return *Engine; }
-  [[nodiscard]] bool started() const { return Engine != nullptr; }
+                    bool Leaving) override;
 
-  /// \brief Begins a graceful stop: new requests are refused, running ones
-  /// finish, grants go back.
-  void drain(TimePoint Now);
-  /// \brief Ends an operator's quarantine of a content.
-  void liftQuarantine(const ContentFingerprint &Content, TimePoint Now);
+  /// \brief New requests are refused after a short notice.
+  void drain(TimePoint Now) override;
+  void liftQuarantine(const ContentFingerprint &Content,
+                      TimePoint Now) override;
 
-  /// \returns whether nothing is left to do before a stop.
-  [[nodiscard]] bool drained() const;
-  [[nodiscard]] std::optional<TimePoint> nextTimer() const {
+  [[nodiscard]] std::optional<TimePoint> nextTimer() const override {
     return Timers.next();
   }
-  [[nodiscard]] RouterStatus status(TimePoint Now) const;
+  [[nodiscard]] bool closing() const override { return false; }
+  [[nodiscard]] bool drained() const override;
+  [[nodiscard]] RouterStatus status(TimePoint Now) const override;
   /// \returns the upstreams of the configuration in force.
-  [[nodiscard]] std::vector<UpstreamSpec> upstreams() const;
-  [[nodiscard]] const std::vector<Member> &members() const {
+  [[nodiscard]] std::vector<UpstreamSpec> polledUpstreams() const override;
+  [[nodiscard]] std::vector<Member> peers() const override {
     return Members.members();
   }
+  [[nodiscard]] std::optional<CallerBounds> callerBounds() const override {
+    return std::nullopt;
+  }
 
 private:
   void onRegistered(const Incarnation &Registered, TimePoint Now);
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -23,6 +23,7 @@
       {"not_ready_reason", Status.NotReadyReason},
       {"draining", Status.Draining},
       {"configuration_version", Status.Configuration.Number},
+      {"upstreams", Status.Upstreams},
       {"requests_in_flight", Status.InFlight},
       {"pending_operations", Status.PendingOperations},
       {"carried_bills", Status.CarriedBills},
@@ -126,6 +127,10 @@
             Status.HeldGrants.micros());
   Out.gauge("configuration_version", "Configuration version in force.",
             static_cast<std::int64_t>(Status.Configuration.Number));
+  Out.gauge("upstreams", "Upstreams that may get new requests.",
+            static_cast<std::int64_t>(Status.Upstreams));
+  Out.gauge("store_failing", "Whether the store does not answer.",
+            Status.StoreFailing ? 1 : 0);
   Out.gauge("ready", "Whether the instance takes requests.",
             Status.Ready ? 1 : 0);
   return Out.Text;
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -26,6 +26,7 @@
   std::string NotReadyReason;
   bool Draining = false;
   ConfigurationVersion Configuration;
+  std::size_t Upstreams = 0;
   std::int64_t InFlight = 0;
   std::size_t PendingOperations = 0;
   std::size_t CarriedBills = 0;
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -32,6 +32,10 @@
   Duration PrefillTokenTime{};
   /// One-way network delay from this instance.
   Duration Distance{};
+  /// Its answers' times against the expected.
+  double Slowdown = 1.0;
+  /// Part of its latest answers that failed.
+  double FailureShare = 0.0;
 };
 
 /// \brief What a policy may know of the request.
--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -6,7 +6,8 @@
 
 static bool changesState(const StoreCall &Request) {
   return !std::holds_alternative<ReadKey>(Request) &&
-         !std::holds_alternative<ListKeys>(Request);
+         !std::holds_alternative<ListKeys>(Request) &&
+         !std::holds_alternative<WatchKeys>(Request);
 }
 
 StoreClient::StoreClient(StorePort &Out, TimerQueue &Queue, Random &Source,
@@ -24,11 +25,14 @@
   Probing = Probing || HalfOpen;
   count(Request);
   const StoreCallId Id{++LastCall};
-  Waiting Entry;
+  Pending Entry;
   Entry.Done = std::move(Done);
   Entry.Changes = changesState(Request);
-  Entry.Timeout = Timers.schedule(Now + Policy.CallTimeout,
-                                  [this, Id](TimePoint At) { expire(Id, At); });
+  Duration Limit = Policy.CallTimeout;
+  if (const WatchKeys *Watch = std::get_if<WatchKeys>(&Request))
+    Limit += Watch->Wait;
+  Entry.Timeout = Timers.schedule(
+      Now + Limit, [this, Id](TimePoint At) { expire(Id, At); });
   InFlight.emplace(Id, std::move(Entry));
   Port.send(Id, Request);
 }
@@ -38,7 +42,7 @@
   const auto Found = InFlight.find(Id);
   if (Found == InFlight.end())
     return;
-  const Waiting Entry = std::move(Found->second);
+  const Pending Entry = std::move(Found->second);
   InFlight.erase(Found);
   Timers.cancel(Entry.Timeout);
   const bool Failed = Reply.Status == StoreStatus::Unavailable ||
@@ -54,7 +58,7 @@
   const auto Found = InFlight.find(Id);
   if (Found == InFlight.end())
     return;
-  const Waiting Entry = std::move(Found->second);
+  const Pending Entry = std::move(Found->second);
   InFlight.erase(Found);
   noteFailure(Now);
   StoreReply Lost;
@@ -75,8 +79,7 @@
 }
 
 void StoreClient::count(const StoreCall &Request) {
-  if (std::holds_alternative<ReadKey>(Request) ||
-      std::holds_alternative<ListKeys>(Request))
+  if (!changesState(Request))
     ++Counters.Reads;
   else if (std::holds_alternative<CompareAndSwap>(Request) ||
            std::holds_alternative<DeleteKey>(Request))
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -55,7 +55,7 @@
   [[nodiscard]] const StoreCounters &counters() const { return Counters; }
 
 private:
-  struct Waiting {
+  struct Pending {
     Handler Done;
     TimerQueue::Handle Timeout;
     bool Changes = false;
@@ -70,7 +70,7 @@
   TimerQueue &Timers;
   Random &Jitter;
   StorePolicy Policy;
-  std::map<StoreCallId, Waiting> InFlight;
+  std::map<StoreCallId, Pending> InFlight;
   std::uint64_t LastCall = 0;
   int ConsecutiveFailures = 0;
   Duration OpenFor{};
--- a/bronzeward/src/Store/StorePort.h
+++ b/bronzeward/src/Store/StorePort.h
@@ -29,9 +29,21 @@
   std::string Key;
 };
 
-/// \brief Reads every key that begins with a prefix.
+/// \brief Reads every key that begins with a prefix. A store may answer in
+/// pages, which are not one snapshot.
 struct ListKeys {
   std::string Prefix;
+  /// Key after which the page begins; empty for the first.
+  std::string After;
+};
+
+/// \brief Waits for changes to keys that begin with a prefix.
+struct WatchKeys {
+  std::string Prefix;
+  /// Changes after this revision are wanted.
+  std::uint64_t AfterRevision = 0;
+  /// Longest wait for the first change.
+  std::chrono::milliseconds Wait{0};
 };
 
 /// \brief Replaces a value if its revision is still the expected one.
@@ -59,8 +71,8 @@
   StoreLeaseId Lease;
 };
 
-using StoreCall = std::variant<ReadKey, ListKeys, CompareAndSwap, DeleteKey,
-                               GrantLease, KeepAlive>;
+using StoreCall = std::variant<ReadKey, ListKeys, WatchKeys, CompareAndSwap,
+                               DeleteKey, GrantLease, KeepAlive>;
 
 /// \brief What is known of a call's effect.
 enum class StoreStatus {
@@ -78,6 +90,8 @@
   std::string Key;
   std::string Value;
   std::uint64_t Revision = 0;
+  /// Set where a watch tells of a deletion; Value is then empty.
+  bool Deleted = false;
 };
 
 /// \brief Reply to a \ref StoreCall.
@@ -85,8 +99,13 @@
   StoreStatus Status = StoreStatus::Unavailable;
   /// Keys found by a read or list.
   std::vector<StoreEntry> Entries;
-  /// Revision after a successful change.
+  /// Revision after a successful change; the store's own after a list or
+  /// watch.
   std::uint64_t Revision = 0;
+  /// Whether a list has a further page.
+  bool More = false;
+  /// Whether a watch failed since the changes it asked for are dropped.
+  bool HistoryLost = false;
   StoreLeaseId Lease;
 };
 
--- /dev/null
+++ b/daemons/InstanceProcess.cpp
@@ -0,0 +1,254 @@
+#include "daemons/InstanceProcess.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+DEFINE_string(instance, "", "name of this instance; unique in the fleet");
+DEFINE_string(failure_domain, "", "failure domain that this instance is in");
+DEFINE_string(listen, "127.0.0.1:8080", "callers' address, ip:port");
+DEFINE_string(operator_listen, "127.0.0.1:8081", "operators' address, ip:port");
+DEFINE_string(metrics_listen, "",
+              "address for metrics alone, ip:port; none where empty");
+DEFINE_string(peer_listen, "127.0.0.1:8082", "peers' address, ip:port");
+DEFINE_string(peer_advertise, "",
+              "address that peers use, ip:port; --peer_listen where empty");
+DEFINE_string(store, "127.0.0.1:2379", "the platform's store, ip:port");
+DEFINE_int32(store_timeout_ms, 1000, "time for one store call");
+DEFINE_int32(store_breaker_ms, 5000,
+             "longest pause before a store that fails is called again");
+DEFINE_int32(max_connections, 10000, "callers' connections at a time");
+DEFINE_int32(max_header_bytes, 16384, "longest headers of a request");
+DEFINE_int32(max_body_bytes, 1048576, "longest body of a request");
+DEFINE_int32(read_timeout_ms, 10000, "time for a whole request to arrive");
+DEFINE_int32(drain_timeout_s, 600,
+             "longest graceful shutdown; requests still running then are cut");
+DEFINE_uint64(seed, 0, "seed of random numbers; drawn where 0");
+
+namespace bronzeward {
+
+/// Time between two looks at whether the last answers are written.
+constexpr Duration AnswerCheckPeriod = 10ms;
+
+static Result<void> checkNumbers() {
+  BOOST_OUTCOME_TRY(
+      requireRange("store_timeout_ms", FLAGS_store_timeout_ms, 10, 60'000));
+  BOOST_OUTCOME_TRY(
+      requireRange("store_breaker_ms", FLAGS_store_breaker_ms, 200, 60'000));
+  BOOST_OUTCOME_TRY(
+      requireRange("max_connections", FLAGS_max_connections, 1, 1'000'000));
+  BOOST_OUTCOME_TRY(requireRange("max_header_bytes", FLAGS_max_header_bytes,
+                                 1024, 1'048'576));
+  BOOST_OUTCOME_TRY(
+      requireRange("max_body_bytes", FLAGS_max_body_bytes, 1024, 67'108'864));
+  BOOST_OUTCOME_TRY(
+      requireRange("read_timeout_ms", FLAGS_read_timeout_ms, 100, 600'000));
+  return requireRange("drain_timeout_s", FLAGS_drain_timeout_s, 1, 86'400);
+}
+
+static Result<void> readAddresses(InstanceSettings &Out) {
+  BOOST_OUTCOME_TRY(Out.Callers, parseAddress("listen", FLAGS_listen));
+  BOOST_OUTCOME_TRY(Out.Operators,
+                    parseAddress("operator_listen", FLAGS_operator_listen));
+  BOOST_OUTCOME_TRY(Out.Peers, parseAddress("peer_listen", FLAGS_peer_listen));
+  BOOST_OUTCOME_TRY(Out.Store, parseAddress("store", FLAGS_store));
+  if (!FLAGS_metrics_listen.empty()) {
+    BOOST_OUTCOME_TRY(Out.Metrics,
+                      parseAddress("metrics_listen", FLAGS_metrics_listen));
+  }
+  Out.Identity.PeerAddress = FLAGS_peer_listen;
+  if (!FLAGS_peer_advertise.empty()) {
+    BOOST_OUTCOME_TRY(SocketAddress Advertised,
+                      parseAddress("peer_advertise", FLAGS_peer_advertise));
+    static_cast<void>(Advertised);
+    Out.Identity.PeerAddress = FLAGS_peer_advertise;
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<InstanceSettings> readInstanceSettings() {
+  BOOST_OUTCOME_TRY(applyEnvironment("InstanceProcess.cpp"));
+  BOOST_OUTCOME_TRY(requireName("instance", FLAGS_instance));
+  BOOST_OUTCOME_TRY(requireName("failure_domain", FLAGS_failure_domain));
+  BOOST_OUTCOME_TRY(checkNumbers());
+  InstanceSettings Out;
+  BOOST_OUTCOME_TRY(readAddresses(Out));
+  Out.Identity.Instance.Value = FLAGS_instance;
+  Out.Identity.Domain.Value = FLAGS_failure_domain;
+  Out.Identity.Seed = FLAGS_seed != 0 ? FLAGS_seed : std::random_device()();
+  Out.Identity.Store.CallTimeout =
+      std::chrono::milliseconds(FLAGS_store_timeout_ms);
+  Out.Identity.Store.MaxOpen =
+      std::chrono::milliseconds(FLAGS_store_breaker_ms);
+  Out.Limits.MaxConnections = static_cast<std::size_t>(FLAGS_max_connections);
+  Out.Limits.MaxHeaderBytes = static_cast<std::size_t>(FLAGS_max_header_bytes);
+  Out.Limits.MaxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+  Out.Limits.ReadTimeout = std::chrono::milliseconds(FLAGS_read_timeout_ms);
+  Out.DrainTimeout = std::chrono::seconds(FLAGS_drain_timeout_s);
+  return Out;
+}
+
+boost::asio::io_context *InstanceProcess::shared() {
+  return Settings.SharedLoop ? &Main : nullptr;
+}
+
+InstanceProcess::InstanceProcess(InstanceSettings Read, const StoreCodec &Form,
+                                 const CoreMaker &Make,
+                                 std::function<void(StructuredLog &)> OnReload)
+    : Settings(std::move(Read)), Reload(std::move(OnReload)), Main(1),
+      Log(Settings.Identity.Instance.Value),
+      Store(shared(),
+            {Settings.Store.Host, Settings.Store.Port,
+             Settings.Identity.Store.CallTimeout},
+            Form,
+            [this](StoreCallId Id, StoreReply Reply) {
+              Core.tell(StoreReplied{Id, std::move(Reply)});
+            }),
+      Peers(
+          Settings.Identity.Instance,
+          [this](InstanceId From, PeerMessage Message) {
+            Core.tell(PeerReceived{std::move(From), std::move(Message)});
+          },
+          [this](InstanceId Peer) { Core.tell(PeerLost{std::move(Peer)}); }),
+      Callers(
+          Settings.Limits,
+          [this](CallerEvent Event) { return tellCore(std::move(Event)); },
+          shared()),
+      Upstreams(shared(),
+                [this](UpstreamEvent Event) { Core.tell(std::move(Event)); }),
+      Core(shared(),
+           Make(RouterSurroundings{Store, Peers, Callers, Upstreams, Log,
+                                   Time}),
+           Time, notices()),
+      Operators(Core, shared()), Metrics(Core, shared()),
+      Signals(Main, SIGTERM, SIGINT, SIGHUP), DrainTimer(Main),
+      AnswerTimer(Main) {}
+
+bool InstanceProcess::tellCore(CallerEvent Event) {
+  if (std::holds_alternative<CallerRequest>(Event))
+    return Core.tryTell(std::move(Event));
+  Core.tell(std::move(Event));
+  return true;
+}
+
+int InstanceProcess::run() {
+  if (!listen())
+    return SettingsExitCode;
+  Store.start();
+  Upstreams.start();
+  Core.start();
+  awaitSignal();
+  Log.onEvent("started", "callers at " + FLAGS_listen);
+  Main.run();
+  Log.onEvent("stopped", Cut ? "drain timed out" : "drained");
+  // Those who tell the core end before it does.
+  Callers.stop();
+  Operators.stop();
+  Metrics.stop();
+  Upstreams.stop();
+  Store.stop();
+  Peers.stop();
+  Core.stop();
+  return Cut ? 1 : 0;
+}
+
+CoreThread::Notices InstanceProcess::notices() {
+  CoreThread::Notices Made;
+  Made.OnUpstreams = [this](std::vector<UpstreamSpec> Listed) {
+    Upstreams.watch(std::move(Listed));
+  };
+  Made.OnMembers = [this](const std::vector<Member> &Members) {
+    Peers.setMembers(Members);
+  };
+  Made.OnDrained = [this] {
+    boost::asio::post(Main, [this] { awaitAnswers(); });
+  };
+  Made.OnClosing = [this] { Callers.drain(); };
+  Made.OnCallerBounds = [this](const CallerBounds &Bounds) {
+    CallerLimits Limits = Settings.Limits;
+    Limits.MaxHeaderBytes = Bounds.MaxHeaderBytes;
+    Limits.MaxBodyBytes = Bounds.MaxBodyBytes;
+    Limits.ReadTimeout = Bounds.HeaderTimeout;
+    Limits.IdleTimeout = Bounds.IdleTimeout;
+    Callers.setLimits(Limits);
+  };
+  Made.Rings = [this] {
+    return std::vector<RingCount>{{"callers", Callers.refused()},
+                                  {"upstreams", Upstreams.refused()},
+                                  {"store", Store.refused()},
+                                  {"peers", Peers.refused()},
+                                  {"log", Log.dropped()}};
+  };
+  return Made;
+}
+
+static bool complain(const Error &Failure) {
+  std::cerr << "bronzeward: " << describe(Failure) << "\n";
+  return false;
+}
+
+bool InstanceProcess::listen() {
+  const Result<void> OfPeers =
+      Peers.listen(Settings.Peers.Host, Settings.Peers.Port);
+  if (!OfPeers)
+    return complain(OfPeers.error());
+  const Result<std::uint16_t> OfOperators =
+      Operators.listen(Settings.Operators.Host, Settings.Operators.Port);
+  if (!OfOperators)
+    return complain(OfOperators.error());
+  if (Settings.Metrics.Port != 0) {
+    const Result<std::uint16_t> OfMetrics =
+        Metrics.listen(Settings.Metrics.Host, Settings.Metrics.Port);
+    if (!OfMetrics)
+      return complain(OfMetrics.error());
+  }
+  const Result<std::uint16_t> OfCallers =
+      Callers.listen(Settings.Callers.Host, Settings.Callers.Port);
+  if (!OfCallers)
+    return complain(OfCallers.error());
+  return true;
+}
+
+void InstanceProcess::awaitSignal() {
+  Signals.async_wait([this](boost::system::error_code Failure, int Number) {
+    if (Failure)
+      return;
+    onSignal(Number);
+    awaitSignal();
+  });
+}
+
+void InstanceProcess::onSignal(int Number) {
+  if (Number == SIGHUP)
+    Reload(Log);
+  else
+    drain();
+}
+
+void InstanceProcess::awaitAnswers() {
+  if (Callers.answering() == 0) {
+    Main.stop();
+    return;
+  }
+  AnswerTimer.expires_after(AnswerCheckPeriod);
+  AnswerTimer.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      awaitAnswers();
+  });
+}
+
+void InstanceProcess::drain() {
+  Log.onEvent("draining", "signal received");
+  Core.tell(DrainWanted{});
+  DrainTimer.expires_after(Settings.DrainTimeout);
+  DrainTimer.async_wait([this](boost::system::error_code Failure) {
+    if (Failure)
+      return;
+    Cut = true;
+    Main.stop();
+  });
+}
+
+} // namespace bronzeward
--- a/standins/KeyValueState.cpp
+++ b/standins/KeyValueState.cpp
@@ -1,5 +1,6 @@
 #include "standins/KeyValueState.h"
 
+#include "bronzeward/src/Net/Base64.h"
 #include "bronzeward/src/Net/EtcdCodec.h"
 
 namespace bronzeward::standins {
--- a/test/ConfigurationTest.cpp
+++ b/test/ConfigurationTest.cpp
@@ -99,7 +99,9 @@
   CHECK(Follower.version().Number == 5);
   CHECK(Ports.Calls.size() == 1);
 
-  Follower.onDigest(InstanceId{"j"}, PeerDigest{{9}, false, {}});
+  PeerDigest Newer;
+  Newer.Configuration = {9};
+  Follower.onDigest(InstanceId{"j"}, Newer);
   REQUIRE(Ports.Sent.size() == 1);
   CHECK(std::holds_alternative<ConfigurationWanted>(Ports.Sent[0]));
   Follower.onText({{9}, Text}, Now);
--- a/test/RequestEngineTest.cpp
+++ b/test/RequestEngineTest.cpp
@@ -16,6 +16,7 @@
   MAKE_MOCK2(beginStream, void(CallerTicket, const Answer &), override);
   MAKE_MOCK2(sendPart, void(CallerTicket, const std::string &), override);
   MAKE_MOCK2(endStream, void(CallerTicket, const std::string &), override);
+  MAKE_MOCK1(disconnect, void(CallerTicket), override);
 };
 
 class MockUpstreams : public UpstreamPort {
@@ -29,6 +30,7 @@
   void onChoice(const ChoiceRecord &) override {}
   void onEnd(const RequestId &, const WorkspaceId &, std::uint16_t,
              const std::string &, const std::string &) override {}
+  void onEvent(const std::string &, const std::string &) override {}
 };
 
 class FixedClock : public Clock {
@@ -292,7 +294,8 @@
   ALLOW_CALL(Item.Callers, answer(_, _)).LR_SIDE_EFFECT(Answers.push_back(_2));
   Item.request(Item.plain("k1"));
   REQUIRE(Calls.size() == 1);
-  CHECK_FALSE(Calls[0].Repeatable);
+  // No connection is used again, so that none turns out closed.
+  CHECK(Calls[0].MaxIdle == Duration());
   Item.Engine.onUpstreamFailure(Calls[0].Attempt, UpstreamFailure::Closed,
                                 Item.Now);
   REQUIRE(Answers.size() == 1);
--- a/tools/ControlStore.cpp
+++ b/tools/ControlStore.cpp
@@ -10,9 +10,7 @@
 /// Keeps the parts of one answer.
 class Collector : public HttpListener {
 public:
-  void onHead(std::uint16_t Status, const std::string &) override {
-    Reply.Status = Status;
-  }
+  void onHead(const HttpHead &Head) override { Reply.Status = Head.Status; }
   void onBody(std::string_view Bytes) override { Reply.Body.append(Bytes); }
   void onEnd() override {}
   void onFailure(HttpFailure How, const std::string &Detail) override {
@@ -42,27 +40,25 @@
 }
 
 StoreReply ControlStore::call(const StoreCall &Call) {
-  const EtcdRequest Encoded = encodeEtcd(Call);
+  StoreReply Reply;
+  std::optional<StoreHttpCall> Encoded = Codec.encode(Call);
+  if (!Encoded)
+    return Reply;
   HttpRequest Request;
   Request.Host = Place.Host;
   Request.Port = Place.Port;
-  Request.Method = "POST";
-  Request.Target = Encoded.Target;
-  Request.ContentType = "application/json";
-  Request.Body = Encoded.Body;
+  Request.Method = std::move(Encoded->Method);
+  Request.Target = std::move(Encoded->Target);
+  if (!Encoded->Body.empty())
+    Request.ContentType = "application/json";
+  Request.Body = std::move(Encoded->Body);
   const Result<HttpReply> Sent = exchange(std::move(Request));
-  StoreReply Reply;
-  if (!Sent) {
-    Reply.Status = Sent.error().Kind == ErrorKind::Unavailable
-                       ? StoreStatus::Unavailable
-                       : StoreStatus::Unknown;
-    return Reply;
-  }
-  Reply.Status = StoreStatus::Unknown;
-  if (Sent.value().Status != 200)
-    return Reply;
-  Result<StoreReply> Parsed = parseEtcd(Call, Sent.value().Body);
-  return Parsed ? std::move(Parsed).value() : Reply;
+  if (Sent)
+    return Codec.parse(Call, Sent.value().Status, Sent.value().Body);
+  Reply.Status = Sent.error().Kind == ErrorKind::Unavailable
+                     ? StoreStatus::Unavailable
+                     : StoreStatus::Unknown;
+  return Reply;
 }
 
 Result<std::optional<StoreEntry>> ControlStore::read(const std::string &Key) {
--- a/tools/ControlStore.h
+++ b/tools/ControlStore.h
@@ -18,7 +18,9 @@
 /// \brief The platform's store, one blocking call at a time.
 class ControlStore {
 public:
-  explicit ControlStore(SocketAddress Where) : Place(std::move(Where)) {}
+  /// \param Form published form that the store speaks.
+  ControlStore(SocketAddress Where, const StoreCodec &Form)
+      : Place(std::move(Where)), Codec(Form) {}
 
   /// \brief Makes one call. A reply that is lost has the status Unknown.
   [[nodiscard]] StoreReply call(const StoreCall &Call);
@@ -33,6 +35,7 @@
 
 private:
   SocketAddress Place;
+  const StoreCodec &Codec;
 };
 
 } // namespace bronzeward::tools
--- a/tools/bronzewardctl.cpp
+++ b/tools/bronzewardctl.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The operators' command line.
 
+#include "platform/StoreForm.h"
 #include "tools/Commands.h"
 
 #include <gflags/gflags.h>
@@ -10,6 +11,8 @@
 #include <iostream>
 
 DEFINE_string(store, "127.0.0.1:2379", "the platform's store, ip:port");
+DEFINE_string(store_form, "etcd",
+              "\"etcd\", or \"platform\" for the users' key-value calls");
 DEFINE_string(output, "text", "\"text\" or \"json\"");
 DEFINE_string(operator_name, "operator", "who applies a text, for history");
 DEFINE_string(operation, "", "id of a top-up; the same id is applied once");
@@ -82,7 +85,17 @@
     std::cerr << usage();
     return Usage;
   }
-  ControlStore Client(Store.value());
+  if (FLAGS_store_form != "etcd" && FLAGS_store_form != "platform") {
+    std::cerr << "--store_form: value \"" << FLAGS_store_form
+              << "\" is not allowed; allowed is etcd or platform\n";
+    return Usage;
+  }
+  const EtcdCodec Etcd;
+  const platform::StoreForm Platform;
+  const StoreCodec &Form = FLAGS_store_form == "platform"
+                               ? static_cast<const StoreCodec &>(Platform)
+                               : Etcd;
+  ControlStore Client(Store.value(), Form);
   CommandContext Context{Client,
                          {Words.begin() + 1, Words.end()},
                          FLAGS_output == "json",
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -62,8 +62,8 @@
   public:
     explicit Answer(std::shared_ptr<Loop> Asker)
         : Owner(std::move(Asker)), Began(std::chrono::steady_clock::now()) {}
-    void onHead(std::uint16_t Status, const std::string &) override {
-      ++Owner->Out.ByStatus[Status];
+    void onHead(const HttpHead &Head) override {
+      ++Owner->Out.ByStatus[Head.Status];
     }
     void onBody(std::string_view) override {
       if (First)
