--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -49,6 +49,19 @@
       entries @23 :List(UpstreamEntry);
       whole @24 :Bool;
     }
+    loanRequest :group {
+      workspace @25 :Text;
+      least @26 :Int64;
+      wanted @27 :Int64;
+    }
+    loan :group {
+      workspace @28 :Text;
+      lender @29 :Ledger.Incarnation;
+      amount @30 :Int64;
+    }
+    load :group {
+      upstreams @31 :List(UpstreamBacklog);
+    }
   }
 }
 
@@ -59,6 +72,12 @@
   deleted @3 :Bool;
 }
 
+struct UpstreamBacklog {
+  name @0 :Text;
+  calls @1 :UInt32;
+  promptTokens @2 :Int64;
+}
+
 interface Peer {
   deliver @0 (message :PeerMessage) -> ();
 }
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -29,7 +29,11 @@
 CAPNP_DECLARE_SCHEMA(ea15aedcded37e1c);
 CAPNP_DECLARE_SCHEMA(e4cf3feee73780e4);
 CAPNP_DECLARE_SCHEMA(b5d2d9a927b4db2d);
+CAPNP_DECLARE_SCHEMA(f54c7e4a675e9cd7);
+CAPNP_DECLARE_SCHEMA(8189728c91666ea5);
+CAPNP_DECLARE_SCHEMA(94735e12910626a6);
 CAPNP_DECLARE_SCHEMA(898b99c3e9530d15);
+CAPNP_DECLARE_SCHEMA(bc099fee27c4c59b);
 CAPNP_DECLARE_SCHEMA(aeb0e4be9a88795a);
 CAPNP_DECLARE_SCHEMA(b815e66954940e26);
 CAPNP_DECLARE_SCHEMA(e4374e7f84e9ff83);
@@ -57,6 +61,9 @@
     CONFIGURATION,
     CONFIGURATION_WANTED,
     UPSTREAMS,
+    LOAN_REQUEST,
+    LOAN,
+    LOAD,
   };
   struct Submit;
   struct Results;
@@ -66,6 +73,9 @@
   struct Digest;
   struct Configuration;
   struct Upstreams;
+  struct LoanRequest;
+  struct Loan;
+  struct Load;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 3, 3)
@@ -195,6 +205,51 @@
   };
 };
 
+struct PeerMessage::LoanRequest {
+  LoanRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f54c7e4a675e9cd7, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerMessage::Loan {
+  Loan() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8189728c91666ea5, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerMessage::Load {
+  Load() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(94735e12910626a6, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct UpstreamEntry {
   UpstreamEntry() = delete;
 
@@ -210,6 +265,21 @@
   };
 };
 
+struct UpstreamBacklog {
+  UpstreamBacklog() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc099fee27c4c59b, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -312,6 +382,15 @@
   inline bool isUpstreams() const;
   inline typename Upstreams::Reader getUpstreams() const;
 
+  inline bool isLoanRequest() const;
+  inline typename LoanRequest::Reader getLoanRequest() const;
+
+  inline bool isLoan() const;
+  inline typename Loan::Reader getLoan() const;
+
+  inline bool isLoad() const;
+  inline typename Load::Reader getLoad() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -388,6 +467,18 @@
   inline typename Upstreams::Builder getUpstreams();
   inline typename Upstreams::Builder initUpstreams();
 
+  inline bool isLoanRequest();
+  inline typename LoanRequest::Builder getLoanRequest();
+  inline typename LoanRequest::Builder initLoanRequest();
+
+  inline bool isLoan();
+  inline typename Loan::Builder getLoan();
+  inline typename Loan::Builder initLoan();
+
+  inline bool isLoad();
+  inline typename Load::Builder getLoad();
+  inline typename Load::Builder initLoad();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1102,23 +1193,393 @@
   inline operator Reader() const { return Reader(_builder.asReader()); }
   inline Reader asReader() const { return *this; }
 
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>> disownEntries();
+
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::Upstreams::Pipeline {
+public:
+  typedef Upstreams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerMessage::LoanRequest::Reader {
+public:
+  typedef LoanRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::int64_t getLeast() const;
+
+  inline  ::int64_t getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::LoanRequest::Builder {
+public:
+  typedef LoanRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::int64_t getLeast();
+  inline void setLeast( ::int64_t value);
+
+  inline  ::int64_t getWanted();
+  inline void setWanted( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::LoanRequest::Pipeline {
+public:
+  typedef LoanRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerMessage::Loan::Reader {
+public:
+  typedef Loan Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline bool hasLender() const;
+  inline  ::bronzeward::schema::Incarnation::Reader getLender() const;
+
+  inline  ::int64_t getAmount() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::Loan::Builder {
+public:
+  typedef Loan Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline bool hasLender();
+  inline  ::bronzeward::schema::Incarnation::Builder getLender();
+  inline void setLender( ::bronzeward::schema::Incarnation::Reader value);
+  inline  ::bronzeward::schema::Incarnation::Builder initLender();
+  inline void adoptLender(::capnp::Orphan< ::bronzeward::schema::Incarnation>&& value);
+  inline ::capnp::Orphan< ::bronzeward::schema::Incarnation> disownLender();
+
+  inline  ::int64_t getAmount();
+  inline void setAmount( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::Loan::Pipeline {
+public:
+  typedef Loan Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bronzeward::schema::Incarnation::Pipeline getLender();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerMessage::Load::Reader {
+public:
+  typedef Load Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstreams() const;
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Reader getUpstreams() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::Load::Builder {
+public:
+  typedef Load Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasUpstreams();
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Builder getUpstreams();
+  inline void setUpstreams( ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Builder initUpstreams(unsigned int size);
+  inline void adoptUpstreams(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>> disownUpstreams();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::Load::Pipeline {
+public:
+  typedef Load Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class UpstreamEntry::Reader {
+public:
+  typedef UpstreamEntry Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Data::Reader getValue() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool getDeleted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class UpstreamEntry::Builder {
+public:
+  typedef UpstreamEntry Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline bool hasValue();
+  inline  ::capnp::Data::Builder getValue();
+  inline void setValue( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownValue();
 
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamEntry,  ::capnp::Kind::STRUCT>> disownEntries();
-
-  inline bool getWhole();
-  inline void setWhole(bool value);
+  inline bool getDeleted();
+  inline void setDeleted(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1130,9 +1591,9 @@
 };
 
 #if !CAPNP_LITE
-class PeerMessage::Upstreams::Pipeline {
+class UpstreamEntry::Pipeline {
 public:
-  typedef Upstreams Pipelines;
+  typedef UpstreamEntry Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1146,9 +1607,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class UpstreamEntry::Reader {
+class UpstreamBacklog::Reader {
 public:
-  typedef UpstreamEntry Reads;
+  typedef UpstreamBacklog Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1163,15 +1624,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey() const;
-  inline  ::capnp::Text::Reader getKey() const;
-
-  inline bool hasValue() const;
-  inline  ::capnp::Data::Reader getValue() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline  ::uint32_t getCalls() const;
 
-  inline bool getDeleted() const;
+  inline  ::int64_t getPromptTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1185,9 +1643,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class UpstreamEntry::Builder {
+class UpstreamBacklog::Builder {
 public:
-  typedef UpstreamEntry Builds;
+  typedef UpstreamBacklog Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1201,25 +1659,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasKey();
-  inline  ::capnp::Text::Builder getKey();
-  inline void setKey( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initKey(unsigned int size);
-  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownKey();
-
-  inline bool hasValue();
-  inline  ::capnp::Data::Builder getValue();
-  inline void setValue( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initValue(unsigned int size);
-  inline void adoptValue(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownValue();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline  ::uint32_t getCalls();
+  inline void setCalls( ::uint32_t value);
 
-  inline bool getDeleted();
-  inline void setDeleted(bool value);
+  inline  ::int64_t getPromptTokens();
+  inline void setPromptTokens( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1231,9 +1682,9 @@
 };
 
 #if !CAPNP_LITE
-class UpstreamEntry::Pipeline {
+class UpstreamBacklog::Pipeline {
 public:
-  typedef UpstreamEntry Pipelines;
+  typedef UpstreamBacklog Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1740,6 +2191,76 @@
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Upstreams::Builder(_builder);
 }
+inline bool PeerMessage::Reader::isLoanRequest() const {
+  return which() == PeerMessage::LOAN_REQUEST;
+}
+inline bool PeerMessage::Builder::isLoanRequest() {
+  return which() == PeerMessage::LOAN_REQUEST;
+}
+inline typename PeerMessage::LoanRequest::Reader PeerMessage::Reader::getLoanRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOAN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::LoanRequest::Reader(_reader);
+}
+inline typename PeerMessage::LoanRequest::Builder PeerMessage::Builder::getLoanRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAN_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::LoanRequest::Builder(_builder);
+}
+inline typename PeerMessage::LoanRequest::Builder PeerMessage::Builder::initLoanRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::LOAN_REQUEST);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::LoanRequest::Builder(_builder);
+}
+inline bool PeerMessage::Reader::isLoan() const {
+  return which() == PeerMessage::LOAN;
+}
+inline bool PeerMessage::Builder::isLoan() {
+  return which() == PeerMessage::LOAN;
+}
+inline typename PeerMessage::Loan::Reader PeerMessage::Reader::getLoan() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOAN),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::Loan::Reader(_reader);
+}
+inline typename PeerMessage::Loan::Builder PeerMessage::Builder::getLoan() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAN),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::Loan::Builder(_builder);
+}
+inline typename PeerMessage::Loan::Builder PeerMessage::Builder::initLoan() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::LOAN);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::Loan::Builder(_builder);
+}
+inline bool PeerMessage::Reader::isLoad() const {
+  return which() == PeerMessage::LOAD;
+}
+inline bool PeerMessage::Builder::isLoad() {
+  return which() == PeerMessage::LOAD;
+}
+inline typename PeerMessage::Load::Reader PeerMessage::Reader::getLoad() const {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::Load::Reader(_reader);
+}
+inline typename PeerMessage::Load::Builder PeerMessage::Builder::getLoad() {
+  KJ_IREQUIRE((which() == PeerMessage::LOAD),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::Load::Builder(_builder);
+}
+inline typename PeerMessage::Load::Builder PeerMessage::Builder::initLoad() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::LOAD);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::Load::Builder(_builder);
+}
 inline  ::uint64_t PeerMessage::Submit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2266,6 +2787,189 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::LoanRequest::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::LoanRequest::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerMessage::LoanRequest::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerMessage::LoanRequest::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::LoanRequest::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerMessage::LoanRequest::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::LoanRequest::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerMessage::LoanRequest::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t PeerMessage::LoanRequest::Reader::getLeast() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerMessage::LoanRequest::Builder::getLeast() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::LoanRequest::Builder::setLeast( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t PeerMessage::LoanRequest::Reader::getWanted() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerMessage::LoanRequest::Builder::getWanted() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::LoanRequest::Builder::setWanted( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Loan::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Loan::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PeerMessage::Loan::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PeerMessage::Loan::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Loan::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PeerMessage::Loan::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Loan::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PeerMessage::Loan::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::Loan::Reader::hasLender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Loan::Builder::hasLender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeward::schema::Incarnation::Reader PeerMessage::Loan::Reader::getLender() const {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::Incarnation>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::bronzeward::schema::Incarnation::Builder PeerMessage::Loan::Builder::getLender() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::Incarnation>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeward::schema::Incarnation::Pipeline PeerMessage::Loan::Pipeline::getLender() {
+  return  ::bronzeward::schema::Incarnation::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void PeerMessage::Loan::Builder::setLender( ::bronzeward::schema::Incarnation::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeward::schema::Incarnation>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeward::schema::Incarnation::Builder PeerMessage::Loan::Builder::initLender() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::Incarnation>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Loan::Builder::adoptLender(
+    ::capnp::Orphan< ::bronzeward::schema::Incarnation>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeward::schema::Incarnation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeward::schema::Incarnation> PeerMessage::Loan::Builder::disownLender() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::Incarnation>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t PeerMessage::Loan::Reader::getAmount() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerMessage::Loan::Builder::getAmount() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Loan::Builder::setAmount( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Load::Reader::hasUpstreams() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Load::Builder::hasUpstreams() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Load::Reader::getUpstreams() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Load::Builder::getUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Load::Builder::setUpstreams( ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Load::Builder::initUpstreams(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Load::Builder::adoptUpstreams(
+    ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>> PeerMessage::Load::Builder::disownUpstreams() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::UpstreamBacklog,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool UpstreamEntry::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2362,6 +3066,68 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool UpstreamBacklog::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool UpstreamBacklog::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader UpstreamBacklog::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder UpstreamBacklog::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void UpstreamBacklog::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder UpstreamBacklog::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void UpstreamBacklog::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> UpstreamBacklog::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t UpstreamBacklog::Reader::getCalls() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t UpstreamBacklog::Builder::getCalls() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBacklog::Builder::setCalls( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t UpstreamBacklog::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t UpstreamBacklog::Builder::getPromptTokens() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void UpstreamBacklog::Builder::setPromptTokens( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -8,6 +8,13 @@
 constexpr Duration RecallWait = 60ms;
 /// Wanted in a first grant that is drawn ahead; the draw's share bounds it.
 constexpr Money FirstGrantWanted(std::int64_t{1} << 40U);
+/// Wanted of a loan, as a multiple of the request that waits for it.
+constexpr std::int64_t LoanMultiple = 4;
+/// Pause between two requests for a loan.
+constexpr Duration LoanRequestPause = 100ms;
+/// One part in this many of the low-water mark makes an instance ask for a loan
+/// while the store is away.
+constexpr std::int64_t LowPart = 3;
 /// Pause after a refused refill or a recall.
 constexpr Duration RefillPause = 1s;
 /// Time for a carrier to confirm before further peers are asked.
@@ -44,10 +51,9 @@
   Book &Budget = Books[Workspace];
   if (Budget.Unsettled && Bound > *Budget.Unsettled)
     return ReserveOutcome::Exhausted;
-  Reservation Wanted{Workspace, Bound, Budget.LostGrants, false, {}};
+  Reservation Wanted{Workspace, Bound, 0, false, {}, {}};
   const bool NextInLine = Budget.Waiting.empty() || Bound.isZero();
-  if (NextInLine && Budget.Grant.reserve(Bound)) {
-    Wanted.Granted = true;
+  if (NextInLine && setAside(Wanted)) {
     Reservations.emplace(Request, std::move(Wanted));
     refill(Workspace, Now);
     return ReserveOutcome::Granted;
@@ -58,10 +64,60 @@
         expireWaiting(Workspace, Request, At);
       });
   Budget.Waiting.push_back({Request, Bound, Timeout});
+  askForLoan(Workspace, Bound, scaled(Bound, LoanMultiple), Now);
   draw(Workspace, Now);
   return ReserveOutcome::Waiting;
 }
 
+bool BudgetAgent::setAside(Reservation &Item) {
+  Book &Budget = Books[Item.Workspace];
+  Item.Granted = Budget.Grant.reserve(Item.Bound);
+  Item.LostGrants = Budget.LostGrants;
+  if (Item.Granted)
+    return true;
+  Item.Lender = Loans.reserve(Item.Workspace, Item.Bound);
+  Item.Granted = Item.Lender.has_value();
+  return Item.Granted;
+}
+
+// Loans.
+
+void BudgetAgent::askForLoan(const WorkspaceId &Workspace, Money Least,
+                             Money Wanted, TimePoint Now) {
+  Book &Budget = Books[Workspace];
+  if (!Policy.Lending || Draining || Now < Budget.NextLoanRequest)
+    return;
+  Budget.NextLoanRequest = Now + LoanRequestPause;
+  for (const Member &Peer : Members.members())
+    if (Peer.Life.Instance != Self.Instance)
+      Around.Peers.send(Peer.Life.Instance,
+                        LoanRequest{Workspace, Least, Wanted});
+}
+
+void BudgetAgent::onLoanRequest(const InstanceId &From,
+                                const LoanRequest &Message) {
+  const auto Found = Books.find(Message.Workspace);
+  if (!Policy.Lending || Found == Books.end() ||
+      !Found->second.Waiting.empty())
+    return;
+  Book &Budget = Found->second;
+  const Money Lent = Budget.Grant.lend(Message.Wanted);
+  if (Lent < Message.Least) {
+    Budget.Grant.lentBack(Lent);
+    return;
+  }
+  Around.Peers.send(From, Loan{Message.Workspace, holder(Budget), Lent});
+}
+
+void BudgetAgent::onLoan(const Loan &Message, TimePoint Now) {
+  Book &Budget = Books[Message.Workspace];
+  if (Message.Lender == holder(Budget))
+    Budget.Grant.lentBack(Message.Amount);
+  else if (Message.Lender.Instance != Self.Instance)
+    Loans.credit(Message.Workspace, Message.Lender, Message.Amount);
+  serveWaiting(Message.Workspace, Now);
+}
+
 void BudgetAgent::abandon(const RequestId &Request, ClaimFate Fate,
                           TimePoint Now) {
   const auto Found = Reservations.find(Request);
@@ -82,7 +138,9 @@
     }
     return;
   }
-  if (Item.LostGrants == Budget.LostGrants)
+  if (Item.Lender)
+    Loans.credit(Item.Workspace, *Item.Lender, Item.Bound);
+  else if (Item.LostGrants == Budget.LostGrants)
     Budget.Grant.release(Item.Bound);
   serveWaiting(Item.Workspace, Now);
   if (Draining)
@@ -204,13 +262,10 @@
   std::deque<WaitingReservation> &Waiting = Books[Workspace].Waiting;
   while (!Waiting.empty()) {
     const WaitingReservation First = Waiting.front();
-    if (!Books[Workspace].Grant.reserve(First.Bound))
+    if (!setAside(Reservations.at(First.Request)))
       return;
     Waiting.pop_front();
     Around.Timers.cancel(First.Timeout);
-    Reservation &Item = Reservations.at(First.Request);
-    Item.Granted = true;
-    Item.LostGrants = Books[Workspace].LostGrants;
     Around.Listener.onReserved(First.Request, ReserveOutcome::Granted, Now);
   }
 }
@@ -293,8 +348,13 @@
   Book &Budget = Books[Workspace];
   if (Draining || Now < Budget.NextRefill)
     return;
-  if (Budget.Grant.free() < Budget.Grant.lowWater(Policy, Now))
+  const Money Free = Budget.Grant.free() + Loans.free(Workspace);
+  const Money Needed = Budget.Grant.lowWater(Policy, Now);
+  if (Free < Needed)
     draw(Workspace, Now);
+  // With the store away a loan takes the place of a draw, before requests wait.
+  if (Around.Store.failingSince() && Free < Money(Needed.micros() / LowPart))
+    askForLoan(Workspace, Money(1), Needed - Free, Now);
 }
 
 void BudgetAgent::loseGrant(const WorkspaceId &Workspace, TimePoint Now) {
@@ -483,14 +543,20 @@
   Book &Budget = Books[Item.Workspace];
   Settled.Cost = std::min(Settled.Cost, Item.Bound);
   Settled.Holder = {Self.Instance, Self.Epoch + Item.LostGrants};
-  if (Item.LostGrants == Budget.LostGrants)
+  if (Item.Lender) {
+    Settled.Holder = *Item.Lender;
+    Loans.credit(Item.Workspace, *Item.Lender, Item.Bound - Settled.Cost);
+    Budget.Grant.noteSpending(Settled.Cost, Policy, Now);
+  } else if (Item.LostGrants == Budget.LostGrants) {
     Budget.Grant.settle(Item.Bound, Settled.Cost, Policy, Now);
+  }
 
   const std::uint64_t Number = ++LastBill;
   PendingBill Waiting;
   Waiting.Request = Request;
   Waiting.Settled = std::move(Settled);
   Waiting.LostGrants = Item.LostGrants;
+  Waiting.Borrowed = Item.Lender.has_value();
   Waiting.Carry = Around.Timers.schedule(
       Now + Policy.CarryAfter,
       [this, Number](TimePoint At) { carryBill(Number, At); });
@@ -560,7 +626,7 @@
                              TimePoint Now) {
   const WorkspaceId Workspace = Item.Settled.Workspace;
   Book &Budget = Books[Workspace];
-  if (Item.LostGrants != Budget.LostGrants)
+  if (Item.Borrowed || Item.LostGrants != Budget.LostGrants)
     return;
   if (Charged)
     Budget.Grant.charged(Item.Settled.Cost);
@@ -688,6 +754,10 @@
     onCarried(From, *Carried, Now);
   } else if (const auto *Forget = std::get_if<ForgetBills>(&Message)) {
     Carrier.onForget(From, *Forget);
+  } else if (const auto *Asked = std::get_if<LoanRequest>(&Message)) {
+    onLoanRequest(From, *Asked);
+  } else if (const auto *Given = std::get_if<Loan>(&Message)) {
+    onLoan(*Given, Now);
   }
 }
 
@@ -703,6 +773,9 @@
 
 void BudgetAgent::drain(TimePoint Now) {
   Draining = true;
+  for (const LoanBook::Entry &Item : Loans.takeAll())
+    Around.Peers.send(Item.Lender.Instance,
+                      Loan{Item.Workspace, Item.Lender, Item.Free});
   std::vector<WorkspaceId> Workspaces;
   for (const auto &Entry : Books)
     Workspaces.push_back(Entry.first);
@@ -737,6 +810,21 @@
   return Count;
 }
 
+std::string BudgetAgent::describe(const WorkspaceId &Workspace) const {
+  const auto Found = Books.find(Workspace);
+  if (Found == Books.end())
+    return "workspace " + Workspace.Value + " without a grant";
+  const Book &Budget = Found->second;
+  return "workspace " + Workspace.Value + " stated " +
+         std::to_string(Budget.Stated.micros()) + " held " +
+         std::to_string(Budget.Grant.held().micros()) + " free " +
+         std::to_string(Budget.Grant.free().micros()) + " borrowed " +
+         std::to_string(Loans.free(Workspace).micros()) + " unsettled " +
+         (Budget.Unsettled ? std::to_string(Budget.Unsettled->micros())
+                           : std::string("unknown")) +
+         " waiting " + std::to_string(Budget.Waiting.size());
+}
+
 std::size_t BudgetAgent::pendingOperations() const { return Router.pending(); }
 
 std::size_t BudgetAgent::carriedBills() const { return Carrier.carried(); }
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -3,6 +3,7 @@
 #include "bronzeward/src/Budget/BillCarrier.h"
 #include "bronzeward/src/Budget/GrantBook.h"
 #include "bronzeward/src/Budget/HolderWatch.h"
+#include "bronzeward/src/Budget/LoanBook.h"
 
 #include <deque>
 #include <map>
@@ -142,6 +143,8 @@
   [[nodiscard]] const Membership &membership() const { return Members; }
   [[nodiscard]] std::size_t pendingOperations() const;
   [[nodiscard]] std::size_t carriedBills() const;
+  /// \returns what is known of a workspace's budget, for the log.
+  [[nodiscard]] std::string describe(const WorkspaceId &Workspace) const;
   /// \returns the sum of grants held here, over all workspaces.
   [[nodiscard]] Money held() const;
 
@@ -162,6 +165,8 @@
     bool DrawAhead = false;
     /// Total last stated for the record.
     Money Stated;
+    /// When peers may be asked for a loan again.
+    TimePoint NextLoanRequest;
     /// Prepaid and unsettled as the record last showed; it only falls until a
     /// higher total is stated.
     std::optional<Money> Unsettled;
@@ -171,6 +176,8 @@
     Money Bound;
     std::uint64_t LostGrants = 0;
     bool Granted = false;
+    /// Whose grant it is charged to, where that is not this instance's.
+    std::optional<Incarnation> Lender;
     std::optional<Claim> Opened;
   };
   struct PendingClaim {
@@ -183,6 +190,8 @@
     RequestId Request;
     Bill Settled;
     std::uint64_t LostGrants = 0;
+    /// Whether it is charged to another instance's grant.
+    bool Borrowed = false;
     std::uint64_t Operation = 0;
     std::optional<TimerQueue::Handle> Hold;
     std::optional<TimerQueue::Handle> Carry;
@@ -200,6 +209,12 @@
   std::uint64_t addBill(const RequestId &Request, Bill Settled, TimePoint Now);
   [[nodiscard]] ReserveOutcome shortage(const Book &Budget, Money Bound) const;
   void returnAmount(const WorkspaceId &Workspace, Money Amount, TimePoint Now);
+  /// Sets Bound aside in this instance's grant or in a loan.
+  [[nodiscard]] bool setAside(Reservation &Item);
+  void askForLoan(const WorkspaceId &Workspace, Money Least, Money Wanted,
+                  TimePoint Now);
+  void onLoanRequest(const InstanceId &From, const LoanRequest &Message);
+  void onLoan(const Loan &Message, TimePoint Now);
   void draw(const WorkspaceId &Workspace, TimePoint Now);
   void onDrawn(const WorkspaceId &Workspace, const OperationResult &Outcome,
                TimePoint Now);
@@ -247,6 +262,7 @@
   HolderWatch Watch;
   BillCarrier Carrier;
   std::map<WorkspaceId, Book> Books;
+  LoanBook Loans;
   std::map<RequestId, Reservation> Reservations;
   std::map<RequestId, PendingClaim> Claims;
   std::map<std::uint64_t, PendingBill> Bills;
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -5,6 +5,13 @@
 
 namespace bronzeward {
 
+/// One part in this many of the window is the least history that a rate is
+/// taken from.
+constexpr int MinHistoryPart = 6;
+
+/// One part in this many of what is free is lent at a time.
+constexpr std::int64_t LendShare = 2;
+
 static Money multiplied(Money Amount, double Factor) {
   const double Product = static_cast<double>(Amount.micros()) * Factor;
   return Money(static_cast<std::int64_t>(std::min(Product, 1e17)));
@@ -24,10 +31,17 @@
                        TimePoint Now) {
   release(Bound);
   Unbilled += Cost;
+  noteSpending(Cost, Policy, Now);
+}
+
+void GrantBook::noteSpending(Money Cost, const BudgetPolicy &Policy,
+                             TimePoint Now) {
   const std::chrono::duration<double> Window = Policy.RateWindow;
-  SpendRate =
-      rate(Policy, Now) + static_cast<double>(Cost.micros()) / Window.count();
+  SpendRate = decayed(Policy, Now) +
+              static_cast<double>(Cost.micros()) / Window.count();
   LastSpend = Now;
+  if (!FirstSpend)
+    FirstSpend = Now;
 }
 
 void GrantBook::charged(Money Cost) {
@@ -37,6 +51,15 @@
 
 void GrantBook::uncharged(Money Cost) { Unbilled -= std::min(Unbilled, Cost); }
 
+Money GrantBook::lend(Money Wanted) {
+  // The record's line keeps the amount; what is lent is spent from it.
+  const Money Lent = std::min(Wanted, Money(free().micros() / LendShare));
+  Held -= Lent;
+  return Lent;
+}
+
+void GrantBook::lentBack(Money Amount) { Held += Amount; }
+
 void GrantBook::drawSent() {
   ++Sequence;
   Lifecycle.process(GrantEvent::DrawSent);
@@ -85,12 +108,22 @@
   return Held > Used ? Held - Used : Money();
 }
 
-double GrantBook::rate(const BudgetPolicy &Policy, TimePoint Now) const {
+double GrantBook::decayed(const BudgetPolicy &Policy, TimePoint Now) const {
   const std::chrono::duration<double> Age = Now - LastSpend;
   const std::chrono::duration<double> Window = Policy.RateWindow;
   return SpendRate * std::exp(-Age.count() / Window.count());
 }
 
+double GrantBook::rate(const BudgetPolicy &Policy, TimePoint Now) const {
+  if (!FirstSpend)
+    return 0.0;
+  // A short history is a part of the window only.
+  const std::chrono::duration<double> Window = Policy.RateWindow;
+  const std::chrono::duration<double> Seen =
+      std::max(Now - *FirstSpend, Policy.RateWindow / MinHistoryPart);
+  return decayed(Policy, Now) / (1.0 - std::exp(-Seen.count() / Window.count()));
+}
+
 Money GrantBook::lowWater(const BudgetPolicy &Policy, TimePoint Now) const {
   const std::chrono::duration<double> Horizon = Policy.GrantHorizon;
   const double Spending =
@@ -106,8 +139,10 @@
 Money GrantBook::excess(const BudgetPolicy &Policy, TimePoint Now) const {
   const Money Kept = target(Policy, Now);
   const Money Limit = multiplied(Kept, Policy.ReturnMultiple);
-  return Policy.ReturnMultiple > 0.0 && free() > Limit ? free() - Kept
-                                                       : Money();
+  const bool Known = FirstSpend && Now >= *FirstSpend + Policy.RateWindow;
+  return Policy.ReturnMultiple > 0.0 && Known && free() > Limit
+             ? free() - Kept
+             : Money();
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Config/BudgetPolicy.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace bronzeward {
 
@@ -22,6 +23,13 @@
   /// \brief Turns a reservation into an amount that waits for its bill.
   void settle(Money Bound, Money Cost, const BudgetPolicy &Policy,
               TimePoint Now);
+  /// \brief Notes spending that is charged elsewhere, for the rate.
+  void noteSpending(Money Cost, const BudgetPolicy &Policy, TimePoint Now);
+  /// \brief Hands over up to half of what is free.
+  /// \returns the amount; what bills charge to it is no longer counted here.
+  [[nodiscard]] Money lend(Money Wanted);
+  /// \brief Takes back what a borrower did not need.
+  void lentBack(Money Amount);
   /// \brief Ends the wait for a bill that was charged to the grant.
   void charged(Money Cost);
   /// \brief Ends the wait for a bill that was not charged to the grant.
@@ -54,7 +62,9 @@
   [[nodiscard]] const GrantLifecycle &lifecycle() const { return Lifecycle; }
 
 private:
+  /// \returns spending in micro-units a second over the policy's window.
   [[nodiscard]] double rate(const BudgetPolicy &Policy, TimePoint Now) const;
+  [[nodiscard]] double decayed(const BudgetPolicy &Policy, TimePoint Now) const;
 
   GrantLifecycle Lifecycle;
   Money Held;
@@ -66,6 +76,7 @@
   /// Spending in micro-units a second, decayed to LastSpend.
   double SpendRate = 0.0;
   TimePoint LastSpend;
+  std::optional<TimePoint> FirstSpend;
 };
 
 } // namespace bronzeward
--- /dev/null
+++ b/bronzeward/src/Budget/LoanBook.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "bronzeward/Base"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace bronzeward {
+
+/// \ingroup Budget
+/// \brief Parts of other instances' grants that this one may spend.
+///
+/// Answers the load pattern in which one instance gets most of a workspace's
+/// requests while the store is away: the others' grants would lie idle.
+class LoanBook {
+public:
+  /// \brief Adds an amount: a new loan, or what a request did not use of one.
+  void credit(const WorkspaceId &Workspace, const Incarnation &Lender,
+              Money Amount);
+  /// \returns whose grant the amount was taken from; nothing where no single
+  /// loan covers it.
+  [[nodiscard]] std::optional<Incarnation>
+  reserve(const WorkspaceId &Workspace, Money Amount);
+
+  /// \brief One loan and what is left of it.
+  struct Entry {
+    WorkspaceId Workspace;
+    Incarnation Lender;
+    Money Free;
+  };
+  /// \brief Takes every loan out, to be given back.
+  [[nodiscard]] std::vector<Entry> takeAll();
+
+  /// \returns what is left of all loans of a workspace.
+  [[nodiscard]] Money free(const WorkspaceId &Workspace) const;
+
+private:
+  std::map<WorkspaceId, std::map<Incarnation, Money>> Loans;
+};
+
+} // namespace bronzeward
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -83,11 +83,43 @@
   bool Whole = false;
 };
 
+/// \brief Asks a peer for a part of its grant.
+struct LoanRequest {
+  WorkspaceId Workspace;
+  /// Least amount of use, and the amount wanted.
+  Money Least;
+  Money Wanted;
+};
+
+/// \brief Hands over a part of a grant. Bills charged to it name the lender's
+/// life as their holder, so the ledger's record needs no change.
+struct Loan {
+  WorkspaceId Workspace;
+  Incarnation Lender;
+  Money Amount;
+};
+
+/// \brief What the sender has under way at one upstream.
+struct UpstreamBacklog {
+  UpstreamName Name;
+  std::uint32_t Calls = 0;
+  /// Prompt tokens of calls without a first byte.
+  std::int64_t PromptTokens = 0;
+
+  bool operator==(const UpstreamBacklog &) const = default;
+};
+
+/// \brief What the sender has under way, at every upstream with any.
+struct LoadNotice {
+  std::vector<UpstreamBacklog> Upstreams;
+};
+
 /// \brief One message between instances.
 using PeerMessage =
     std::variant<SubmitOperations, OperationResults, RecallGrant, CarryBill,
                  BillCarried, ForgetBills, PeerDigest, ConfigurationText,
-                 ConfigurationWanted, UpstreamList>;
+                 ConfigurationWanted, UpstreamList, LoanRequest, Loan,
+                 LoadNotice>;
 
 /// \brief Sends messages to other instances; any of them may be lost.
 class PeerPort {
--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -31,7 +31,10 @@
 
 /// \returns whether the operation may wait for the commit interval.
 static bool mayWait(const Operation &Change) {
-  return std::holds_alternative<CommitBill>(Change);
+  const DrawGrant *Draw = std::get_if<DrawGrant>(&Change);
+  // A refill, which no request waits for, states no minimum of its own.
+  const bool Refill = Draw != nullptr && Draw->Minimum <= Money(1);
+  return Refill || std::holds_alternative<CommitBill>(Change);
 }
 
 SlotCommitter::SlotCommitter(SlotId Number, StoreClient &Client,
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -36,6 +36,8 @@
   std::uint32_t LeastDrawShares = 2;
   /// Whether a grant is drawn before the first request asks for it.
   bool DrawAhead = false;
+  /// Whether instances lend each other parts of their grants.
+  bool Lending = false;
   /// How long a request waits for budget before it is refused.
   Duration BudgetWait = 400ms;
   /// How long a claim may take to become durable before it is refused.
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -84,6 +84,29 @@
   }
 }
 
+static void writeOne(Builder Out, const LoanRequest &In) {
+  schema::PeerMessage::LoanRequest::Builder Group = Out.initLoanRequest();
+  Group.setWorkspace(In.Workspace.Value);
+  Group.setLeast(In.Least.micros());
+  Group.setWanted(In.Wanted.micros());
+}
+
+static void writeOne(Builder Out, const Loan &In) {
+  schema::PeerMessage::Loan::Builder Group = Out.initLoan();
+  Group.setWorkspace(In.Workspace.Value);
+  write(Group.initLender(), In.Lender);
+  Group.setAmount(In.Amount.micros());
+}
+
+static void writeOne(Builder Out, const LoadNotice &In) {
+  auto List = Out.initLoad().initUpstreams(In.Upstreams.size());
+  for (unsigned Index = 0; Index < In.Upstreams.size(); ++Index) {
+    List[Index].setName(In.Upstreams[Index].Name.Value);
+    List[Index].setCalls(In.Upstreams[Index].Calls);
+    List[Index].setPromptTokens(In.Upstreams[Index].PromptTokens);
+  }
+}
+
 void write(Builder Out, const InstanceId &Sender, const PeerMessage &In) {
   Out.setSender(Sender.Value);
   std::visit([&](const auto &Item) { writeOne(Out, Item); }, In);
@@ -142,6 +165,14 @@
   return Out;
 }
 
+static PeerMessage readLoad(schema::PeerMessage::Load::Reader In) {
+  LoadNotice Out;
+  for (schema::UpstreamBacklog::Reader Item : In.getUpstreams())
+    Out.Upstreams.push_back({UpstreamName{Item.getName().cStr()},
+                             Item.getCalls(), Item.getPromptTokens()});
+  return Out;
+}
+
 PeerMessage read(schema::PeerMessage::Reader In) {
   switch (In.which()) {
   case schema::PeerMessage::SUBMIT:
@@ -167,6 +198,16 @@
     return ConfigurationWanted{};
   case schema::PeerMessage::UPSTREAMS:
     return readUpstreams(In.getUpstreams());
+  case schema::PeerMessage::LOAN_REQUEST:
+    return LoanRequest{WorkspaceId{In.getLoanRequest().getWorkspace().cStr()},
+                       Money(In.getLoanRequest().getLeast()),
+                       Money(In.getLoanRequest().getWanted())};
+  case schema::PeerMessage::LOAN:
+    return Loan{WorkspaceId{In.getLoan().getWorkspace().cStr()},
+                read(In.getLoan().getLender()),
+                Money(In.getLoan().getAmount())};
+  case schema::PeerMessage::LOAD:
+    return readLoad(In.getLoad());
   }
   // A message of a later version carries nothing that this one knows.
   return ForgetBills{};
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -157,6 +157,11 @@
   ActiveCall *Item = find(Request);
   if (Item == nullptr)
     return;
+  if (What != ReserveOutcome::Granted)
+    Around.Log.onEvent("budget-short",
+                       "request " + Item->Call.AttemptName + " bound " +
+                           std::to_string(Item->Terms.Bound.micros()) + ", " +
+                           Budgets->describe(Item->Terms.Workspace));
   switch (What) {
   case ReserveOutcome::Granted:
     dispatch(*Item, Now);
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -72,6 +72,7 @@
   [[nodiscard]] LatencyCounts wholeLatency() const { return Whole.counts(); }
   [[nodiscard]] const RouteTable *routes() const { return Routes.get(); }
   [[nodiscard]] const UpstreamPool &upstreams() const { return Pool; }
+  UpstreamPool &upstreams() { return Pool; }
   Quarantine &quarantine() { return Crashes; }
 
 private:
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -28,6 +28,10 @@
 constexpr double Smoothing = 0.1;
 constexpr double SlownessSmoothing = 0.3;
 constexpr double MaxSlowness = 10.0;
+constexpr double LowerWeight = 0.2;
+constexpr double HigherWeight = 0.01;
+/// How long a peer's notice of its load holds; it repeats it sooner.
+constexpr Duration PeerLoadTime = 1s;
 /// Expected times below this say little of an upstream's speed.
 constexpr Duration MinMeasured = 20ms;
 /// Fewer prompt tokens say little of the time for one.
@@ -148,10 +152,14 @@
   const Duration Waited = Now - Done.At;
   ServiceState &Service = Services[Item.Entry.Service];
   if (Done.FreshTokens >= MinMeasuredTokens) {
+    // Waiting behind others is in the measurement, so that lower ones count
+    // for more.
     const Duration PerToken = Waited / Done.FreshTokens;
+    const double Weight =
+        PerToken < Service.TokenTime ? LowerWeight : HigherWeight;
     Service.TokenTime += std::chrono::duration_cast<Duration>(
         (std::min(PerToken, 5 * InitialTokenTime) - Service.TokenTime) *
-        Smoothing);
+        Weight);
   }
   const std::chrono::duration<double> Expected =
       std::max(Done.Expected, MinMeasured);
@@ -229,6 +237,44 @@
   Item->LoadAt = Now;
 }
 
+void UpstreamPool::onPeerLoad(const InstanceId &Peer, const LoadNotice &Load,
+                              TimePoint Now) {
+  PeerLoads[Peer] = {Load, Now};
+  sumPeerLoads();
+}
+
+void UpstreamPool::expirePeerLoads(TimePoint Now) {
+  const std::size_t Dropped =
+      std::erase_if(PeerLoads, [Now](const auto &Item) {
+        return Now > Item.second.At + PeerLoadTime;
+      });
+  if (Dropped > 0)
+    sumPeerLoads();
+}
+
+void UpstreamPool::sumPeerLoads() {
+  for (auto &[Name, Item] : States) {
+    Item.PeerCalls = 0;
+    Item.PeerTokens = 0;
+  }
+  for (const auto &[Peer, Load] : PeerLoads)
+    for (const UpstreamBacklog &Backlog : Load.Told.Upstreams)
+      if (State *Item = state(Backlog.Name)) {
+        Item->PeerCalls += Backlog.Calls;
+        Item->PeerTokens += Backlog.PromptTokens;
+      }
+}
+
+LoadNotice UpstreamPool::ownLoad() const {
+  LoadNotice Own;
+  for (const auto &[Name, Item] : States)
+    if (Item.Outstanding > 0)
+      Own.Upstreams.push_back({Name,
+                               static_cast<std::uint32_t>(Item.Outstanding),
+                               Item.PendingTokens});
+  return Own;
+}
+
 double UpstreamPool::failureShare(const State &Item, TimePoint Now) {
   return Item.Failures * faded(Now - Item.FailuresAt, Forgetting);
 }
@@ -239,7 +285,7 @@
 }
 
 double UpstreamPool::load(const State &Item, TimePoint Now) {
-  const double Own = static_cast<double>(Item.Outstanding);
+  const double Own = static_cast<double>(Item.Outstanding + Item.PeerCalls);
   if (!Item.LoadAt)
     return Own;
   const double Stated =
@@ -270,7 +316,7 @@
   Seen.Load = load(Item, Now);
   Seen.Outstanding = Item.Outstanding;
   Seen.Slots = Item.Entry.Slots;
-  Seen.PrefillAhead = Item.PendingTokens;
+  Seen.PrefillAhead = Item.PendingTokens + Item.PeerTokens;
   Seen.ServiceTime = Item.ServiceTime;
   const auto Service = Services.find(Item.Entry.Service);
   if (Service != Services.end())
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Routing"
+#include "bronzeward/src/Budget/PeerPort.h"
 #include "bronzeward/src/Relay/Placement.h"
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
 
@@ -60,7 +61,14 @@
   void onFirstByte(AttemptId Attempt, TimePoint Now);
   void onEnded(AttemptId Attempt, TryEnd How, TimePoint Now);
   void onLoad(const UpstreamName &Name, const StatedLoad &Load, TimePoint Now);
+  /// \brief Takes over what another instance has under way.
+  void onPeerLoad(const InstanceId &Peer, const LoadNotice &Load,
+                  TimePoint Now);
+  /// \brief Drops what peers have not repeated for a while.
+  void expirePeerLoads(TimePoint Now);
 
+  /// \returns what this instance has under way, for its peers.
+  [[nodiscard]] LoadNotice ownLoad() const;
   /// \returns upstreams that may take a call: those in good standing, or, where
   /// there are none, any that are usable.
   [[nodiscard]] std::vector<Candidate> candidates(const PlacementQuery &Query,
@@ -89,6 +97,9 @@
     std::int64_t Outstanding = 0;
     /// Prompt tokens of calls from here without a first byte.
     std::int64_t PendingTokens = 0;
+    /// The same, of the other instances together.
+    std::int64_t PeerCalls = 0;
+    std::int64_t PeerTokens = 0;
     StatedLoad Load;
     std::optional<TimePoint> LoadAt;
     double Failures = 0.0;
@@ -124,11 +135,19 @@
   void shun(State &Item, TimePoint Now);
   void learn(State &Item, const Try &Done, TimePoint Now);
   State *state(const UpstreamName &Name);
+  void sumPeerLoads();
+
+  /// What one peer last told.
+  struct PeerLoad {
+    LoadNotice Told;
+    TimePoint At;
+  };
 
   FailureDomain Domain;
   std::map<UpstreamName, State> States;
   std::map<ServiceName, ServiceState> Services;
   std::map<AttemptId, Try> Tries;
+  std::map<InstanceId, PeerLoad> PeerLoads;
 };
 
 /// @}
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -10,6 +10,13 @@
 constexpr Duration UrgentGossipPeriod = 250ms;
 /// Peers that get each digest while the store answers.
 constexpr std::size_t GossipFanout = 3;
+/// Time between two notices of this instance's load where it changed, and where
+/// it did not.
+constexpr Duration LoadPeriod = 100ms;
+constexpr Duration LoadRepeat = 500ms;
+/// Fleets above this size place calls by stated loads alone; notices grow with
+/// the square of the instances.
+constexpr std::size_t MaxLoadPeers = 16;
 /// Quarantined contents in one digest.
 constexpr std::size_t MaxDigestSuspects = 16;
 /// Time between two looks at what changes without an event.
@@ -62,6 +69,7 @@
   ConfigurationKeys.start(Now);
   UpstreamKeys.start(Now);
   gossip(Now);
+  tellLoad(Now);
   housekeeping(Now);
 }
 
@@ -234,6 +242,21 @@
   Timers.schedule(Now + Pause, [this](TimePoint At) { gossip(At); });
 }
 
+void FleetCore::tellLoad(TimePoint Now) {
+  const std::vector<InstanceId> Others = otherPeers();
+  LoadNotice Load = Engine.upstreams().ownLoad();
+  const bool Due = Now >= ToldLoadAt + LoadRepeat;
+  if (Others.size() <= MaxLoadPeers &&
+      (Load.Upstreams != ToldLoad.Upstreams || Due)) {
+    ToldLoad = std::move(Load);
+    ToldLoadAt = Now;
+    for (const InstanceId &Peer : Others)
+      Around.Peers.send(Peer, ToldLoad);
+  }
+  Engine.upstreams().expirePeerLoads(Now);
+  Timers.schedule(Now + LoadPeriod, [this](TimePoint At) { tellLoad(At); });
+}
+
 void FleetCore::onDigest(const InstanceId &From, const PeerDigest &Message,
                          TimePoint Now) {
   if (Members.find(From) == nullptr && !Message.PeerAddress.empty())
@@ -267,6 +290,8 @@
     Around.Peers.send(From, ConfigurationText{Version, CurrentText});
   else if (const auto *List = std::get_if<UpstreamList>(&Message))
     onUpstreamList(*List, Now);
+  else if (const auto *Load = std::get_if<LoadNotice>(&Message))
+    Engine.upstreams().onPeerLoad(From, *Load, Now);
   if (Budgets)
     Budgets->onPeerMessage(From, Message, Now);
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -128,6 +128,7 @@
   void refreshUsable(TimePoint Now);
 
   void gossip(TimePoint Now);
+  void tellLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
   [[nodiscard]] PeerDigest digest(TimePoint Now) const;
@@ -163,6 +164,8 @@
   std::map<InstanceId, Member> Unlisted;
   std::optional<TimePoint> LapseCheck;
   TimePoint NextReturn;
+  LoadNotice ToldLoad;
+  TimePoint ToldLoadAt;
   std::optional<TimePoint> StartedAt;
   std::optional<TimePoint> DrainingSince;
   bool StoreWasAway = true;
--- a/bronzeward/src/Router/InstanceRegistry.cpp
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -124,7 +124,7 @@
 }
 
 void InstanceRegistry::list(TimePoint Now) {
-  Store.call(ListKeys{InstancePrefix, ""}, Now,
+  Store.call(ListKeys{InstancePrefix, "", true}, Now,
              [this](const StoreReply &Reply, TimePoint At) {
                if (Reply.Status == StoreStatus::Ok) {
                  std::vector<Member> Members;
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -15,7 +15,7 @@
       Timers(Queue), Jitter(Source), Listener(Sink) {}
 
 void StoreFollower::list(TimePoint Now) {
-  Store.call(ListKeys{Prefix, ""}, Now,
+  Store.call(ListKeys{Prefix, "", false}, Now,
              [this](const StoreReply &Reply, TimePoint At) {
                if (Reply.Status != StoreStatus::Ok) {
                  retry(At);
--- a/bronzeward/src/Store/StorePort.h
+++ b/bronzeward/src/Store/StorePort.h
@@ -35,6 +35,8 @@
   std::string Prefix;
   /// Key after which the page begins; empty for the first.
   std::string After;
+  /// Whether an answer that is seconds old will do.
+  bool MayBeStale = false;
 };
 
 /// \brief Waits for changes to keys that begin with a prefix.
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -72,6 +72,8 @@
   Policy.ReturnMultiple = 1.5;
   Policy.LeastDrawShares = 18;
   Policy.DrawAhead = true;
+  Policy.Lending = true;
+  Policy.BudgetWait = 250ms;
   Policy.MaxHeadBills = 128;
   Policy.Carriers = 0;
   // Answers are out before their bills are durable, so what a vanished holder
