Refuse at once where neither record nor peers have budget; weigh a home's cache

Cause: near exhaustion every waiting request drew again each 60 ms, which read the head record anew each time; calls left a prompt's home as soon as its queue cost more than computing 13,300 shared tokens anew, and moved the queue elsewhere.

Change: with loans the waiting are served by a loan or refused when their time is over, and later ones at once for 250 ms. Leaving a home has to save 2.5 times the shared parts' own time; the second home is preferred among the others.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -10,6 +10,9 @@
 constexpr Money FirstGrantWanted(std::int64_t{1} << 40U);
 /// Wanted of a loan, as a multiple of the request that waits for it.
 constexpr std::int64_t LoanMultiple = 4;
+/// Time for which requests are refused at once after neither a draw nor a loan
+/// came: half of what refused callers are asked to wait.
+constexpr Duration ShortPause = 250ms;
 /// Pause between two requests for a loan.
 constexpr Duration LoanRequestPause = 100ms;
 /// One part in this many of the low-water mark makes an instance ask for a loan
@@ -58,6 +61,10 @@
     refill(Workspace, Now);
     return ReserveOutcome::Granted;
   }
+  if (Now < Budget.ShortUntil && Budget.Waiting.empty()) {
+    askForLoan(Workspace, Bound, scaled(Bound, LoanMultiple), Now);
+    return shortage(Budget, Bound);
+  }
   Reservations.emplace(Request, std::move(Wanted));
   const TimerQueue::Handle Timeout = Around.Timers.schedule(
       Now + Policy.BudgetWait, [this, Workspace, Request](TimePoint At) {
@@ -115,6 +122,7 @@
     Budget.Grant.lentBack(Message.Amount);
   else if (Message.Lender.Instance != Self.Instance)
     Loans.credit(Message.Workspace, Message.Lender, Message.Amount);
+  Budget.ShortUntil = Now;
   serveWaiting(Message.Workspace, Now);
 }
 
@@ -151,6 +159,9 @@
   Book &Budget = Books[Workspace];
   if (Budget.Grant.lifecycle().changing() || Budget.RedrawScheduled)
     return;
+  // The record had too little a moment ago.
+  if (Policy.Lending && Now < Budget.NextRefill)
+    return;
   Money Missing;
   for (const WaitingReservation &Waiter : Budget.Waiting)
     Missing += Waiter.Bound;
@@ -191,6 +202,7 @@
   case OperationStatus::Applied:
   case OperationStatus::Repeated:
     Budget.Grant.drawn(std::max(Money(), Outcome.Amount));
+    Budget.ShortUntil = Now;
     Budget.DrawAhead = false;
     serveWaiting(Workspace, Now);
     if (!Budget.Waiting.empty())
@@ -230,11 +242,14 @@
     return;
   bool Recalled = false;
   for (const Incarnation &Other : Outcome.Holders) {
-    if (Other.Instance == Self.Instance || !Members.lists(Other))
+    if (Policy.Lending || Other.Instance == Self.Instance || !Members.lists(Other))
       continue;
     Around.Peers.send(Other.Instance, RecallGrant{Workspace, Other});
     Recalled = true;
   }
+  // The waiting are served by a loan, or refused when their time is over.
+  if (Policy.Lending)
+    return;
   const bool OwnMayReturn = Budget.Grant.held() > Budget.Grant.free();
   if (Recalled || OwnMayReturn) {
     scheduleRedraw(Workspace, Now);
@@ -291,6 +306,8 @@
     return;
   Around.Timers.cancel(Waiter->Timeout);
   const Money Bound = Waiter->Bound;
+  if (Policy.Lending)
+    Budget.ShortUntil = Now + ShortPause;
   Budget.Waiting.erase(Waiter);
   Reservations.erase(Request);
   const ReserveOutcome Outcome = shortage(Budget, Bound);
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -167,6 +167,9 @@
     Money Stated;
     /// When peers may be asked for a loan again.
     TimePoint NextLoanRequest;
+    /// Until when neither the record nor the peers are expected to have any,
+    /// so that requests are refused at once.
+    TimePoint ShortUntil;
     /// Prepaid and unsettled as the record last showed; it only falls until a
     /// higher total is stated.
     std::optional<Money> Unsettled;
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -22,6 +22,7 @@
     return false;
   Reserved += Bound;
   PeakReserved = std::max(PeakReserved, Reserved);
+  NewPeak = std::max(NewPeak, Reserved);
   return true;
 }
 
@@ -40,6 +41,12 @@
   SpendRate = decayed(Policy, Now) +
               static_cast<double>(Cost.micros()) / Window.count();
   LastSpend = Now;
+  if (Now >= PeakSince + Policy.RateWindow) {
+    // The peak of the last two windows.
+    PeakSince = Now;
+    PeakReserved = NewPeak;
+    NewPeak = Reserved;
+  }
   if (!FirstSpend)
     FirstSpend = Now;
 }
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -72,6 +72,9 @@
   Money Unbilled;
   Money ReturnUnderWay;
   Money PeakReserved;
+  /// Peak of the window that began at PeakSince.
+  Money NewPeak;
+  TimePoint PeakSince;
   std::uint64_t Sequence = 0;
   /// Spending in micro-units a second, decayed to LastSpend.
   double SpendRate = 0.0;
--- a/bronzeward/src/Relay/Placement.cpp
+++ b/bronzeward/src/Relay/Placement.cpp
@@ -5,6 +5,9 @@
 /// Cost of a failed call, as a multiple of its objective: the caller has to
 /// come again, if it may.
 constexpr double FailureCost = 2.0;
+/// Cost of a token computed again, beside its own time, as a multiple of that:
+/// calls that wait behind it at an upstream that has others' prompts to serve.
+constexpr double RecomputeCost = 1.5;
 /// Part of the mean service time by which a full upstream answers later than
 /// an idle one, queue aside.
 constexpr double LoadSlope = 0.25;
@@ -35,7 +38,11 @@
       expectedDelay(Input, Item) - Network + Item.ServiceTime * LoadSlope * Fill;
   const std::chrono::duration<double> Risk =
       Objective * (FailureCost * Item.FailureShare);
-  return std::chrono::duration_cast<Duration>(Work * Item.Slowdown + Risk) +
+  // Computing shared parts again delays the other calls there as much as this.
+  const std::chrono::duration<double> Again =
+      Item.PrefillTokenTime * Item.Recomputed * RecomputeCost;
+  return std::chrono::duration_cast<Duration>(Work * Item.Slowdown + Risk +
+                                              Again) +
          Network;
 }
 
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -46,6 +46,9 @@
 /// Services with up to this many upstreams are looked at whole; of larger ones
 /// the homes of the prompt and a random sample.
 constexpr std::size_t LookAtAll = 64;
+/// One part in this many of the cost of computing again is forgiven at the
+/// second home.
+constexpr std::int64_t SecondHomePart = 4;
 constexpr std::size_t MaxHomes = 4;
 constexpr std::size_t SampleSize = 8;
 
@@ -326,10 +329,17 @@
   Seen.FailureShare = failureShare(Item, Now);
   // Other instances send the shared parts to the same home.
   std::size_t Cached = Item.Prefixes.matching(Query.Prefixes);
-  if (HomeRank == 0 && !Query.Prefixes.empty())
-    Cached = std::max(Cached, Query.Prefixes.size() - 1);
+  const std::size_t Shared =
+      Query.Prefixes.empty() ? 0 : Query.Prefixes.size() - 1;
+  if (HomeRank == 0)
+    Cached = std::max(Cached, Shared);
   for (std::size_t Index = 0; Index < Cached; ++Index)
     Seen.CachedTokens += Query.PartTokens[Index];
+  for (std::size_t Index = Cached; Index < Shared; ++Index)
+    Seen.Recomputed += Query.PartTokens[Index];
+  // Calls that leave the home meet at the next one, which has the parts then.
+  if (HomeRank == 1)
+    Seen.Recomputed -= Seen.Recomputed / SecondHomePart;
   return Seen;
 }
 
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -24,6 +24,9 @@
   std::int64_t Slots = 1;
   /// Prompt tokens that it probably has cached.
   std::int64_t CachedTokens = 0;
+  /// Prompt tokens that it would compute although another upstream probably has
+  /// them cached.
+  std::int64_t Recomputed = 0;
   /// Prompt tokens that it has to compute first.
   std::int64_t PrefillAhead = 0;
   /// Mean time for which it serves one request.
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -5,7 +5,7 @@
 namespace bronzeward {
 
 /// Longest pause before a failed list is repeated; jitter takes up to half.
-constexpr Duration RetryPause = 200ms;
+constexpr Duration RetryPause = 400ms;
 
 StoreFollower::StoreFollower(std::string KeyPrefix,
                              std::chrono::milliseconds Wait,
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -3,6 +3,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <random>
 
@@ -133,6 +134,21 @@
   return true;
 }
 
+/// \returns the name that the kernel gave to this start of the machine; empty
+/// where it tells none.
+static std::string bootId() {
+  std::ifstream In("/proc/sys/kernel/random/boot_id");
+  std::string Id;
+  In >> Id;
+  return Id;
+}
+
+static std::int64_t secondsUp(TimePoint Now) {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             Now.time_since_epoch())
+      .count();
+}
+
 int InstanceProcess::run() {
   if (!listen())
     return SettingsExitCode;
@@ -140,7 +156,9 @@
   Upstreams.start();
   Core.start();
   awaitSignal();
-  Log.onEvent("started", "callers at " + FLAGS_listen);
+  Log.onEvent("started", "callers at " + FLAGS_listen + ", machine up for " +
+                             std::to_string(secondsUp(Time.now())) +
+                             " s, boot " + bootId());
   Main.run();
   Log.onEvent("stopped", Cut ? "drain timed out" : "drained");
   // Those who tell the core end before it does.
