Keep peers that are heard as members, and lend whole remainders

Cause: after an outage of the store every instance found only itself listed, took itself for every slot's committer and contended for the one record with large batches; bills stayed uncommitted for five seconds and more, so that grants full of unbilled spending were refused (held 922,208, free 795 for four seconds). In the outage requests of 35,000 tokens met loans of 122,000 in pots of 10,000.

Change: a peer heard within 2 s stays a member although its entry lapsed; a committer has 2.5 s; a batch is 1,024 operations, so that a segment stays under the store's megabyte; a loan covers the request that asks for it where it can, also from what was borrowed.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -108,12 +108,16 @@
       !Found->second.Waiting.empty())
     return;
   Book &Budget = Found->second;
-  const Money Lent = Budget.Grant.lend(Message.Wanted);
-  if (Lent < Message.Least) {
-    Budget.Grant.lentBack(Lent);
+  const Money Lent = Budget.Grant.lend(Message.Least, Message.Wanted);
+  if (!Lent.isZero()) {
+    Around.Peers.send(From, Loan{Message.Workspace, holder(Budget), Lent});
     return;
   }
-  Around.Peers.send(From, Loan{Message.Workspace, holder(Budget), Lent});
+  // What was borrowed here may serve there; its lender's line stays charged.
+  const std::optional<Incarnation> Lender =
+      Loans.reserve(Message.Workspace, Message.Least);
+  if (Lender)
+    Around.Peers.send(From, Loan{Message.Workspace, *Lender, Message.Least});
 }
 
 void BudgetAgent::onLoan(const Loan &Message, TimePoint Now) {
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -58,9 +58,11 @@
 
 void GrantBook::uncharged(Money Cost) { Unbilled -= std::min(Unbilled, Cost); }
 
-Money GrantBook::lend(Money Wanted) {
+Money GrantBook::lend(Money Least, Money Wanted) {
+  Money Lent = std::min(Wanted, Money(free().micros() / LendShare));
+  if (Lent < Least)
+    Lent = free() < Least ? Money() : Least;
   // The record's line keeps the amount; what is lent is spent from it.
-  const Money Lent = std::min(Wanted, Money(free().micros() / LendShare));
   Held -= Lent;
   return Lent;
 }
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -25,9 +25,10 @@
               TimePoint Now);
   /// \brief Notes spending that is charged elsewhere, for the rate.
   void noteSpending(Money Cost, const BudgetPolicy &Policy, TimePoint Now);
-  /// \brief Hands over up to half of what is free.
-  /// \returns the amount; what bills charge to it is no longer counted here.
-  [[nodiscard]] Money lend(Money Wanted);
+  /// \brief Hands over up to half of what is free, or Least where that is more.
+  /// \returns the amount, or zero where Least is not free; what bills charge to
+  /// it is no longer counted here.
+  [[nodiscard]] Money lend(Money Least, Money Wanted);
   /// \brief Takes back what a borrower did not need.
   void lentBack(Money Amount);
   /// \brief Ends the wait for a bill that was charged to the grant.
--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -6,8 +6,6 @@
 
 /// Time for which operations to a peer are gathered into one message.
 constexpr Duration ForwardDelay = 2ms;
-/// A committer that has not answered for this long is passed over.
-constexpr Duration CommitterTimeout = 800ms;
 /// How long a committer that failed is passed over.
 constexpr Duration SuspicionTime = 2s;
 /// First and longest pause before operations are tried again.
@@ -133,7 +131,7 @@
   }
   RemoteBatch Batch{To, Slot, Numbers, {}};
   Batch.Timeout = Around.Timers.schedule(
-      Now + CommitterTimeout,
+      Now + Around.Policy.CommitterTimeout,
       [this, Number = Message.Number](TimePoint At) { expire(Number, At); });
   Remote.emplace(Message.Number, std::move(Batch));
   Around.Peers.send(To, Message);
--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -10,8 +10,9 @@
 constexpr std::size_t KeptHeadSegments = 64;
 /// Commits that an idle slot may make at once, before the interval holds.
 constexpr int CommitBurst = 10;
-/// Operations committed by one write at most.
-constexpr std::size_t MaxBatch = 2048;
+/// Operations committed by one write at most; as many bills of 500 bytes stay
+/// well under the megabyte that the store takes.
+constexpr std::size_t MaxBatch = 1024;
 
 std::string slotKey(SlotId Slot) {
   return "bronzeward/ledger/" + std::to_string(Slot.Index);
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -46,6 +46,8 @@
   Duration AnswerHold = 3s;
   /// How long a bill waits for the store before peers carry it.
   Duration CarryAfter = 250ms;
+  /// How long a slot's committer may take before it is passed over.
+  Duration CommitterTimeout = 800ms;
   /// Peers in other failure domains that must carry a bill.
   std::size_t Carriers = 2;
   /// How long new requests are taken while the store does not answer.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -17,6 +17,8 @@
 /// Fleets above this size place calls by stated loads alone; notices grow with
 /// the square of the instances.
 constexpr std::size_t MaxLoadPeers = 16;
+/// A peer heard within this time stays a member although its entry lapsed.
+constexpr Duration HeardTime = 2s;
 /// Quarantined contents in one digest.
 constexpr std::size_t MaxDigestSuspects = 16;
 /// Time between two looks at what changes without an event.
@@ -87,6 +89,15 @@
 }
 
 void FleetCore::onMembersListed(std::vector<Member> Listed, TimePoint Now) {
+  // Entries lapse while the store is away; peers that are heard are alive.
+  Membership Fresh;
+  Fresh.update(Listed);
+  for (const Member &Item : Members.members()) {
+    const auto Heard = LastHeard.find(Item.Life.Instance);
+    const bool Alive = Heard != LastHeard.end() && Now < Heard->second + HeardTime;
+    if (Alive && Fresh.find(Item.Life.Instance) == nullptr)
+      Listed.push_back(Item);
+  }
   for (const Member &Item : Listed)
     Unlisted.erase(Item.Life.Instance);
   Members.update(Listed);
@@ -282,6 +293,7 @@
 
 void FleetCore::onPeerMessage(const InstanceId &From,
                               const PeerMessage &Message, TimePoint Now) {
+  LastHeard[From] = Now;
   if (const auto *Digest = std::get_if<PeerDigest>(&Message))
     onDigest(From, *Digest, Now);
   else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -160,6 +160,8 @@
   std::string CurrentText;
   /// Registry entries as stored, for peers that the store does not answer.
   std::map<std::string, StoreEntry> Entries;
+  /// When each peer was last heard.
+  std::map<InstanceId, TimePoint> LastHeard;
   /// Peers that are not listed, by what they or the settings say.
   std::map<InstanceId, Member> Unlisted;
   std::optional<TimePoint> LapseCheck;
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -73,6 +73,7 @@
   Policy.LeastDrawShares = 18;
   Policy.DrawAhead = true;
   Policy.Lending = true;
+  Policy.CommitterTimeout = 2500ms;
   Policy.BudgetWait = 250ms;
   Policy.MaxHeadBills = 128;
   Policy.Carriers = 0;
