Refuse new calls late in a stop, and test the new modules

An own test found that exhaustion was believed after a top-up by another tool; another that an upstream heard in the moment of a dispatch never counted as silent.

Change: calls that come 3.5 s after the order to stop are refused as not run; what was seen of a record proves exhaustion only where totals are stated here; silence counts from the dispatch on.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -52,7 +52,9 @@
   if (!serving(Now))
     return ReserveOutcome::Unavailable;
   Book &Budget = Books[Workspace];
-  if (Budget.Unsettled && Bound > *Budget.Unsettled)
+  // Where totals are stated here, no top-up goes by unseen.
+  const bool Stated = !Budget.Stated.isZero();
+  if (Stated && Budget.Unsettled && Bound > *Budget.Unsettled)
     return ReserveOutcome::Exhausted;
   Reservation Wanted{Workspace, Bound, 0, false, {}, {}};
   const bool NextInLine = Budget.Waiting.empty() || Bound.isZero();
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -93,8 +93,8 @@
 void RelayEngine::onCallerRequest(CallerRequest In, TimePoint Now) {
   ++Counters.Accepted;
   const CallerTicket Ticket = In.Ticket;
-  if (!Routes) {
-    refuse(Ticket, nullptr, Reason::NotReady);
+  if (!Routes || !Admitting) {
+    refuse(Ticket, nullptr, Admitting ? Reason::NotReady : Reason::Draining);
     return;
   }
   Result<RelayCall> Parsed = Around.Codec.parseCall(std::move(In));
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -64,6 +64,9 @@
                  const std::optional<RecordedAnswer> &, TimePoint) override {}
   void onSettled(const RequestId &, const Settlement &, TimePoint) override {}
 
+  /// \brief Refuses calls from now on; those under way go on.
+  void stopAdmitting() { Admitting = false; }
+
   [[nodiscard]] std::size_t inFlight() const { return Active.size(); }
   [[nodiscard]] const RequestCounters &counters() const { return Counters; }
   [[nodiscard]] LatencyCounts firstByteLatency() const {
@@ -148,6 +151,7 @@
   std::map<RequestId, ActiveCall> Active;
   std::map<CallerTicket, RequestId> ByTicket;
   std::map<AttemptId, RequestId> ByAttempt;
+  bool Admitting = true;
   std::uint64_t LastRequest = 0;
   std::uint64_t LastAttempt = 0;
   RequestCounters Counters;
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -211,7 +211,7 @@
     return;
   case TryEnd::Cancelled:
     if (!Done.Answered && Took > SilenceFloor &&
-        Took > SilenceMultiple * Done.Expected && Item->LastHeard < Done.At)
+        Took > SilenceMultiple * Done.Expected && Item->LastHeard <= Done.At)
       shun(*Item, Now);
     return;
   }
@@ -303,7 +303,7 @@
             ? SilenceFloor
             : std::max(SilenceFloor,
                        SilenceMultiple * Running->second.Expected);
-    if (Now > Sent + Patience && Item.LastHeard < Sent)
+    if (Now > Sent + Patience && Item.LastHeard <= Sent)
       return false;
   }
   return true;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -361,6 +361,9 @@
 }
 
 void FleetCore::finishDrain(TimePoint Now) {
+  // Where no other instance is left, callers keep coming.
+  if (Now >= *DrainingSince + Policy.AdmitWhileDraining)
+    Engine.stopAdmitting();
   const bool Idle = Engine.inFlight() == 0;
   if (Idle && Budgets)
     Budgets->drain(Now);
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -22,6 +22,9 @@
   std::chrono::milliseconds WatchWait{1500};
   /// Time that the balancer has to notice that the instance is not ready.
   Duration UnreadyNotice = 2600ms;
+  /// Time from the order to stop for which calls are still taken; later ones
+  /// might not end in time.
+  Duration AdmitWhileDraining = 3500ms;
   /// Time from the order to stop after which grants that could not be returned
   /// are left behind.
   Duration DrainLimit = 6500ms;
--- /dev/null
+++ b/test/BudgetLendingTest.cpp
@@ -0,0 +1,125 @@
+#include "test/support/FakeFleet.h"
+
+#include <catch2/catch.hpp>
+
+namespace bronzeward::fakes {
+namespace {
+
+const WorkspaceId Khan{"khan"};
+
+BudgetPolicy lendingPolicy() {
+  BudgetPolicy Policy;
+  Policy.Lending = true;
+  Policy.BudgetWait = 250ms;
+  Policy.GrantHorizon = 5s;
+  Policy.RateWindow = 6s;
+  Policy.SpendingMargin = 1.0;
+  Policy.ReservedMultiple = 1;
+  Policy.RefillMultiple = 1.1;
+  Policy.ReturnMultiple = 1.2;
+  Policy.Carriers = 0;
+  Policy.AnswerHold = 60s;
+  return Policy;
+}
+
+FakeRequest requestOf(int Number, std::size_t Node, Money Bound) {
+  FakeRequest Made;
+  Made.Id.Value = "r" + std::to_string(Number);
+  Made.Node = Node;
+  Made.Workspace = Khan;
+  Made.Key = "k" + std::to_string(Number);
+  Made.Bound = Bound;
+  Made.Cost = Bound;
+  Made.Work = 50ms;
+  return Made;
+}
+
+void checkPromises(const FakeFleet &Fleet) {
+  const std::vector<std::string> Problems = Fleet.broken();
+  CAPTURE(Problems);
+  CHECK(Problems.empty());
+}
+
+// Load pattern: with the store away, one instance gets every request of a
+// workspace, while the others' grants lie idle.
+TEST_CASE("A hot instance spends what idle ones hold while the store is away",
+          "[BudgetLending]") {
+  FakeFleet Fleet(4, lendingPolicy(), 1);
+  Fleet.topUp(Khan, Money(100'000));
+  for (int Node = 0; Node < 4; ++Node)
+    Fleet.start(requestOf(Node, static_cast<std::size_t>(Node), Money(1'000)));
+  Fleet.runFor(2s);
+  Fleet.setStoreAway(true);
+  const Money OwnShare = Fleet.agent(0).held();
+  int Served = 0;
+  for (int Number = 10; Number < 40; ++Number) {
+    Fleet.start(requestOf(Number, 0, Money(500)));
+    Fleet.runFor(300ms);
+    const FakeOutcome &Seen = Fleet.outcome("r" + std::to_string(Number));
+    Served += Seen.Reserve == ReserveOutcome::Granted ? 1 : 0;
+  }
+  CHECK(Money(500 * Served) > OwnShare);
+  Fleet.setStoreAway(false);
+  Fleet.runFor(10s);
+  checkPromises(Fleet);
+}
+
+TEST_CASE("A loan covers the request that asked for it", "[BudgetLending]") {
+  FakeFleet Fleet(2, lendingPolicy(), 1);
+  Fleet.topUp(Khan, Money(10'000));
+  Fleet.start(requestOf(1, 1, Money(2'000)));
+  Fleet.runFor(1s);
+  Fleet.setStoreAway(true);
+  const Money Idle = Fleet.agent(1).held();
+  REQUIRE(Idle > Money(0));
+  Fleet.start(requestOf(2, 0, Idle));
+  Fleet.runFor(200ms);
+  CHECK(Fleet.outcome("r2").Reserve == ReserveOutcome::Granted);
+  Fleet.setStoreAway(false);
+  Fleet.runFor(5s);
+  checkPromises(Fleet);
+}
+
+TEST_CASE("A refusal tells what is spent from what is held elsewhere",
+          "[BudgetLending]") {
+  FakeFleet Fleet(2, lendingPolicy(), 1);
+  Fleet.topUp(Khan, Money(1'000));
+  FakeRequest Long = requestOf(1, 0, Money(800));
+  Long.Work = 3s;
+  Fleet.start(Long);
+  Fleet.runFor(500ms);
+  Fleet.start(requestOf(2, 1, Money(500)));
+  Fleet.runFor(500ms);
+  CHECK(Fleet.outcome("r2").Reserve == ReserveOutcome::Held);
+  Fleet.runFor(5s);
+  Fleet.start(requestOf(3, 1, Money(500)));
+  Fleet.runFor(500ms);
+  CHECK(Fleet.outcome("r3").Reserve == ReserveOutcome::Exhausted);
+  checkPromises(Fleet);
+}
+
+TEST_CASE("Random loans under failure never overspend", "[BudgetLending]") {
+  for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    CAPTURE(Seed);
+    FakeFleet Fleet(4, lendingPolicy(), Seed);
+    Fleet.topUp(Khan, Money(60'000));
+    for (int Number = 1; Number <= 150; ++Number) {
+      const std::size_t Node = Fleet.random().below(4);
+      const Money Bound(
+          static_cast<std::int64_t>(100 + Fleet.random().below(1'500)));
+      if (Fleet.alive(Node))
+        Fleet.start(requestOf(Number, Node, Bound));
+      Fleet.runFor(std::chrono::milliseconds(Fleet.random().below(120)));
+      if (Fleet.random().below(20) == 0)
+        Fleet.setStoreAway(Fleet.random().below(2) == 0);
+      if (Fleet.random().below(40) == 0)
+        Fleet.restart(Node);
+    }
+    Fleet.setStoreAway(false);
+    Fleet.runFor(10s);
+    checkPromises(Fleet);
+  }
+}
+
+} // namespace
+} // namespace bronzeward::fakes
--- /dev/null
+++ b/test/CallerServerTest.cpp
@@ -0,0 +1,109 @@
+#include "bronzeward/Net"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+namespace bronzeward {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// \brief A server that answers every request, and counts them.
+class Echo {
+public:
+  Echo()
+      : Server(limits(), [this](CallerEvent Event) {
+          if (const auto *Request = std::get_if<CallerRequest>(&Event)) {
+            ++Taken;
+            Answer Made;
+            Made.Body = Request->Body;
+            Server.answer(Request->Ticket, Made);
+          }
+          return true;
+        }) {
+    Port = Server.listen("127.0.0.1", 0).value();
+  }
+  ~Echo() { Server.stop(); }
+
+  static CallerLimits limits() {
+    CallerLimits Made;
+    Made.MaxHeaderBytes = 2048;
+    Made.MaxBodyBytes = 4096;
+    Made.ReadTimeout = 300ms;
+    return Made;
+  }
+
+  /// \returns what comes back until the server closes the connection.
+  std::string exchange(const std::string &Bytes) const {
+    boost::asio::io_context Io;
+    Tcp::socket Socket(Io);
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    boost::system::error_code Failure;
+    boost::asio::write(Socket, boost::asio::buffer(Bytes), Failure);
+    std::string Reply;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Reply), Failure);
+    return Reply;
+  }
+
+  std::atomic<int> Taken = 0;
+  CallerServer Server;
+  std::uint16_t Port = 0;
+};
+
+bool has(const std::string &Reply, const char *Status) {
+  return Reply.starts_with(std::string("HTTP/1.1 ") + Status);
+}
+
+TEST_CASE("A plain request is taken", "[CallerServer]") {
+  Echo Item;
+  CHECK(has(Item.exchange("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close"
+                          "\r\nContent-Length: 2\r\n\r\nhi"),
+            "200"));
+  CHECK(has(Item.exchange("POST /x HTTP/1.1\r\nHost: h\r\nConnection: close"
+                          "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"
+                          "0\r\n\r\n"),
+            "200"));
+  CHECK(Item.Taken == 2);
+}
+
+TEST_CASE("A request with two meanings is refused and not taken",
+          "[CallerServer]") {
+  const std::string Start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::vector<std::string> Bad{
+      Start + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "0\r\n\r\n",
+      Start + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      Start + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+      Start + "X-Folded: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+      Start + "X-Bare: a\nY: b\r\nContent-Length: 0\r\n\r\n",
+      Start + "X-Bare: a\rb\r\nContent-Length: 0\r\n\r\n",
+      Start + "Host: other\r\nContent-Length: 0\r\n\r\n",
+      Start + "Content-Length : 0\r\n\r\n",
+      Start + "Content-Length: 2\r\n\r\nhiPOST /y HTTP/1.1\r\nHost: h\r\n\r\n",
+      "POST http://h/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"};
+  for (const std::string &Bytes : Bad) {
+    CAPTURE(Bytes);
+    Echo Item;
+    CHECK(has(Item.exchange(Bytes), "400"));
+    CHECK(Item.Taken == 0);
+  }
+}
+
+TEST_CASE("Long and slow requests are refused", "[CallerServer]") {
+  Echo Item;
+  const std::string Start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  CHECK(has(Item.exchange(Start + "X: " + std::string(4096, 'a') + "\r\n\r\n"),
+            "431"));
+  CHECK(has(Item.exchange(Start + "Content-Length: 9000\r\n\r\n"), "413"));
+  CHECK(has(Item.exchange(Start + "X: a"), "408"));
+  CHECK(Item.Taken == 0);
+}
+
+} // namespace
+} // namespace bronzeward
--- /dev/null
+++ b/test/PlatformFormTest.cpp
@@ -0,0 +1,192 @@
+#include "bronzeward/src/Net/Base64.h"
+#include "platform/CallForm.h"
+#include "platform/DeploymentForm.h"
+#include "platform/StoreForm.h"
+
+#include <catch2/catch.hpp>
+
+namespace bronzeward::platform {
+namespace {
+
+CallerRequest requestOf(std::vector<HeaderField> Headers) {
+  CallerRequest In;
+  In.Method = "POST";
+  In.Target = "/a/b?x=1";
+  In.Host = "h.example";
+  In.Headers = std::move(Headers);
+  return In;
+}
+
+const std::string *sent(const std::vector<HeaderField> &Headers,
+                        const char *Name) {
+  return findHeader(Headers, Name);
+}
+
+TEST_CASE("A call's headers become typed fields", "[PlatformForm]") {
+  const CallForm Form;
+  const Result<RelayCall> Call =
+      Form.parseCall(requestOf({{"X-Attempt-Id", "a1"},
+                                {"X-Deadline-Ms", "1200"},
+                                {"X-Token-Count", "1460,80"},
+                                {"X-Prompt-Prefix", "5c:800,91:410"},
+                                {"Authorization", "Bearer secret"}}));
+  REQUIRE(Call);
+  CHECK(Call.value().AttemptName == "a1");
+  CHECK(Call.value().Patience == Duration(1200ms));
+  CHECK(Call.value().PromptTokens == 1460);
+  CHECK(Call.value().MaxOutputTokens == 80);
+  REQUIRE(Call.value().Parts.size() == 2);
+  CHECK(Call.value().Parts[1].Tokens == 410);
+  CHECK(Call.value().ApiKey == "secret");
+}
+
+TEST_CASE("Missing, doubled and malformed headers are refused",
+          "[PlatformForm]") {
+  const CallForm Form;
+  CHECK_FALSE(Form.parseCall(requestOf({})));
+  CHECK_FALSE(Form.parseCall(
+      requestOf({{"X-Attempt-Id", "a"}, {"x-attempt-id", "b"}})));
+  CHECK_FALSE(Form.parseCall(
+      requestOf({{"X-Attempt-Id", "a"}, {"X-Deadline-Ms", "soon"}})));
+  CHECK_FALSE(Form.parseCall(requestOf({{"X-Attempt-Id", "a"},
+                                        {"X-Token-Count", "1,2"},
+                                        {"X-Token-Count", "9,9"}})));
+}
+
+TEST_CASE("What consumers may not set is dropped and set anew",
+          "[PlatformForm]") {
+  const CallForm Form;
+  const Result<RelayCall> Call =
+      Form.parseCall(requestOf({{"X-Attempt-Id", "a1"},
+                                {"Authorization", "Bearer secret"},
+                                {"X-Tenant", "forged"},
+                                {"X-Expect-Instance", "forged"},
+                                {"X-Hold", "1"},
+                                {"X-Pin-Ms", "4000"},
+                                {"X-Kv-Backup", "1.2.3.4:5"},
+                                {"Kv-From", "1.2.3.4:5/6"},
+                                {"Kv-Fetch", "1.2.3.4:5"},
+                                {"X-Request-Priority", "0"},
+                                {"Connection", "X-Extra, X-Attempt-Id"},
+                                {"X-Extra", "1"},
+                                {"X-Model", "m"}}));
+  REQUIRE(Call);
+  DispatchTerms Terms;
+  Terms.TimeLeft = 900ms;
+  Terms.Upstream.Value = "i-1";
+  Terms.Workspace.Value = "khan";
+  Terms.Priority = 4;
+  const std::vector<HeaderField> Out =
+      Form.dispatchHeaders(Call.value(), Terms);
+  for (const char *Dropped : {"Authorization", "X-Hold", "X-Pin-Ms",
+                              "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Extra"})
+    CHECK(sent(Out, Dropped) == nullptr);
+  CHECK(*sent(Out, "X-Tenant") == "khan");
+  CHECK(*sent(Out, "X-Expect-Instance") == "i-1");
+  CHECK(*sent(Out, "X-Request-Priority") == "4");
+  CHECK(*sent(Out, "X-Deadline-Ms") == "900");
+  CHECK(*sent(Out, "X-Attempt-Id") == "a1");
+  CHECK(*sent(Out, "X-Model") == "m");
+}
+
+TEST_CASE("An answer's head tells whether the call ran", "[PlatformForm]") {
+  const CallForm Form;
+  CHECK(Form.parseAnswerHead({503, {{"X-Not-Executed", "1"}}}).NotRun);
+  CHECK(Form.parseAnswerHead({421, {}}).Misdirected);
+  CHECK_FALSE(Form.parseAnswerHead({500, {}}).NotRun);
+  const RelayAnswerHead Head =
+      Form.parseAnswerHead({200,
+                            {{"X-Server-Load", "3,1,8"},
+                             {"X-Response-Signature", "s"},
+                             {"Content-Length", "3"}}});
+  REQUIRE(Head.Load);
+  CHECK(Head.Load->Waiting == 1);
+  CHECK(sent(Head.Forwarded, "X-Response-Signature") != nullptr);
+  CHECK(sent(Head.Forwarded, "Content-Length") == nullptr);
+}
+
+TEST_CASE("Store calls have the published form", "[PlatformForm]") {
+  const StoreForm Form;
+  const std::optional<StoreHttpCall> List =
+      Form.encode(ListKeys{"servers/", "servers/i&1", true});
+  REQUIRE(List);
+  CHECK(List->Target == "/bronzeward/kv-range?prefix=servers/"
+                        "&after=servers/i%261&allow_stale=1");
+  const std::optional<StoreHttpCall> Swap =
+      Form.encode(CompareAndSwap{"k", "v", 3, StoreLeaseId{7}});
+  REQUIRE(Swap);
+  CHECK(Swap->Body == R"({"expected_rev":[{"key":"k","rev":3}],"writes":)"
+                      R"([{"key":"k","value":"dg==","lease":7}],"remove":[]})");
+}
+
+TEST_CASE("Store replies tell what is known of an effect", "[PlatformForm]") {
+  const StoreForm Form;
+  const CompareAndSwap Swap{"k", "v", 3, {}};
+  CHECK(Form.parse(Swap, 412, "{}").Status == StoreStatus::Conflict);
+  CHECK(Form.parse(Swap, 503, "").Status == StoreStatus::Unavailable);
+  CHECK(Form.parse(Swap, 500, "").Status == StoreStatus::Unknown);
+  CHECK(Form.parse(Swap, 200, "not json").Status == StoreStatus::Unknown);
+  CHECK(Form.parse(Swap, 200, R"({"rev":9})").Revision == 9);
+  CHECK(Form.parse(ReadKey{"k"}, 404, "").Entries.empty());
+  CHECK(Form.parse(WatchKeys{"a", 1, 1ms}, 410, "").HistoryLost);
+  const StoreReply Watched = Form.parse(
+      WatchKeys{"a", 1, 1ms}, 200,
+      R"({"events":[{"key":"a/1","value":"dg==","rev":4},)"
+      R"({"key":"a/2","rev":5,"deleted":true}],"store_revision":6})");
+  REQUIRE(Watched.Entries.size() == 2);
+  CHECK(Watched.Entries[0].Value == "v");
+  CHECK(Watched.Entries[1].Deleted);
+  CHECK(Watched.Revision == 6);
+}
+
+TEST_CASE("Registry entries of other writers name no upstream",
+          "[PlatformForm]") {
+  const DeploymentForm Form;
+  const auto Parse = [&](const char *Value) {
+    return Form.parseUpstream({"servers/i-1", Value, 1, false});
+  };
+  const Result<UpstreamEntry> Good =
+      Parse(R"({"service":"s","address":"10.1.2.3:80","zone":"a","capacity":6,)"
+            R"("state":"draining","born":1700000000000})");
+  REQUIRE(Good);
+  CHECK(Good.value().Draining);
+  CHECK(Good.value().Port == 80);
+  CHECK_FALSE(Parse("\x01\x02"));
+  CHECK_FALSE(Parse(R"({"service":"s"})"));
+  CHECK_FALSE(Parse(R"({"service":7,"address":"10.1.2.3:80","zone":"a",)"
+                    R"("capacity":6,"state":"ready"})"));
+  CHECK_FALSE(Parse(R"({"service":"s","address":"10.1.2.3:80","zone":"a",)"
+                    R"("capacity":6,"state":"asleep"})"));
+  CHECK_FALSE(Parse(R"({"service":"s","address":"nowhere","zone":"a",)"
+                    R"("capacity":6,"state":"ready"})"));
+}
+
+TEST_CASE("A configuration gives routes, services and workspaces",
+          "[PlatformForm]") {
+  const DeploymentForm Form;
+  const Result<FleetConfiguration> Text = Form.parseConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"H.example",)"
+      R"("prefix":"/a/","kind":"streaming","timeout_ms":6000,)"
+      R"("target_latency_ms":800,"priority":1,"attempts":2,)"
+      R"("stream_resume":true,"backends":[{"service":"s","weight":90},)"
+      R"({"service":"t","weight":10}]},{"name":"q","host":"h.example",)"
+      R"("prefix":"/a/b/","kind":"idempotent","service":"t","public":true}],)"
+      R"("services":[{"name":"s","max_connections":360,)"
+      R"("engine":{"stride":3}},{"name":"t"}],)"
+      R"("limits":{"max_header_bytes":9000},"tenants":[{"name":"khan",)"
+      R"("api_keys":["k1"],"priority":1,"prepaid":500}]})");
+  REQUIRE(Text);
+  const RouteTable Table(Text.value());
+  REQUIRE(Table.route("h.example", "/a/x?y=/z/") != nullptr);
+  CHECK(Table.route("h.example", "/a/x")->Targets.size() == 2);
+  CHECK(Table.route("h.example", "/a/b/c")->Name == "q");
+  CHECK(Table.route("h.example", "/ab") == nullptr);
+  CHECK(Table.service(ServiceName{"s"})->TokensPerEvent == 3);
+  REQUIRE(Table.workspace("k1") != nullptr);
+  CHECK(Table.workspace("k1")->Prepaid == Money(500));
+  CHECK(Table.workspace("k2") == nullptr);
+  CHECK_FALSE(Form.parseConfiguration("{}"));
+}
+
+} // namespace
+} // namespace bronzeward::platform
--- /dev/null
+++ b/test/StoreFollowerTest.cpp
@@ -0,0 +1,114 @@
+#include "bronzeward/Store"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+namespace bronzeward {
+namespace {
+
+using trompeloeil::_;
+
+class MockStore : public StorePort {
+public:
+  MAKE_MOCK2(send, void(StoreCallId, const StoreCall &), override);
+};
+
+class MockListener : public StoreFollowerListener {
+public:
+  MAKE_MOCK3(onListed,
+             void(const std::vector<StoreEntry> &, std::uint64_t, TimePoint),
+             override);
+  MAKE_MOCK2(onChanged, void(const StoreEntry &, TimePoint), override);
+};
+
+class Follower {
+public:
+  Follower() {
+    Sent = NAMED_ALLOW_CALL(Port, send(_, _))
+               .LR_SIDE_EFFECT(Calls.emplace_back(_1, _2));
+    Keys.start(Now);
+  }
+  void answer(StoreReply Reply) {
+    const StoreCallId Id = Calls.back().first;
+    Client.onReply(Id, Reply, Now);
+  }
+  void wait(Duration Time) {
+    Now += Time;
+    Timers.runDue(Now);
+  }
+  template <class Call> [[nodiscard]] bool lastIs() const {
+    return std::holds_alternative<Call>(Calls.back().second);
+  }
+
+  TimePoint Now{1h};
+  std::vector<std::pair<StoreCallId, StoreCall>> Calls;
+  MockStore Port;
+  MockListener Listener;
+  std::unique_ptr<trompeloeil::expectation> Sent;
+  TimerQueue Timers;
+  Random Source{1};
+  StoreClient Client{Port, Timers, Source, StorePolicy()};
+  StoreFollower Keys{"a/", 1500ms, Client, Timers, Source, Listener};
+};
+
+StoreReply ok(std::uint64_t Revision) {
+  StoreReply Reply;
+  Reply.Status = StoreStatus::Ok;
+  Reply.Revision = Revision;
+  return Reply;
+}
+
+TEST_CASE("A list is followed by watches from its revision",
+          "[StoreFollower]") {
+  Follower Item;
+  ALLOW_CALL(Item.Listener, onListed(_, 7U, _));
+  Item.answer(ok(7));
+  REQUIRE(Item.lastIs<WatchKeys>());
+  CHECK(std::get<WatchKeys>(Item.Calls.back().second).AfterRevision == 7);
+  REQUIRE_CALL(Item.Listener, onChanged(_, _));
+  StoreReply Change = ok(9);
+  Change.Entries.push_back({"a/x", "v", 9, false});
+  Item.answer(Change);
+  CHECK(std::get<WatchKeys>(Item.Calls.back().second).AfterRevision == 9);
+}
+
+TEST_CASE("A dropped history is read anew", "[StoreFollower]") {
+  Follower Item;
+  ALLOW_CALL(Item.Listener, onListed(_, _, _));
+  Item.answer(ok(7));
+  StoreReply Lost;
+  Lost.Status = StoreStatus::Conflict;
+  Lost.HistoryLost = true;
+  Item.answer(Lost);
+  CHECK(Item.lastIs<ListKeys>());
+  CHECK(Item.Keys.inTouch());
+}
+
+TEST_CASE("A silent watch is given up and the list read again",
+          "[StoreFollower]") {
+  Follower Item;
+  ALLOW_CALL(Item.Listener, onListed(_, _, _));
+  Item.answer(ok(7));
+  Item.wait(2600ms);
+  CHECK_FALSE(Item.Keys.inTouch());
+  Item.wait(500ms);
+  REQUIRE(Item.lastIs<ListKeys>());
+  CHECK(Item.Keys.regainedAt() == std::nullopt);
+  Item.answer(ok(8));
+  CHECK(Item.Keys.inTouch());
+  CHECK(Item.Keys.regainedAt() == Item.Now);
+}
+
+TEST_CASE("A first contact is no return of the store", "[StoreFollower]") {
+  Follower Item;
+  StoreReply Away;
+  Item.answer(Away);
+  Item.wait(500ms);
+  ALLOW_CALL(Item.Listener, onListed(_, _, _));
+  Item.answer(ok(7));
+  CHECK(Item.Keys.inTouch());
+  CHECK(Item.Keys.regainedAt() == std::nullopt);
+}
+
+} // namespace
+} // namespace bronzeward
