--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -124,8 +124,8 @@
 // Configuration.
 
 void FleetCore::ConfigurationFeed::onListed(
-    const std::vector<StoreEntry> &Entries, std::uint64_t, TimePoint Now) {
-  for (const StoreEntry &Entry : Entries)
+    const std::vector<StoreEntry> &Found, std::uint64_t, TimePoint Now) {
+  for (const StoreEntry &Entry : Found)
     onChanged(Entry, Now);
 }
 
@@ -155,9 +155,9 @@
 
 // Upstreams.
 
-void FleetCore::UpstreamFeed::onListed(const std::vector<StoreEntry> &Entries,
+void FleetCore::UpstreamFeed::onListed(const std::vector<StoreEntry> &Found,
                                        std::uint64_t Revision, TimePoint Now) {
-  Owner.takeUpstreams(Entries, Revision, Owner.UpstreamKeys.regainedAt(), Now);
+  Owner.takeUpstreams(Found, Revision, Owner.UpstreamKeys.regainedAt(), Now);
 }
 
 void FleetCore::UpstreamFeed::onChanged(const StoreEntry &Entry,
--- a/test/BudgetLendingTest.cpp
+++ b/test/BudgetLendingTest.cpp
@@ -58,7 +58,7 @@
     const FakeOutcome &Seen = Fleet.outcome("r" + std::to_string(Number));
     Served += Seen.Reserve == ReserveOutcome::Granted ? 1 : 0;
   }
-  CHECK(Money(500 * Served) > OwnShare);
+  CHECK(scaled(Money(500), Served) > OwnShare);
   Fleet.setStoreAway(false);
   Fleet.runFor(10s);
   checkPromises(Fleet);
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -28,7 +28,7 @@
                .LR_SIDE_EFFECT(Calls.emplace_back(_1, _2));
     Keys.start(Now);
   }
-  void answer(StoreReply Reply) {
+  void answer(const StoreReply &Reply) {
     const StoreCallId Id = Calls.back().first;
     Client.onReply(Id, Reply, Now);
   }
