--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -39,6 +39,12 @@
          std::holds_alternative<ReturnGrant>(Change);
 }
 
+/// \returns whether the result depends on the keys of older segments.
+static bool needsOlderKeys(const Operation &Change) {
+  return std::holds_alternative<CommitBill>(Change) ||
+         std::holds_alternative<OpenClaim>(Change);
+}
+
 SlotCommitter::SlotCommitter(SlotId Number, StoreClient &Client,
                              TimerQueue &Pending, Random &Seeded,
                              const BudgetPolicy &Settings)
@@ -80,12 +86,12 @@
       wakeAt(nextAllowed());
     return;
   }
-  Busy = true;
-  const std::size_t Count = std::min(Queue.size(), MaxBatch);
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    Batch.push_back(std::move(Queue.front()));
-    Queue.pop_front();
+  takeBatch();
+  if (Loaded && Batch.empty()) {
+    fetchKeys(Now);
+    return;
   }
+  Busy = true;
   Validated = false;
   if (Loaded)
     applyBatch(Now);
@@ -93,6 +99,44 @@
     load(Now);
 }
 
+void SlotCommitter::takeBatch() {
+  // After a start the segments take far longer to read than the head; what
+  // needs no key, such as a draw that requests wait for, does not wait.
+  const bool KeysKnown = Loaded && missingSegment() == nullptr;
+  std::deque<Queued> Left;
+  for (Queued &Item : Queue) {
+    const bool Later = !KeysKnown && needsOlderKeys(Item.Change);
+    if (Later || Batch.size() >= MaxBatch)
+      Left.push_back(std::move(Item));
+    else
+      Batch.push_back(std::move(Item));
+  }
+  Queue = std::move(Left);
+}
+
+void SlotCommitter::postponeKeyed() {
+  std::vector<Queued> Ready;
+  std::deque<Queued> Later;
+  for (Queued &Item : Batch)
+    if (needsOlderKeys(Item.Change))
+      Later.push_back(std::move(Item));
+    else
+      Ready.push_back(std::move(Item));
+  Batch = std::move(Ready);
+  for (Queued &Item : Queue)
+    Later.push_back(std::move(Item));
+  Queue = std::move(Later);
+}
+
+const SegmentReference *SlotCommitter::missingSegment() const {
+  const std::vector<SegmentReference> &Listed = Ledger->record().Segments;
+  const std::size_t First = Listed.size() - retained(Listed);
+  for (std::size_t Index = First; Index < Listed.size(); ++Index)
+    if (!Older->contains(Listed[Index].Id))
+      return &Listed[Index];
+  return nullptr;
+}
+
 void SlotCommitter::load(TimePoint Now) {
   Store.call(
       ReadKey{slotKey(Slot)}, Now,
@@ -120,7 +164,13 @@
   Rolled.clear();
   Older->retain(Head.Segments);
   Ledger = std::make_unique<SlotLedger>(std::move(Head), Older);
-  loadSegments(Now);
+  Loaded = true;
+  Validated = true;
+  if (missingSegment() != nullptr) {
+    postponeKeyed();
+    fetchKeys(Now);
+  }
+  applyBatch(Now);
 }
 
 std::size_t
@@ -137,38 +187,45 @@
       }));
 }
 
-void SlotCommitter::loadSegments(TimePoint Now) {
-  const std::vector<SegmentReference> &Listed = Ledger->record().Segments;
-  const std::size_t First = Listed.size() - retained(Listed);
-  for (std::size_t Index = First; Index < Listed.size(); ++Index) {
-    const SegmentReference &Reference = Listed[Index];
-    if (Older->contains(Reference.Id))
-      continue;
-    Store.call(
-        ReadKey{segmentKey(Slot, Reference.Id)}, Now,
-        [this, Id = Reference.Id](const StoreReply &Reply, TimePoint At) {
-          onSegment(Id, Reply, At);
-        });
+void SlotCommitter::fetchKeys(TimePoint Now) {
+  const SegmentReference *Missing = Loaded ? missingSegment() : nullptr;
+  if (Fetching || Missing == nullptr)
     return;
-  }
-  Loaded = true;
-  Validated = true;
-  applyBatch(Now);
+  Fetching = true;
+  Store.call(ReadKey{segmentKey(Slot, Missing->Id)}, Now,
+             [this, Id = Missing->Id](const StoreReply &Reply, TimePoint At) {
+               onSegment(Id, Reply, At);
+             });
 }
 
 void SlotCommitter::onSegment(const std::string &Id, const StoreReply &Reply,
                               TimePoint Now) {
+  Fetching = false;
   if (Reply.Status != StoreStatus::Ok || Reply.Entries.empty()) {
-    giveUp(Now);
+    giveUpKeyed(Now);
     return;
   }
   const Result<Segment> Part = decodeSegment(Reply.Entries.front().Value, Id);
   if (!Part) {
-    giveUp(Now);
+    giveUpKeyed(Now);
     return;
   }
   Older->insert(Id, Part.value());
-  loadSegments(Now);
+  fetchKeys(Now);
+  tryStart(Now);
+}
+
+void SlotCommitter::giveUpKeyed(TimePoint Now) {
+  std::deque<Queued> Left;
+  std::vector<Queued> Failed;
+  for (Queued &Item : Queue)
+    if (needsOlderKeys(Item.Change))
+      Failed.push_back(std::move(Item));
+    else
+      Left.push_back(std::move(Item));
+  Queue = std::move(Left);
+  for (const Queued &Item : Failed)
+    Item.Done(std::nullopt, Now);
 }
 
 void SlotCommitter::applyBatch(TimePoint Now) {
--- a/bronzeward/src/Budget/SlotCommitter.h
+++ b/bronzeward/src/Budget/SlotCommitter.h
@@ -63,7 +63,17 @@
   /// \returns how many of the newest segments hold keys to be remembered.
   [[nodiscard]] std::size_t
   retained(const std::vector<SegmentReference> &Listed) const;
-  void loadSegments(TimePoint Now);
+  /// Moves operations from the queue to the batch.
+  void takeBatch();
+  /// \returns the first segment whose keys are to be remembered and are not
+  /// known yet, or null.
+  [[nodiscard]] const SegmentReference *missingSegment() const;
+  /// Puts back what needs keys that a newer record turned out to miss.
+  void postponeKeyed();
+  /// Reads the missing segments one after the other, beside the commits.
+  void fetchKeys(TimePoint Now);
+  /// Ends what waits for keys, with its effect unknown.
+  void giveUpKeyed(TimePoint Now);
   void onSegment(const std::string &Id, const StoreReply &Reply, TimePoint Now);
   void applyBatch(TimePoint Now);
   void writeSegment(TimePoint Now);
@@ -94,6 +104,8 @@
   /// Whether the record was read or written since the batch began.
   bool Validated = false;
   bool Busy = false;
+  /// Whether a segment is being read.
+  bool Fetching = false;
   /// Time up to which commits have used their share of the store.
   TimePoint UsedUntil;
   std::optional<TimerQueue::Handle> Wake;
--- a/test/BudgetLendingTest.cpp
+++ b/test/BudgetLendingTest.cpp
@@ -180,6 +180,40 @@
   checkPromises(Fleet);
 }
 
+// Load pattern: every instance starts anew after a day's bills; requests come
+// at once.
+TEST_CASE("The first draw after a start does not wait for the day's keys",
+          "[BudgetLending]") {
+  BudgetPolicy Policy = lendingPolicy();
+  Policy.MaxHeadBills = 65;
+  FakeFleet Fleet(2, Policy, 1);
+  Fleet.topUp(Khan, Money(1'000'000));
+  for (int Number = 0; Number < 200; ++Number) {
+    Fleet.start(requestOf(Number, 0, Money(100)));
+    Fleet.runFor(100ms);
+  }
+  REQUIRE(Fleet.store().segments(slotOf(Khan, Policy.Slots)).size() > 50);
+  Fleet.StoreDelay = 10ms;
+  Fleet.restart(0);
+  Fleet.restart(1);
+  Fleet.start(requestOf(1'000, 0, Money(100)));
+  Fleet.start(requestOf(1'001, 1, Money(100)));
+  Fleet.runFor(200ms);
+  CHECK(Fleet.outcome("r1000").Reserve == ReserveOutcome::Granted);
+  CHECK(Fleet.outcome("r1001").Reserve == ReserveOutcome::Granted);
+  // Their bills follow once the keys are known.
+  Fleet.runFor(5s);
+  CHECK(Fleet.outcome("r1000").Answered);
+  CHECK(Fleet.outcome("r1001").Answered);
+  // A key of an old segment is still known.
+  FakeRequest Again = requestOf(3, 0, Money(100));
+  Again.Id.Value = "again";
+  Fleet.start(Again);
+  Fleet.runFor(2s);
+  CHECK(Fleet.outcome("again").Settle == SettleOutcome::BilledBefore);
+  checkPromises(Fleet);
+}
+
 TEST_CASE("Random loans under failure never overspend", "[BudgetLending]") {
   for (std::uint64_t Seed = 1; Seed <= 40; ++Seed) {
     CAPTURE(Seed);
