Let twins call one piece, and stop work that was done twice

Cause: a reading of the change as a whole. Two loops shuffled candidates, two functions read "ip:port", two test files carried the same mocks, both cores filled the common part of the status and logged unreadable replies, three loops of the committer parted what needs keys from what does not, and each list of members (every 2 s) ranked every workspace anew though nothing had changed.

Ruled out: one base class for the cores (their engines share no interface); the generated Cap'n Proto sources, which repeat by nature; one list of peers heard for core and budgets (their times differ, RouterCore has none).

Change: Random::shuffle; parseSocketAddress in Base, with the stricter tests of its two callers left with them; test/support/EngineMocks; commonStatus and noteBudgets; the log line of unreadable replies in InstanceProcess, where both daemons' replies pass; SlotCommitter::takeKeyed; ranks only where the list changed. Behaviour stays, but for operations beyond the 1,024 of one batch: those that wait for keys then stand behind them.

--- a/bronzeward/src/Base/Random.h
+++ b/bronzeward/src/Base/Random.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace bronzeward {
 
@@ -24,6 +26,11 @@
   double exponential(double Mean) {
     return std::exponential_distribution<double>(1.0 / Mean)(Engine);
   }
+  /// \brief Puts the items in random order.
+  template <typename Item> void shuffle(std::vector<Item> &Items) {
+    for (std::size_t Left = Items.size(); Left > 1; --Left)
+      std::swap(Items[Left - 1], Items[below(Left)]);
+  }
 
 private:
   std::mt19937_64 Engine;
--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -802,8 +802,7 @@
     if (!Peer.Leaving && Peer.Domain != Domain &&
         !Item.Asked.contains(Peer.Life.Instance))
       Others.push_back(&Peer);
-  for (std::size_t Index = Others.size(); Index > 1; --Index)
-    std::swap(Others[Index - 1], Others[Around.Source.below(Index)]);
+  Around.Source.shuffle(Others);
   // One of each failure domain first.
   std::vector<InstanceId> Chosen;
   std::set<FailureDomain> Seen;
@@ -895,8 +894,9 @@
 }
 
 void BudgetAgent::onMembers(std::vector<Member> Listed, TimePoint Now) {
+  const bool Changed = Listed != Members.members();
   Members.update(std::move(Listed));
-  if (Members.members().size() <= MaxRanked)
+  if (Changed && Members.members().size() <= MaxRanked)
     for (auto &[Workspace, Budget] : Books)
       Budget.Grant.setRounding(roundingPlace(Workspace));
   Watch.onListed(Now);
@@ -928,8 +928,7 @@
   for (const Member &Peer : Members.members())
     if (Peer.Life.Instance != Self.Instance && stays(Peer, Now))
       Staying.push_back(Peer.Life.Instance);
-  for (std::size_t Index = Staying.size(); Index > 1; --Index)
-    std::swap(Staying[Index - 1], Staying[Around.Source.below(Index)]);
+  Around.Source.shuffle(Staying);
   return Staying;
 }
 
--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -1,6 +1,7 @@
 #include "bronzeward/src/Budget/SlotCommitter.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bronzeward {
 
@@ -99,33 +100,38 @@
     load(Now);
 }
 
+template <typename List>
+std::vector<SlotCommitter::Queued> SlotCommitter::takeKeyed(List &From) {
+  const auto Keyed =
+      std::stable_partition(From.begin(), From.end(), [](const Queued &Item) {
+        return !needsOlderKeys(Item.Change);
+      });
+  std::vector<Queued> Taken(std::make_move_iterator(Keyed),
+                            std::make_move_iterator(From.end()));
+  From.erase(Keyed, From.end());
+  return Taken;
+}
+
 void SlotCommitter::takeBatch() {
   // After a start the segments take far longer to read than the head; what
   // needs no key, such as a draw that requests wait for, does not wait.
   const bool KeysKnown = Loaded && missingSegment() == nullptr;
-  std::deque<Queued> Left;
-  for (Queued &Item : Queue) {
-    const bool Later = !KeysKnown && needsOlderKeys(Item.Change);
-    if (Later || Batch.size() >= MaxBatch)
-      Left.push_back(std::move(Item));
-    else
-      Batch.push_back(std::move(Item));
-  }
-  Queue = std::move(Left);
+  std::vector<Queued> Later;
+  if (!KeysKnown)
+    Later = takeKeyed(Queue);
+  const auto End = Queue.begin() + static_cast<std::ptrdiff_t>(
+                                       std::min(Queue.size(), MaxBatch));
+  Batch.assign(std::make_move_iterator(Queue.begin()),
+               std::make_move_iterator(End));
+  Queue.erase(Queue.begin(), End);
+  Queue.insert(Queue.end(), std::make_move_iterator(Later.begin()),
+               std::make_move_iterator(Later.end()));
 }
 
 void SlotCommitter::postponeKeyed() {
-  std::vector<Queued> Ready;
-  std::deque<Queued> Later;
-  for (Queued &Item : Batch)
-    if (needsOlderKeys(Item.Change))
-      Later.push_back(std::move(Item));
-    else
-      Ready.push_back(std::move(Item));
-  Batch = std::move(Ready);
-  for (Queued &Item : Queue)
-    Later.push_back(std::move(Item));
-  Queue = std::move(Later);
+  std::vector<Queued> Later = takeKeyed(Batch);
+  Queue.insert(Queue.begin(), std::make_move_iterator(Later.begin()),
+               std::make_move_iterator(Later.end()));
 }
 
 const SegmentReference *SlotCommitter::missingSegment() const {
@@ -216,15 +222,7 @@
 }
 
 void SlotCommitter::giveUpKeyed(TimePoint Now) {
-  std::deque<Queued> Left;
-  std::vector<Queued> Failed;
-  for (Queued &Item : Queue)
-    if (needsOlderKeys(Item.Change))
-      Failed.push_back(std::move(Item));
-    else
-      Left.push_back(std::move(Item));
-  Queue = std::move(Left);
-  for (const Queued &Item : Failed)
+  for (const Queued &Item : takeKeyed(Queue))
     Item.Done(std::nullopt, Now);
 }
 
--- a/bronzeward/src/Budget/SlotCommitter.h
+++ b/bronzeward/src/Budget/SlotCommitter.h
@@ -63,6 +63,9 @@
   /// \returns how many of the newest segments hold keys to be remembered.
   [[nodiscard]] std::size_t
   retained(const std::vector<SegmentReference> &Listed) const;
+  /// Takes out what needs the keys of older segments, in order.
+  template <typename List>
+  [[nodiscard]] static std::vector<Queued> takeKeyed(List &From);
   /// Moves operations from the queue to the batch.
   void takeBatch();
   /// \returns the first segment whose keys are to be remembered and are not
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -314,9 +314,6 @@
 
 void FleetCore::onStoreReply(StoreCallId Id, const StoreReply &Reply,
                              TimePoint Now) {
-  if (const std::optional<std::string> Line =
-          Unreadable.report(Reply.Problem, Now))
-    Around.Log.onEvent("store-reply-unreadable", *Line);
   Store.onReply(Id, Reply, Now);
 }
 
@@ -398,26 +395,18 @@
 }
 
 RouterStatus FleetCore::status(TimePoint Now) const {
-  RouterStatus Status;
-  Status.Instance = Identity.Instance;
-  Status.Domain = Identity.Domain;
-  Status.NotReadyReason = notReadyReason(Now);
-  Status.Ready = Status.NotReadyReason.empty();
+  RouterStatus Status =
+      commonStatus(Identity, notReadyReason(Now), Store, Members);
   Status.Draining = DrainingSince.has_value();
   Status.Configuration = Version;
   Status.StoreFailing = storeAway();
-  Status.Store = Store.counters();
-  Status.Members = Members.members();
   Status.Upstreams = Engine.upstreams().size();
   Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
   Status.Requests = Engine.counters();
   Status.FirstByte = Engine.firstByteLatency();
   Status.Whole = Engine.wholeLatency();
-  if (!Budgets)
-    return Status;
-  Status.PendingOperations = Budgets->pendingOperations();
-  Status.CarriedBills = Budgets->carriedBills();
-  Status.HeldGrants = Budgets->held();
+  if (Budgets)
+    noteBudgets(Status, *Budgets);
   return Status;
 }
 
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -149,7 +149,6 @@
   TimerQueue Timers;
   Random Source;
   StoreClient Store;
-  UnreadableReplies Unreadable;
   Membership Members;
   InstanceRegistry Registry;
   ConfigurationFeed Configurations;
--- a/bronzeward/src/Router/InstanceCore.h
+++ b/bronzeward/src/Router/InstanceCore.h
@@ -33,6 +33,17 @@
   const Clock &Wall;
 };
 
+/// \returns the part of the status that does not depend on what an instance
+/// serves.
+/// \param NotReadyReason empty where the instance is ready.
+[[nodiscard]] RouterStatus commonStatus(const RouterIdentity &Who,
+                                        std::string NotReadyReason,
+                                        const StoreClient &Store,
+                                        const Membership &Members);
+
+/// \brief Adds what the instance holds of budgets.
+void noteBudgets(RouterStatus &Status, const BudgetAgent &Budgets);
+
 /// \brief One instance without its sockets, driven by events under its owner's
 /// clock.
 class InstanceCore {
--- a/bronzeward/src/Router/RouterCore.cpp
+++ b/bronzeward/src/Router/RouterCore.cpp
@@ -142,9 +142,6 @@
 
 void RouterCore::onStoreReply(StoreCallId Id, const StoreReply &Reply,
                               TimePoint Now) {
-  if (const std::optional<std::string> Line =
-          Unreadable.report(Reply.Problem, Now))
-    Around.Log.onEvent("store-reply-unreadable", *Line);
   Store.onReply(Id, Reply, Now);
 }
 
@@ -223,16 +220,11 @@
 }
 
 RouterStatus RouterCore::status(TimePoint Now) const {
-  RouterStatus Status;
-  Status.Instance = Identity.Instance;
-  Status.Domain = Identity.Domain;
-  Status.NotReadyReason = notReadyReason(Now);
-  Status.Ready = Status.NotReadyReason.empty();
+  RouterStatus Status =
+      commonStatus(Identity, notReadyReason(Now), Store, Members);
   Status.Draining = Draining;
   Status.Configuration = Follower.version();
   Status.StoreFailing = Store.failingSince().has_value();
-  Status.Store = Store.counters();
-  Status.Members = Members.members();
   if (!Engine)
     return Status;
   Status.InFlight = Engine->inFlight();
@@ -240,9 +232,7 @@
   Status.FirstByte = Engine->firstByteLatency();
   Status.Whole = Engine->wholeLatency();
   Status.Quarantined = Engine->quarantine().listed(Now);
-  Status.PendingOperations = Budgets->pendingOperations();
-  Status.CarriedBills = Budgets->carriedBills();
-  Status.HeldGrants = Budgets->held();
+  noteBudgets(Status, *Budgets);
   return Status;
 }
 
--- a/bronzeward/src/Router/RouterCore.h
+++ b/bronzeward/src/Router/RouterCore.h
@@ -76,7 +76,6 @@
   TimerQueue Timers;
   Random Source;
   StoreClient Store;
-  UnreadableReplies Unreadable;
   Membership Members;
   InstanceRegistry Registry;
   ConfigurationFollower Follower;
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -105,6 +105,9 @@
              Settings.Identity.Store.CallTimeout},
             Form,
             [this](StoreCallId Id, StoreReply Reply) {
+              if (const std::optional<std::string> Line =
+                      Unreadable.report(Reply.Problem, Time.now()))
+                Log.onEvent("store-reply-unreadable", *Line);
               Core.tell(StoreReplied{Id, std::move(Reply)});
             }),
       Peers(
--- a/daemons/InstanceProcess.h
+++ b/daemons/InstanceProcess.h
@@ -62,6 +62,8 @@
   boost::asio::io_context Main;
   SystemClock Time;
   StructuredLog Log;
+  /// Used in the store's thread.
+  UnreadableReplies Unreadable;
   HttpStore Store;
   PeerTransport Peers;
   CallerServer Callers;
--- a/daemons/Settings.cpp
+++ b/daemons/Settings.cpp
@@ -1,6 +1,5 @@
 #include "daemons/Settings.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -9,6 +8,9 @@
 
 namespace bronzeward {
 
+/// Digits of the highest port.
+constexpr std::size_t MaxPortDigits = 5;
+
 static auto wrong(const std::string &Flag, const std::string &Value,
                   const std::string &Allowed) {
   return fail(ErrorKind::InvalidArgument, "read settings", "--" + Flag,
@@ -17,24 +19,11 @@
 
 Result<SocketAddress> parseAddress(const std::string &Flag,
                                    const std::string &Text) {
-  const char *Allowed = "an IP address and port such as 127.0.0.1:8080";
-  const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
-    return wrong(Flag, Text, Allowed);
-  SocketAddress Parsed;
-  Parsed.Host = Text.substr(0, Colon);
-  boost::system::error_code Failure;
-  boost::asio::ip::make_address(Parsed.Host, Failure);
-  const std::string Port = Text.substr(Colon + 1);
-  const bool Digits =
-      !Port.empty() && Port.size() <= 5 &&
-      std::all_of(Port.begin(), Port.end(), [](unsigned char Letter) {
-        return std::isdigit(Letter) != 0;
-      });
-  if (Failure || !Digits || std::stoi(Port) > 65535)
-    return wrong(Flag, Text, Allowed);
-  Parsed.Port = static_cast<std::uint16_t>(std::stoi(Port));
-  return Parsed;
+  std::optional<SocketAddress> Parsed = parseSocketAddress(Text);
+  const std::size_t Digits = Text.size() - (Text.rfind(':') + 1);
+  if (!Parsed || Digits > MaxPortDigits)
+    return wrong(Flag, Text, "an IP address and port such as 127.0.0.1:8080");
+  return *std::move(Parsed);
 }
 
 Result<void> applyEnvironment(const std::string &Source) {
--- a/daemons/Settings.h
+++ b/daemons/Settings.h
@@ -6,12 +6,6 @@
 
 namespace bronzeward {
 
-/// \brief An IP address and a port.
-struct SocketAddress {
-  std::string Host;
-  std::uint16_t Port = 0;
-};
-
 /// \brief Parses "ip:port".
 [[nodiscard]] Result<SocketAddress> parseAddress(const std::string &Flag,
                                                  const std::string &Text);
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -1,42 +1,16 @@
 #include "bronzeward/Relay"
 
-#include <catch2/catch.hpp>
-#include <catch2/trompeloeil.hpp>
+#include "test/support/EngineMocks.h"
 
 namespace bronzeward {
 namespace {
 
+using fakes::FixedClock;
+using fakes::MockCallers;
+using fakes::MockUpstreams;
+using fakes::SilentLog;
 using trompeloeil::_;
 
-class MockCallers : public CallerPort {
-public:
-  MAKE_MOCK2(answer, void(CallerTicket, const Answer &), override);
-  MAKE_MOCK2(beginStream, void(CallerTicket, const Answer &), override);
-  MAKE_MOCK2(sendPart, void(CallerTicket, const std::string &), override);
-  MAKE_MOCK2(endStream, void(CallerTicket, const std::string &), override);
-  MAKE_MOCK1(disconnect, void(CallerTicket), override);
-};
-
-class MockUpstreams : public UpstreamPort {
-public:
-  MAKE_MOCK1(dispatch, void(const UpstreamCall &), override);
-  MAKE_MOCK1(cancel, void(AttemptId), override);
-};
-
-class SilentLog : public DecisionLog {
-public:
-  void onChoice(const ChoiceRecord &) override {}
-  void onEnd(const RequestId &, const WorkspaceId &, std::uint16_t,
-             const std::string &, const std::string &) override {}
-  void onEvent(const std::string &, const std::string &) override {}
-};
-
-class FixedClock : public Clock {
-public:
-  [[nodiscard]] TimePoint now() const override { return TimePoint(1h); }
-  [[nodiscard]] WallTime wallNow() const override { return WallTime(); }
-};
-
 /// Headers of the simplest form: the attempt's name in "Id", "Not-Run" where
 /// the call did not run.
 class PlainCodec : public CallCodec {
