Let a loan's age go with the loan

Cause: a reading of the change. A loan is to be given back or dropped at half of ReclaimAfter, since its lender's line in the record may be reclaimed after the whole. The age began anew whenever the amount was credited: once a second while the lender was gone, with each reservation given back, with each instance that it was handed to, and it was not looked at while the store was away. So a loan of a lost lender could be spent after the line was reclaimed, and overspend.

Ruled out: judging by how long the lender has been missing from the list; that count begins anew after each gap in the lists.

Change: LoanOrigin (lender, time lent) stays with reservations; the message Loan carries its age; old loans are looked for with the store away too.

--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -58,6 +58,7 @@
       workspace @28 :Text;
       lender @29 :Ledger.Incarnation;
       amount @30 :Int64;
+      ageMs @33 :Int64;
     }
     load :group {
       upstreams @31 :List(UpstreamBacklog);
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -1394,6 +1394,8 @@
 
   inline  ::int64_t getAmount() const;
 
+  inline  ::int64_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1439,6 +1441,9 @@
   inline  ::int64_t getAmount();
   inline void setAmount( ::int64_t value);
 
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2444,6 +2449,7 @@
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::LOAN);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Loan::Builder(_builder);
@@ -3167,6 +3173,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t PeerMessage::Loan::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t PeerMessage::Loan::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Loan::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerMessage::Load::Reader::hasUpstreams() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -130,8 +130,8 @@
   Item.LostGrants = Budget.LostGrants;
   // Loans are spent first, so that their lenders' lines come to an end.
   if (!Item.Bound.isZero())
-    Item.Lender = Loans.reserve(Item.Workspace, Item.Bound);
-  Item.Granted = Item.Lender.has_value() || Budget.Grant.reserve(Item.Bound);
+    Item.Borrowed = Loans.reserve(Item.Workspace, Item.Bound);
+  Item.Granted = Item.Borrowed.has_value() || Budget.Grant.reserve(Item.Bound);
   return Item.Granted;
 }
 
@@ -158,21 +158,23 @@
 }
 
 void BudgetAgent::onLoanRequest(const InstanceId &From,
-                                const LoanRequest &Message) {
+                                const LoanRequest &Message, TimePoint Now) {
   const auto Found = Books.find(Message.Workspace);
   if (!Policy.Lending || Found == Books.end() || !Found->second.Waiting.empty())
     return;
   Book &Budget = Found->second;
   const Money Lent = Budget.Grant.lend(Message.Least, Message.Wanted);
   if (!Lent.isZero()) {
-    Around.Peers.send(From, Loan{Message.Workspace, holder(Budget), Lent});
+    Around.Peers.send(
+        From, loanOf(Message.Workspace, {holder(Budget), Now}, Lent, Now));
     return;
   }
   // What was borrowed here may serve there; its lender's line stays charged.
-  const std::optional<Incarnation> Lender =
+  const std::optional<LoanOrigin> Borrowed =
       Loans.reserve(Message.Workspace, Message.Least);
-  if (Lender)
-    Around.Peers.send(From, Loan{Message.Workspace, *Lender, Message.Least});
+  if (Borrowed)
+    Around.Peers.send(From,
+                      loanOf(Message.Workspace, *Borrowed, Message.Least, Now));
 }
 
 void BudgetAgent::onLoan(const Loan &Message, TimePoint Now) {
@@ -180,7 +182,7 @@
   if (Message.Lender == holder(Budget))
     Budget.Grant.lentBack(Message.Amount);
   else if (!ofThisLife(Message.Lender))
-    Loans.credit(Message.Workspace, Message.Lender, Message.Amount, Now);
+    Loans.credit(Message.Workspace, originOf(Message, Now), Message.Amount);
   Budget.ShortUntil = Now;
   serveWaiting(Message.Workspace, Now);
 }
@@ -205,8 +207,8 @@
     }
     return;
   }
-  if (Item.Lender)
-    Loans.credit(Item.Workspace, *Item.Lender, Item.Bound, Now);
+  if (Item.Borrowed)
+    Loans.credit(Item.Workspace, *Item.Borrowed, Item.Bound);
   else if (Item.LostGrants == Budget.LostGrants)
     Budget.Grant.release(Item.Bound);
   serveWaiting(Item.Workspace, Now);
@@ -410,11 +412,11 @@
 }
 
 void BudgetAgent::returnExcess(TimePoint Now) {
+  dropOldLoans(Now);
   // Rates are known once a window of spending was seen.
   if (!FirstSettled || Now < *FirstSettled + Policy.RateWindow ||
       Around.Store.failingSince())
     return;
-  dropOldLoans(Now);
   giveBackLoans(Now);
   for (auto &[Workspace, Budget] : Books) {
     const bool Wanted = !Budget.Waiting.empty() || Budget.DrawAhead;
@@ -437,9 +439,9 @@
 }
 
 void BudgetAgent::passOnLoans(const WorkspaceId &Workspace, TimePoint Now) {
-  for (const auto &[Lender, Free] : Loans.take(Workspace))
-    if (!passOn(Loan{Workspace, Lender, Free}, Now))
-      Loans.credit(Workspace, Lender, Free, Now);
+  for (const Loan &Borrowed : Loans.take(Workspace, Now))
+    if (!passOn(Borrowed, Now))
+      Loans.credit(Workspace, originOf(Borrowed, Now), Borrowed.Amount);
 }
 
 bool BudgetAgent::passOn(const Loan &Borrowed, TimePoint Now) {
@@ -459,7 +461,7 @@
 void BudgetAgent::dropOldLoans(TimePoint Now) {
   // The record's line of a lender that is gone is reclaimed after the whole
   // time, so nothing may be spent from it by then.
-  for (const Loan &Old : Loans.takeOlder(Now - Policy.ReclaimAfter / 2))
+  for (const Loan &Old : Loans.takeOlder(Policy.ReclaimAfter / 2, Now))
     passOn(Old, Now);
 }
 
@@ -664,9 +666,9 @@
     FirstSettled = Now;
   Settled.Cost = std::min(Settled.Cost, Item.Bound);
   Settled.Holder = {Self.Instance, Self.Epoch + Item.LostGrants};
-  if (Item.Lender) {
-    Settled.Holder = *Item.Lender;
-    Loans.credit(Item.Workspace, *Item.Lender, Item.Bound - Settled.Cost, Now);
+  if (Item.Borrowed) {
+    Settled.Holder = Item.Borrowed->Lender;
+    Loans.credit(Item.Workspace, *Item.Borrowed, Item.Bound - Settled.Cost);
     Budget.Grant.noteSpending(Settled.Cost, Policy, Now);
   } else if (Item.LostGrants == Budget.LostGrants) {
     Budget.Grant.settle(Item.Bound, Settled.Cost, Policy, Now);
@@ -677,7 +679,7 @@
   Waiting.Request = Request;
   Waiting.Settled = std::move(Settled);
   Waiting.LostGrants = Item.LostGrants;
-  Waiting.Borrowed = Item.Lender.has_value();
+  Waiting.Borrowed = Item.Borrowed.has_value();
   Waiting.Carry = Around.Timers.schedule(
       Now + Policy.CarryAfter,
       [this, Number](TimePoint At) { carryBill(Number, At); });
@@ -875,7 +877,7 @@
   } else if (const auto *Forget = std::get_if<ForgetBills>(&Message)) {
     Carrier.onForget(From, *Forget);
   } else if (const auto *Asked = std::get_if<LoanRequest>(&Message)) {
-    onLoanRequest(From, *Asked);
+    onLoanRequest(From, *Asked, Now);
   } else if (const auto *Given = std::get_if<Loan>(&Message)) {
     onLoan(*Given, Now);
   } else if (const auto *Digest = std::get_if<PeerDigest>(&Message)) {
@@ -912,7 +914,7 @@
   const std::vector<InstanceId> Successors = successors(Now);
   const bool StoreAway = Around.Store.failingSince().has_value();
   if (StoreAway && Policy.Lending)
-    lendRemainders(Successors);
+    lendRemainders(Successors, Now);
   for (const WorkspaceId &Workspace : Workspaces)
     giveBack(Workspace, Now);
   if (StoreAway)
@@ -932,7 +934,8 @@
   return Staying;
 }
 
-void BudgetAgent::lendRemainders(const std::vector<InstanceId> &Successors) {
+void BudgetAgent::lendRemainders(const std::vector<InstanceId> &Successors,
+                                 TimePoint Now) {
   if (Successors.empty())
     return;
   for (auto &[Workspace, Budget] : Books) {
@@ -944,7 +947,8 @@
       const Money Lent = Budget.Grant.lend(Part, Part);
       Part = Money(Free / Count);
       if (!Lent.isZero())
-        Around.Peers.send(Peer, Loan{Workspace, holder(Budget), Lent});
+        Around.Peers.send(Peer,
+                          loanOf(Workspace, {holder(Budget), Now}, Lent, Now));
     }
   }
 }
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -180,7 +180,7 @@
     std::uint64_t LostGrants = 0;
     bool Granted = false;
     /// Whose grant it is charged to, where that is not this instance's.
-    std::optional<Incarnation> Lender;
+    std::optional<LoanOrigin> Borrowed;
     std::optional<Claim> Opened;
   };
   struct PendingClaim {
@@ -225,7 +225,7 @@
   void giveBackLoans(TimePoint Now);
   void dropOldLoans(TimePoint Now);
   /// Lends what is free here to the successors, in equal parts.
-  void lendRemainders(const std::vector<InstanceId> &Successors);
+  void lendRemainders(const std::vector<InstanceId> &Successors, TimePoint Now);
   /// \returns peers that stay and were heard lately, in random order.
   [[nodiscard]] std::vector<InstanceId> successors(TimePoint Now);
   void returnAmount(const WorkspaceId &Workspace, Money Amount, TimePoint Now);
@@ -235,7 +235,8 @@
                   TimePoint Now);
   /// Asks for a loan for the first request that still waits.
   void askForWaiting(const WorkspaceId &Workspace, TimePoint Now);
-  void onLoanRequest(const InstanceId &From, const LoanRequest &Message);
+  void onLoanRequest(const InstanceId &From, const LoanRequest &Message,
+                     TimePoint Now);
   void onLoan(const Loan &Message, TimePoint Now);
   void draw(const WorkspaceId &Workspace, TimePoint Now);
   void onDrawn(const WorkspaceId &Workspace, const OperationResult &Outcome,
--- a/bronzeward/src/Budget/LoanBook.cpp
+++ b/bronzeward/src/Budget/LoanBook.cpp
@@ -1,57 +1,74 @@
 #include "bronzeward/src/Budget/LoanBook.h"
 
+#include <algorithm>
+
 namespace bronzeward {
 
-void LoanBook::credit(const WorkspaceId &Workspace, const Incarnation &Lender,
-                      Money Amount, TimePoint Now) {
+Loan loanOf(const WorkspaceId &Workspace, const LoanOrigin &From, Money Amount,
+            TimePoint Now) {
+  return {Workspace, From.Lender, Amount,
+          std::chrono::ceil<std::chrono::milliseconds>(Now - From.Since)};
+}
+
+LoanOrigin originOf(const Loan &Given, TimePoint Now) {
+  return {Given.Lender, Now - Given.Age};
+}
+
+void LoanBook::credit(const WorkspaceId &Workspace, const LoanOrigin &From,
+                      Money Amount) {
   if (Amount.isZero())
     return;
-  const auto Placed = Loans[Workspace].try_emplace(Lender, Pot{Money(), Now});
-  Placed.first->second.Free += Amount;
+  Pot &Item = Loans[Workspace]
+                  .try_emplace(From.Lender, Pot{Money(), From.Since})
+                  .first->second;
+  Item.Free += Amount;
+  Item.Since = std::min(Item.Since, From.Since);
 }
 
-std::optional<Incarnation> LoanBook::reserve(const WorkspaceId &Workspace,
-                                             Money Amount) {
+std::optional<LoanOrigin> LoanBook::reserve(const WorkspaceId &Workspace,
+                                            Money Amount) {
   const auto Found = Loans.find(Workspace);
   if (Found == Loans.end())
     return std::nullopt;
-  std::map<Incarnation, Pot> &Pots = Found->second;
+  Pots &Items = Found->second;
   // The smallest that is enough, so that large requests find one later.
-  auto Best = Pots.end();
-  for (auto Item = Pots.begin(); Item != Pots.end(); ++Item)
+  auto Best = Items.end();
+  for (auto Item = Items.begin(); Item != Items.end(); ++Item)
     if (Item->second.Free >= Amount &&
-        (Best == Pots.end() || Item->second.Free < Best->second.Free))
+        (Best == Items.end() || Item->second.Free < Best->second.Free))
       Best = Item;
-  if (Best == Pots.end())
+  if (Best == Items.end())
     return std::nullopt;
-  const Incarnation Lender = Best->first;
+  const LoanOrigin From{Best->first, Best->second.Since};
   Best->second.Free -= Amount;
   if (Best->second.Free.isZero())
-    Pots.erase(Best);
-  return Lender;
+    Items.erase(Best);
+  return From;
 }
 
-std::map<Incarnation, Money> LoanBook::take(const WorkspaceId &Workspace) {
-  std::map<Incarnation, Money> Taken;
+std::vector<Loan> LoanBook::take(const WorkspaceId &Workspace, TimePoint Now) {
+  std::vector<Loan> Taken;
   const auto Found = Loans.find(Workspace);
   if (Found == Loans.end())
     return Taken;
   for (const auto &[Lender, Item] : Found->second)
-    Taken[Lender] = Item.Free;
+    Taken.push_back(loanOf(Workspace, {Lender, Item.Since}, Item.Free, Now));
   Loans.erase(Found);
   return Taken;
 }
 
-std::vector<Loan> LoanBook::takeOlder(TimePoint Oldest) {
+std::vector<Loan> LoanBook::takeOlder(Duration Age, TimePoint Now) {
   std::vector<Loan> Taken;
-  for (auto &[Workspace, Pots] : Loans) {
-    for (const auto &[Lender, Item] : Pots)
-      if (Item.Since < Oldest)
-        Taken.push_back({Workspace, Lender, Item.Free});
-    std::erase_if(Pots, [Oldest](const auto &Entry) {
-      return Entry.second.Since < Oldest;
-    });
-  }
+  for (auto &[Workspace, Items] : Loans)
+    for (auto Item = Items.begin(); Item != Items.end();) {
+      const LoanOrigin From{Item->first, Item->second.Since};
+      if (Now < From.Since + Age) {
+        ++Item;
+        continue;
+      }
+      Taken.push_back(loanOf(Workspace, From, Item->second.Free, Now));
+      Item = Items.erase(Item);
+    }
   return Taken;
 }
 
--- a/bronzeward/src/Budget/LoanBook.h
+++ b/bronzeward/src/Budget/LoanBook.h
@@ -8,6 +8,15 @@
 
 namespace bronzeward {
 
+/// \ingroup Budget
+/// \brief Whose grant borrowed budget is a part of, and since when it is lent.
+/// The age goes wherever the budget goes: the lender's line in the record may
+/// be reclaimed, and nothing may be spent from it then.
+struct LoanOrigin {
+  Incarnation Lender;
+  TimePoint Since;
+};
+
 /// \ingroup Budget
 /// \brief Parts of other instances' grants that this one may spend.
 ///
@@ -16,19 +25,19 @@
 class LoanBook {
 public:
   /// \brief Adds an amount: a new loan, or what a request did not use of one.
-  void credit(const WorkspaceId &Workspace, const Incarnation &Lender,
-              Money Amount, TimePoint Now);
-  /// \returns whose grant the amount was taken from; nothing where no single
-  /// loan covers it.
-  [[nodiscard]] std::optional<Incarnation> reserve(const WorkspaceId &Workspace,
-                                                   Money Amount);
+  /// Amounts of one lender count as old as the oldest.
+  void credit(const WorkspaceId &Workspace, const LoanOrigin &From,
+              Money Amount);
+  /// \returns where the amount was taken from; nothing where no single loan
+  /// covers it.
+  [[nodiscard]] std::optional<LoanOrigin> reserve(const WorkspaceId &Workspace,
+                                                  Money Amount);
 
   /// \brief Takes a workspace's loans out, to be given back.
-  /// \returns what is left of each, by lender.
-  [[nodiscard]] std::map<Incarnation, Money> take(const WorkspaceId &Workspace);
-
-  /// \brief Takes out the loans first credited before a time.
-  [[nodiscard]] std::vector<Loan> takeOlder(TimePoint Oldest);
+  [[nodiscard]] std::vector<Loan> take(const WorkspaceId &Workspace,
+                                       TimePoint Now);
+  /// \brief Takes out the loans of at least an age.
+  [[nodiscard]] std::vector<Loan> takeOlder(Duration Age, TimePoint Now);
 
   /// \returns what is left of all loans of a workspace.
   [[nodiscard]] Money free(const WorkspaceId &Workspace) const;
@@ -38,7 +47,18 @@
     Money Free;
     TimePoint Since;
   };
-  std::map<WorkspaceId, std::map<Incarnation, Pot>> Loans;
+  using Pots = std::map<Incarnation, Pot>;
+
+  std::map<WorkspaceId, Pots> Loans;
 };
 
+/// \ingroup Budget
+/// \returns the message that hands an amount on.
+[[nodiscard]] Loan loanOf(const WorkspaceId &Workspace, const LoanOrigin &From,
+                          Money Amount, TimePoint Now);
+
+/// \ingroup Budget
+/// \returns where a received loan comes from.
+[[nodiscard]] LoanOrigin originOf(const Loan &Given, TimePoint Now);
+
 } // namespace bronzeward
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -97,6 +97,8 @@
   WorkspaceId Workspace;
   Incarnation Lender;
   Money Amount;
+  /// Time since the lender gave it, over all instances that had it.
+  std::chrono::milliseconds Age{0};
 };
 
 /// \brief An operation and the slot whose record it changes.
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -96,6 +96,7 @@
   Group.setWorkspace(In.Workspace.Value);
   write(Group.initLender(), In.Lender);
   Group.setAmount(In.Amount.micros());
+  Group.setAgeMs(In.Age.count());
 }
 
 static void writeOne(Builder Out, const LoadNotice &In) {
@@ -220,8 +221,8 @@
                        Money(In.getLoanRequest().getWanted())};
   case schema::PeerMessage::LOAN:
     return Loan{WorkspaceId{In.getLoan().getWorkspace().cStr()},
-                read(In.getLoan().getLender()),
-                Money(In.getLoan().getAmount())};
+                read(In.getLoan().getLender()), Money(In.getLoan().getAmount()),
+                std::chrono::milliseconds(In.getLoan().getAgeMs())};
   case schema::PeerMessage::LOAD:
     return readLoad(In.getLoad());
   case schema::PeerMessage::HANDOVER:
--- a/test/BudgetLendingTest.cpp
+++ b/test/BudgetLendingTest.cpp
@@ -153,6 +153,33 @@
   checkPromises(Fleet);
 }
 
+// Load pattern: the lender is lost, and the borrower needs the loan so seldom
+// that it outlives the lender's line in the record.
+TEST_CASE("A loan of a lost lender is dropped before its line is reclaimed",
+          "[BudgetLending]") {
+  BudgetPolicy Policy = lendingPolicy();
+  Policy.ReclaimAfter = 30s;
+  FakeFleet Fleet(2, Policy, 1);
+  Fleet.topUp(Khan, Money(20'000));
+  Fleet.start(requestOf(1, 0, Money(1'000)));
+  Fleet.start(requestOf(2, 1, Money(1'000)));
+  Fleet.runFor(1s);
+  Fleet.setStoreAway(true);
+  Fleet.start(requestOf(3, 0, Fleet.agent(0).held()));
+  Fleet.start(requestOf(4, 0, Money(10)));
+  Fleet.runFor(400ms);
+  REQUIRE(Fleet.agent(0).describe(Khan).find("borrowed 0 ") ==
+          std::string::npos);
+  Fleet.setStoreAway(false);
+  Fleet.end(1);
+  Fleet.runFor(10s);
+  // Still of use, since nothing was reclaimed yet.
+  CHECK(Fleet.agent(0).describe(Khan).find("borrowed 0 ") == std::string::npos);
+  Fleet.runFor(10s);
+  CHECK(Fleet.agent(0).describe(Khan).find("borrowed 0 ") != std::string::npos);
+  checkPromises(Fleet);
+}
+
 // Load pattern: few requests of a workspace, spread over many instances, all
 // of which are lost at once.
 TEST_CASE("Little of a small workspace's budget is lost with every instance",
