Keep to what upstreams ask for in their answers

Cause: the platform's new rules. An upstream that leaves says so in all its answers ("Server-Leaving"), one that sheds calls may say for how long ("Retry-After"); neither was read, so calls went on reaching both until the registry told. max_connections was read and not kept to.

Ruled out: marking the registry's entry as draining. The entry may lapse and come back, or a list may overwrite it, while what the upstream said still holds.

Change: DispatchGate remembers it for one life of an upstream; the pool offers no closed upstream, not as a last resort either. A refusal where all are closed tells when the first opens. An instance has at most its share of an upstream's connections under way, and a new connection takes the place of an idle one that is too old. After a timeout, other kept connections to that peer are closed.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -38,15 +38,21 @@
 
   asio::io_context &context() { return Io; }
 
-  /// \returns a kept connection that is still open, or null.
+  /// \returns a kept connection that is still open, or null. Where all have
+  /// been idle for too long one is closed, since a new one takes its place: a
+  /// peer has no more connections than requests were under way at once.
   Stream take(const Tcp::endpoint &Peer, Duration MaxIdle) {
     const TimePoint Now = std::chrono::steady_clock::now();
     std::vector<Kept> &Idle = ByPeer[Peer];
     std::erase_if(Idle, [Now](const Kept &Item) {
       return Now >= Item.Until || !open(*Item.Connection);
     });
-    if (Idle.empty() || Now - Idle.back().Since > MaxIdle)
+    if (Idle.empty())
       return nullptr;
+    if (MaxIdle <= Duration() || Now - Idle.back().Since > MaxIdle) {
+      Idle.erase(Idle.begin());
+      return nullptr;
+    }
     Stream Newest = std::move(Idle.back().Connection);
     Idle.pop_back();
     return Newest;
@@ -61,6 +67,10 @@
     Idle.push_back({std::move(Connection), Now, Now + For});
   }
 
+  /// \brief Closes what is kept to a peer. Where one connection fell silent
+  /// the others may have, and each would cost a timeout of its own.
+  void forget(const Tcp::endpoint &Peer) { ByPeer.erase(Peer); }
+
 private:
   struct Kept {
     Stream Connection;
@@ -103,8 +113,7 @@
       fail(HttpFailure::NotSent, Failure.message());
       return;
     }
-    if (In.MaxIdle > Duration())
-      Stream = Connections->take(Peer, In.MaxIdle);
+    Stream = Connections->take(Peer, In.MaxIdle);
     if (Stream) {
       write();
       return;
@@ -266,12 +275,13 @@
   }
 
   void failRead(error_code Result) {
-    if (Result == beast::error::timeout)
+    if (Result == beast::error::timeout) {
+      Connections->forget(Peer);
       fail(HttpFailure::TimedOut, Result.message());
-    else if (Result.category() ==
-                 make_error_code(http::error::bad_version).category() &&
-             Result != http::error::end_of_stream &&
-             Result != http::error::partial_message)
+    } else if (Result.category() ==
+                   make_error_code(http::error::bad_version).category() &&
+               Result != http::error::end_of_stream &&
+               Result != http::error::partial_message)
       fail(HttpFailure::Invalid, Result.message());
     else
       fail(HttpFailure::Closed, Result.message());
--- a/bronzeward/src/Relay/RelayAnswers.cpp
+++ b/bronzeward/src/Relay/RelayAnswers.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -12,9 +13,10 @@
 constexpr std::chrono::duration<double> LeastReturn = 200ms;
 constexpr std::chrono::duration<double> ReturnSpread = 600ms;
 
-static std::string returnTime(Random &Source) {
+static std::string returnTime(Duration ComeBack, Random &Source) {
+  const std::chrono::duration<double> Known = ComeBack;
   const std::chrono::duration<double> After =
-      LeastReturn + ReturnSpread * Source.unit();
+      std::max(LeastReturn, Known) + ReturnSpread * Source.unit();
   std::array<char, 16> Text{};
   const std::to_chars_result End =
       std::to_chars(Text.data(), Text.data() + Text.size(), After.count(),
@@ -22,7 +24,8 @@
   return {Text.data(), End.ptr};
 }
 
-Answer relayRefusal(const RequestId &Name, const Refusal &Why, Random &Source) {
+Answer relayRefusal(const RequestId &Name, const Refusal &Why,
+                    Duration ComeBack, Random &Source) {
   const RefusalForm &Form = formOf(Why.Why);
   Answer Made;
   Made.Status = Form.Status;
@@ -30,7 +33,7 @@
   Made.Headers = {{"Bronzeward-Outcome", nameOf(Why.What)},
                   {"Bronzeward-Reason", Form.Code}};
   if (Why.What == Outcome::NotRun && Form.Status == 503)
-    Made.Headers.push_back({"Retry-After", returnTime(Source)});
+    Made.Headers.push_back({"Retry-After", returnTime(ComeBack, Source)});
   Made.Body =
       boost::json::serialize(boost::json::object{
           {"error", boost::json::object{{"code", Form.Code},
--- a/bronzeward/src/Relay/RelayCall.h
+++ b/bronzeward/src/Relay/RelayCall.h
@@ -72,6 +72,10 @@
   /// Whether another upstream than the one meant has the address now.
   bool Misdirected = false;
   std::optional<StatedLoad> Load;
+  /// Whether the upstream says that it leaves.
+  bool Leaving = false;
+  /// For how long the upstream wants nothing from this instance.
+  std::optional<Duration> BackOff;
   /// Headers that go to the caller as they came.
   std::vector<HeaderField> Forwarded;
 };
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -3,6 +3,7 @@
 #include "bronzeward/src/Relay/RelayAnswers.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bronzeward {
 
@@ -84,7 +85,7 @@
   ++Counters.RefusedNotRun;
   const RequestId Name{Call == nullptr ? "" : Call->AttemptName};
   const Answer Made =
-      relayRefusal(Name, {Outcome::NotRun, Why, ""}, Around.Source);
+      relayRefusal(Name, {Outcome::NotRun, Why, ""}, {}, Around.Source);
   Around.Log.onEnd(Name, {}, Made.Status, nameOf(Outcome::NotRun),
                    formOf(Why).Code);
   Around.Callers.answer(Ticket, Made);
@@ -182,11 +183,27 @@
 
 // Dispatch.
 
+std::int64_t RelayEngine::connectionShare(const ActiveCall &Item) const {
+  const RoutedService *Service = Item.Terms.Table->service(Item.Terms.Service);
+  if (Service == nullptr)
+    return std::numeric_limits<std::int64_t>::max();
+  const std::int64_t Sharers =
+      static_cast<std::int64_t>(Around.Members.members().size());
+  return std::max<std::int64_t>(1, Service->MaxConnections /
+                                       std::max<std::int64_t>(1, Sharers));
+}
+
+void RelayEngine::onNoCandidate(ActiveCall &Item, TimePoint Now) {
+  Item.ComeBack = Pool.closedFor(Item.Terms.Service, Now);
+  endWithout(Item, Reason::NoUpstream, Now);
+}
+
 void RelayEngine::dispatch(ActiveCall &Item, TimePoint Now) {
+  Item.Query.MaxOutstanding = connectionShare(Item);
   const std::vector<Candidate> Candidates =
       Pool.candidates(Item.Query, Around.Source, Now);
   if (Candidates.empty() || Item.Query.Avoid.size() >= MaxUpstreamsTried) {
-    endWithout(Item, Reason::NoUpstream, Now);
+    onNoCandidate(Item, Now);
     return;
   }
   const ChoiceInput Input{Item.Query.PromptTokens,
@@ -286,12 +303,25 @@
   Item->Head = Around.Codec.parseAnswerHead(Head);
   if (Item->Head->Load)
     Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
+  noteWishes(*Item, Now);
   if (Item->Terms.Route->Kind != CallKind::Stream || Item->Head->NotRun) {
     Pool.onFirstByte(Attempt, Now);
     Item->Lifecycle.process(RequestEvent::FirstByte);
   }
 }
 
+void RelayEngine::noteWishes(const ActiveCall &Item, TimePoint Now) {
+  if (Item.Head->Leaving)
+    Pool.onLeaving(Item.Upstream, Now);
+  if (Item.Head->BackOff)
+    Pool.onBackOff(Item.Upstream, *Item.Head->BackOff, Now);
+  if (Item.Head->Leaving || Item.Head->BackOff)
+    Around.Log.onEvent(Item.Head->Leaving ? "upstream-leaving"
+                                          : "upstream-backs-off",
+                       "upstream " + Item.Upstream.Value +
+                           " said so to request " + Item.Call.AttemptName);
+}
+
 void RelayEngine::onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
                                   TimePoint Now) {
   ActiveCall *Item = find(Attempt);
@@ -447,8 +477,9 @@
   if (Item.Begun)
     Around.Callers.disconnect(Item.Call.Ticket);
   else
-    Around.Callers.answer(Item.Call.Ticket,
-                          relayRefusal(Name, {What, Why, ""}, Around.Source));
+    Around.Callers.answer(
+        Item.Call.Ticket,
+        relayRefusal(Name, {What, Why, ""}, Item.ComeBack, Around.Source));
   account(Item, Now);
   finish(Item.Id);
 }
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -98,6 +98,8 @@
     /// Tries that may have run, and tries that upstreams turned away.
     int Runs = 0;
     int TurnedAway = 0;
+    /// Least time after which a refused caller may be served.
+    Duration ComeBack{};
     std::optional<RelayAnswerHead> Head;
     std::string Body;
     EventStream Events;
@@ -113,6 +115,10 @@
 
   // Dispatch.
   void dispatch(ActiveCall &Item, TimePoint Now);
+  /// \returns this instance's share of the connections that an upstream of the
+  /// call's service accepts.
+  [[nodiscard]] std::int64_t connectionShare(const ActiveCall &Item) const;
+  void onNoCandidate(ActiveCall &Item, TimePoint Now);
   void send(ActiveCall &Item, const UpstreamName &Upstream, TimePoint Now);
   [[nodiscard]] UpstreamCall upstreamCall(const ActiveCall &Item,
                                           TimePoint Now) const;
@@ -120,6 +126,8 @@
   void onPatienceOver(const RequestId &Id, TimePoint Now);
 
   // Answers.
+  /// Takes over what the upstream asks of this instance.
+  void noteWishes(const ActiveCall &Item, TimePoint Now);
   void forwardEvents(ActiveCall &Item, std::string_view Bytes, TimePoint Now);
   void endTry(ActiveCall &Item, TryEnd How, TimePoint Now);
   void onTurnedAway(ActiveCall &Item, TimePoint Now);
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -239,6 +239,28 @@
   Item->LoadAt = Now;
 }
 
+void UpstreamPool::onLeaving(const UpstreamName &Name, TimePoint Now) {
+  if (const State *Item = state(Name))
+    Gate.onLeaving(Item->Entry, Now);
+}
+
+void UpstreamPool::onBackOff(const UpstreamName &Name, Duration Time,
+                             TimePoint Now) {
+  if (const State *Item = state(Name))
+    Gate.onBackOff(Item->Entry, Time, Now);
+}
+
+Duration UpstreamPool::closedFor(const ServiceName &Service,
+                                 TimePoint Now) const {
+  const auto Found = Services.find(Service);
+  if (Found == Services.end())
+    return {};
+  TimePoint First = TimePoint::max();
+  for (const UpstreamName &Name : Found->second.Names)
+    First = std::min(First, Gate.opensAt(States.at(Name).Entry));
+  return First == TimePoint::max() || First <= Now ? Duration() : First - Now;
+}
+
 void UpstreamPool::onPeerLoad(const InstanceId &Peer, const LoadNotice &Load,
                               TimePoint Now) {
   PeerLoads[Peer] = {Load, Now};
@@ -382,6 +404,9 @@
         Query.Avoid.end())
       continue;
     const State &Item = States.at(Name);
+    if (Now < Gate.opensAt(Item.Entry) ||
+        Item.Outstanding >= Query.MaxOutstanding)
+      continue;
     const std::size_t Rank = HasHome ? Place : MaxHomes;
     (inGoodStanding(Item, Now) ? Good : Rest)
         .push_back(describe(Item, Query, Rank, Now));
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -2,9 +2,11 @@
 
 #include "bronzeward/Routing"
 #include "bronzeward/src/Budget/PeerPort.h"
+#include "bronzeward/src/Relay/DispatchGate.h"
 #include "bronzeward/src/Relay/Placement.h"
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -41,6 +43,8 @@
   std::int64_t PromptTokens = 0;
   /// Upstreams tried before.
   std::vector<UpstreamName> Avoid;
+  /// This instance's share of the connections that one upstream accepts.
+  std::int64_t MaxOutstanding = std::numeric_limits<std::int64_t>::max();
 };
 
 /// \brief The usable upstreams, their load and their health, judged by their
@@ -61,6 +65,10 @@
   void onFirstByte(AttemptId Attempt, TimePoint Now);
   void onEnded(AttemptId Attempt, TryEnd How, TimePoint Now);
   void onLoad(const UpstreamName &Name, const StatedLoad &Load, TimePoint Now);
+  /// \brief An answer says that the upstream leaves.
+  void onLeaving(const UpstreamName &Name, TimePoint Now);
+  /// \brief An upstream wants nothing for a time.
+  void onBackOff(const UpstreamName &Name, Duration Time, TimePoint Now);
   /// \brief Takes over what another instance has under way.
   void onPeerLoad(const InstanceId &Peer, const LoadNotice &Load,
                   TimePoint Now);
@@ -70,10 +78,15 @@
   /// \returns what this instance has under way, for its peers.
   [[nodiscard]] LoadNotice ownLoad() const;
   /// \returns upstreams that may take a call: those in good standing, or, where
-  /// there are none, any that are usable.
+  /// there are none, any that are usable. Never one that asked for nothing, or
+  /// that has this instance's share of its connections.
   [[nodiscard]] std::vector<Candidate>
   candidates(const PlacementQuery &Query, Random &Source, TimePoint Now) const;
   [[nodiscard]] const UpstreamEntry *find(const UpstreamName &Name) const;
+  /// \returns for how long all of a service's upstreams want nothing; zero
+  /// where one may get a call, or none ever may.
+  [[nodiscard]] Duration closedFor(const ServiceName &Service,
+                                   TimePoint Now) const;
   /// \returns whether any upstream of the service is usable.
   [[nodiscard]] bool serves(const ServiceName &Service) const;
   /// \returns whether bytes came from an upstream within this time.
@@ -146,6 +159,7 @@
   std::map<UpstreamName, State> States;
   std::map<ServiceName, ServiceState> Services;
   std::map<AttemptId, Try> Tries;
+  DispatchGate Gate;
   std::map<InstanceId, PeerLoad> PeerLoads;
 };
 
--- a/test/PlatformFormTest.cpp
+++ b/test/PlatformFormTest.cpp
@@ -105,6 +105,21 @@
   CHECK(sent(Head.Forwarded, "Content-Length") == nullptr);
 }
 
+TEST_CASE("What an engine asks of this instance is read", "[PlatformForm]") {
+  const platform::CallForm Form;
+  CHECK(Form.parseAnswerHead({200, {{"Server-Leaving", "1"}}}).Leaving);
+  CHECK_FALSE(Form.parseAnswerHead({200, {{"Server-Leaving", "0"}}}).Leaving);
+  CHECK_FALSE(Form.parseAnswerHead({200, {}}).Leaving);
+  CHECK(Form.parseAnswerHead({503, {{"Retry-After", "1.5"}}}).BackOff ==
+        Duration(1500ms));
+  // A time that is not stated by the engine for itself.
+  CHECK_FALSE(Form.parseAnswerHead({500, {{"Retry-After", "1.5"}}}).BackOff);
+  for (const char *Bad : {"", "soon", "-1", "1x", "nan"})
+    CHECK_FALSE(Form.parseAnswerHead({503, {{"Retry-After", Bad}}}).BackOff);
+  CHECK(Form.parseAnswerHead({503, {{"Retry-After", "1e300"}}}).BackOff ==
+        Duration(1h));
+}
+
 TEST_CASE("Store calls have the published form", "[PlatformForm]") {
   const StoreForm Form;
   const std::optional<StoreHttpCall> List =
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -40,6 +40,9 @@
     RelayAnswerHead Made;
     Made.Status = Head.Status;
     Made.NotRun = findHeader(Head.Headers, "Not-Run") != nullptr;
+    Made.Leaving = findHeader(Head.Headers, "Leaving") != nullptr;
+    if (findHeader(Head.Headers, "Back-Off") != nullptr)
+      Made.BackOff = 2s;
     Made.Forwarded = Head.Headers;
     return Made;
   }
@@ -197,6 +200,107 @@
   CHECK(findHeader(Item.Answers[0].Headers, "Retry-After") != nullptr);
 }
 
+// Load pattern: a service is replaced under load; the registry lags behind
+// what the upstreams say in their answers.
+TEST_CASE("An upstream that says it leaves gets no further call",
+          "[RelayEngine]") {
+  Relay Item;
+  Item.request("/post/x");
+  const UpstreamName Leaving = Item.Calls[0].Upstream;
+  Item.head(200, {{"Leaving", "1"}});
+  Item.end();
+  // Its entry lapses and comes back; it is the same life.
+  std::vector<UpstreamEntry> Others = Relay::entries(0ms);
+  std::erase_if(Others, [&](const UpstreamEntry &Entry) {
+    return Entry.Name == Leaving;
+  });
+  Item.Engine.setUsable(Others, Item.Now);
+  Item.Engine.setUsable(Relay::entries(0ms), Item.Now);
+  for (int Count = 0; Count < 40; ++Count) {
+    Item.wait(500ms);
+    Item.request("/get/x");
+    CHECK(Item.Calls.back().Upstream != Leaving);
+    Item.head(200);
+    Item.end();
+  }
+}
+
+TEST_CASE("An upstream that leaves is not the last resort either",
+          "[RelayEngine]") {
+  Relay Item;
+  for (int Count = 0; Count < 3; ++Count) {
+    Item.request("/post/x");
+    Item.head(200, {{"Leaving", "1"}});
+    Item.end();
+  }
+  REQUIRE(Item.Calls.size() == 3);
+  Item.request("/post/x");
+  CHECK(Item.Calls.size() == 3);
+  CHECK(Item.Answers.back().Status == 503);
+  // Another life under the same name is asked again.
+  Item.Engine.setUsable(Relay::entries(5ms), Item.Now);
+  Item.request("/post/x");
+  CHECK(Item.Calls.size() == 4);
+}
+
+// Load pattern: every upstream sheds this instance's calls for a time.
+TEST_CASE("Upstreams get nothing for as long as they asked", "[RelayEngine]") {
+  Relay Item;
+  Item.request("/post/x");
+  for (int Count = 0; Count < 3; ++Count) {
+    Item.head(503, {{"Not-Run", "1"}, {"Back-Off", "2"}});
+    Item.end();
+  }
+  REQUIRE(Item.Calls.size() == 3);
+  for (int Count = 0; Count < 18; ++Count) {
+    Item.wait(100ms);
+    Item.request("/get/x");
+    CHECK(Item.Answers.back().Status == 503);
+  }
+  CHECK(Item.Calls.size() == 3);
+  Item.wait(300ms);
+  Item.request("/get/x");
+  CHECK(Item.Calls.size() == 4);
+}
+
+TEST_CASE("A refused caller is told when its upstreams take calls again",
+          "[RelayEngine]") {
+  Relay Item;
+  Item.request("/post/x");
+  for (int Count = 0; Count < 3; ++Count) {
+    Item.head(503, {{"Not-Run", "1"}, {"Back-Off", "2"}});
+    Item.end();
+  }
+  Item.request("/get/x");
+  const std::string *After =
+      findHeader(Item.Answers.back().Headers, "Retry-After");
+  REQUIRE(After != nullptr);
+  CHECK(std::stod(*After) >= 2.0);
+}
+
+// Load pattern: a burst at one of several instances before upstreams that
+// accept few connections from all of them together.
+TEST_CASE("An instance keeps to its share of an upstream's connections",
+          "[RelayEngine]") {
+  Relay Item;
+  FleetConfiguration Accepted;
+  Accepted.Version = {2};
+  Accepted.Routes = {routeOf("/post/", CallKind::NonIdempotent, 1)};
+  Accepted.Services = {{ServiceName{"s"}, 20, 0}};
+  Item.Engine.configure(std::move(Accepted), Item.Now);
+  std::vector<Member> Fleet;
+  for (int Index = 0; Index < 4; ++Index)
+    Fleet.push_back({Incarnation{InstanceId{"i" + std::to_string(Index)}, 1},
+                     FailureDomain{"a"}, "", false});
+  Item.Members.update(Fleet);
+  for (int Count = 0; Count < 30; ++Count)
+    Item.request("/post/x");
+  // Three upstreams of twenty connections, shared by four instances.
+  CHECK(Item.Calls.size() == 15);
+  CHECK(Item.Answers.size() == 15);
+  CHECK(Item.Answers.back().Status == 503);
+}
+
 TEST_CASE("A failed call that may be repeated is, at another upstream",
           "[RelayEngine]") {
   Relay Item;
