Cover an outage with grants while a budget lasts, and notice its end sooner

Grants covered 3.5 s whatever was left. After the store's return refusals went on for 3 s more: a lost first packet is sent again after a second, kept connections that fell silent cost a timeout each, and operations waited out their retry pause.

Change: each result shows the account's sums (AccountBalance); BudgetOutlook takes the fleet's rate from them and shrinks the horizon (9 s) so that all grants together are at most joint_loss_part (0.5) of what is left. SpendingRate is shared with GrantBook. A connection to the store has 300 ms to open; at its return what waits is sent at once. A stated total that the record does not show yet no longer makes its balance count as exhausted. Changes of the registry are sent only to peers that have lost the store, urgent digests and requests for loans go to seven peers, and the list of members is read less often in a large fleet.

Conclusion: the horizon goes with the budget.

--- a/bronzeward/schema/Ledger.capnp
+++ b/bronzeward/schema/Ledger.capnp
@@ -155,5 +155,7 @@
   holders @3 :List(Incarnation);
   answer @4 :RecordedAnswer;
   hasAnswer @5 :Bool;
-  unsettled @6 :Int64;
+  prepaid @6 :Int64;
+  settled @7 :Int64;
+  setAside @8 :Int64;
 }
--- a/bronzeward/schema/Ledger.capnp.h
+++ b/bronzeward/schema/Ledger.capnp.h
@@ -353,7 +353,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db966aaedae76adc, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(db966aaedae76adc, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2493,7 +2493,11 @@
 
   inline bool getHasAnswer() const;
 
-  inline  ::int64_t getUnsettled() const;
+  inline  ::int64_t getPrepaid() const;
+
+  inline  ::int64_t getSettled() const;
+
+  inline  ::int64_t getSetAside() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2549,8 +2553,14 @@
   inline bool getHasAnswer();
   inline void setHasAnswer(bool value);
 
-  inline  ::int64_t getUnsettled();
-  inline void setUnsettled( ::int64_t value);
+  inline  ::int64_t getPrepaid();
+  inline void setPrepaid( ::int64_t value);
+
+  inline  ::int64_t getSettled();
+  inline void setSettled( ::int64_t value);
+
+  inline  ::int64_t getSetAside();
+  inline void setSetAside( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5162,20 +5172,48 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t OperationResult::Reader::getUnsettled() const {
+inline  ::int64_t OperationResult::Reader::getPrepaid() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t OperationResult::Builder::getUnsettled() {
+inline  ::int64_t OperationResult::Builder::getPrepaid() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void OperationResult::Builder::setUnsettled( ::int64_t value) {
+inline void OperationResult::Builder::setPrepaid( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::int64_t OperationResult::Reader::getSettled() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t OperationResult::Builder::getSettled() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void OperationResult::Builder::setSettled( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t OperationResult::Reader::getSetAside() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t OperationResult::Builder::getSetAside() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void OperationResult::Builder::setSetAside( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -22,6 +22,8 @@
 constexpr Duration ShortPause = 250ms;
 /// Pause between two requests for a loan.
 constexpr Duration LoanRequestPause = 100ms;
+/// Peers that are asked for a loan at a time: all of a small fleet.
+constexpr std::size_t LoanFanout = 7;
 /// One part in this many of the low-water mark makes an instance ask for a loan
 /// while the store is away.
 constexpr std::int64_t LowPart = 3;
@@ -86,6 +88,20 @@
   return slotOf(Workspace, Policy.Slots);
 }
 
+std::uint64_t BudgetAgent::submit(const WorkspaceId &Workspace,
+                                  Operation Change, TimePoint Now,
+                                  OperationRouter::Handler Done) {
+  return Router.submit(
+      slot(Workspace), std::move(Change), Now,
+      [this, Workspace, Done = std::move(Done)](const OperationResult &Outcome,
+                                                TimePoint At) {
+        Book &Budget = book(Workspace);
+        Budget.Outlook.onShown(Outcome.Balance, Policy, At);
+        Budget.Grant.setHorizon(Budget.Outlook.horizon(Policy, At));
+        Done(Outcome, At);
+      });
+}
+
 // Reservations.
 
 ReserveOutcome BudgetAgent::reserve(const RequestId &Request,
@@ -143,10 +159,11 @@
   if (!Policy.Lending || Draining || Now < Budget.NextLoanRequest)
     return;
   Budget.NextLoanRequest = Now + LoanRequestPause;
-  for (const Member &Peer : Members.members())
-    if (Peer.Life.Instance != Self.Instance)
-      Around.Peers.send(Peer.Life.Instance,
-                        LoanRequest{Workspace, Least, Wanted});
+  std::vector<InstanceId> Others = otherMembers();
+  Around.Source.shuffle(Others);
+  Others.resize(std::min(Others.size(), LoanFanout));
+  for (const InstanceId &Peer : Others)
+    Around.Peers.send(Peer, LoanRequest{Workspace, Least, Wanted});
 }
 
 void BudgetAgent::askForWaiting(const WorkspaceId &Workspace, TimePoint Now) {
@@ -243,11 +260,11 @@
   Change.Holder = holder(Budget);
   Budget.Grant.drawSent();
   Change.Sequence = Budget.Grant.sequence();
-  const std::uint64_t Number = Router.submit(
-      slot(Workspace), Change, Now,
-      [this, Workspace](const OperationResult &Outcome, TimePoint At) {
-        onDrawn(Workspace, Outcome, At);
-      });
+  const std::uint64_t Number =
+      submit(Workspace, Change, Now,
+             [this, Workspace](const OperationResult &Outcome, TimePoint At) {
+               onDrawn(Workspace, Outcome, At);
+             });
   if (Number != 0)
     return;
   Budget.Grant.drawRefused();
@@ -290,11 +307,13 @@
   Book &Budget = Books[Workspace];
   Budget.Grant.drawRefused();
   Budget.NextRefill = Now + RefillPause;
-  Budget.Unsettled = Outcome.Unsettled;
+  // A record that a stated total has not reached yet shows too little.
+  if (Outcome.Balance.Prepaid >= Budget.Stated)
+    Budget.Unsettled = Outcome.Balance.unsettled();
   serveWaiting(Workspace, Now);
-  while (!Books[Workspace].Waiting.empty() &&
-         Books[Workspace].Waiting.front().Bound > Outcome.Unsettled) {
-    const RequestId First = Books[Workspace].Waiting.front().Request;
+  while (!Budget.Waiting.empty() && Budget.Unsettled &&
+         Budget.Waiting.front().Bound > *Budget.Unsettled) {
+    const RequestId First = Budget.Waiting.front().Request;
     expireWaiting(Workspace, First, Now);
   }
   if (Budget.Waiting.empty())
@@ -397,12 +416,12 @@
 void BudgetAgent::submitStated(const WorkspaceId &Workspace, Money Total,
                                TimePoint Now) {
   const std::uint64_t Number =
-      Router.submit(slot(Workspace), RaisePrepaid{Workspace, Total}, Now,
-                    [this, Workspace](const OperationResult &, TimePoint At) {
-                      Books[Workspace].Unsettled.reset();
-                      if (Books[Workspace].DrawAhead)
-                        draw(Workspace, At);
-                    });
+      submit(Workspace, RaisePrepaid{Workspace, Total}, Now,
+             [this, Workspace](const OperationResult &, TimePoint At) {
+               Books[Workspace].Unsettled.reset();
+               if (Books[Workspace].DrawAhead)
+                 draw(Workspace, At);
+             });
   if (Number != 0)
     return;
   Around.Timers.schedule(Now + RefillPause,
@@ -510,11 +529,11 @@
   Change.Amount = Amount;
   Budget.Grant.returnSent(Amount);
   Change.Sequence = Budget.Grant.sequence();
-  const std::uint64_t Number = Router.submit(
-      slot(Workspace), Change, Now,
-      [this, Workspace](const OperationResult &Outcome, TimePoint At) {
-        onReturned(Workspace, Outcome, At);
-      });
+  const std::uint64_t Number =
+      submit(Workspace, Change, Now,
+             [this, Workspace](const OperationResult &Outcome, TimePoint At) {
+               onReturned(Workspace, Outcome, At);
+             });
   if (Number == 0)
     loseGrant(Workspace, Now);
 }
@@ -689,11 +708,11 @@
 
 void BudgetAgent::submitBill(std::uint64_t Number, TimePoint Now) {
   const PendingBill &Item = Bills.at(Number);
-  const std::uint64_t Submitted = Router.submit(
-      slot(Item.Settled.Workspace), CommitBill{Item.Settled, Item.Released},
-      Now, [this, Number](const OperationResult &Outcome, TimePoint At) {
-        onBillResult(Number, Outcome, At);
-      });
+  const std::uint64_t Submitted =
+      submit(Item.Settled.Workspace, CommitBill{Item.Settled, Item.Released},
+             Now, [this, Number](const OperationResult &Outcome, TimePoint At) {
+               onBillResult(Number, Outcome, At);
+             });
   const auto Found = Bills.find(Number);
   if (Found == Bills.end())
     return;
@@ -925,11 +944,19 @@
   Carrier.commitAll(Now);
 }
 
-std::vector<InstanceId> BudgetAgent::successors(TimePoint Now) {
-  std::vector<InstanceId> Staying;
+std::vector<InstanceId> BudgetAgent::otherMembers() const {
+  std::vector<InstanceId> Others;
   for (const Member &Peer : Members.members())
-    if (Peer.Life.Instance != Self.Instance && stays(Peer, Now))
-      Staying.push_back(Peer.Life.Instance);
+    if (Peer.Life.Instance != Self.Instance)
+      Others.push_back(Peer.Life.Instance);
+  return Others;
+}
+
+std::vector<InstanceId> BudgetAgent::successors(TimePoint Now) {
+  std::vector<InstanceId> Staying = otherMembers();
+  std::erase_if(Staying, [this, Now](const InstanceId &Peer) {
+    return !stays(*Members.find(Peer), Now);
+  });
   Around.Source.shuffle(Staying);
   return Staying;
 }
@@ -992,6 +1019,8 @@
   if (Found == Books.end())
     return "workspace " + Workspace.Value + " without a grant";
   const Book &Budget = Found->second;
+  const AccountBalance Shown =
+      Budget.Outlook.balance().value_or(AccountBalance());
   return "workspace " + Workspace.Value + " stated " +
          std::to_string(Budget.Stated.micros()) + " held " +
          std::to_string(Budget.Grant.held().micros()) + " free " +
@@ -999,7 +1028,10 @@
          std::to_string(Loans.free(Workspace).micros()) + " unsettled " +
          (Budget.Unsettled ? std::to_string(Budget.Unsettled->micros())
                            : std::string("unknown")) +
-         " waiting " + std::to_string(Budget.Waiting.size());
+         " waiting " + std::to_string(Budget.Waiting.size()) +
+         " record prepaid " + std::to_string(Shown.Prepaid.micros()) +
+         " settled " + std::to_string(Shown.Settled.micros()) + " set aside " +
+         std::to_string(Shown.SetAside.micros());
 }
 
 std::size_t BudgetAgent::pendingOperations() const { return Router.pending(); }
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/src/Budget/BillCarrier.h"
+#include "bronzeward/src/Budget/BudgetOutlook.h"
 #include "bronzeward/src/Budget/GrantBook.h"
 #include "bronzeward/src/Budget/HolderWatch.h"
 #include "bronzeward/src/Budget/LoanBook.h"
@@ -131,6 +132,8 @@
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now);
   void onPeerUnreachable(const InstanceId &Peer, TimePoint Now);
+  /// \brief Learns that the store answers again.
+  void onStoreRegained(TimePoint Now) { Router.onStoreRegained(Now); }
   /// \brief Takes in a fresh list of live instances.
   void onMembers(std::vector<Member> Listed, TimePoint Now);
   /// \brief Returns every grant and commits carried bills before a stop.
@@ -173,6 +176,7 @@
     /// Prepaid and unsettled as the record last showed; it only falls until a
     /// higher total is stated.
     std::optional<Money> Unsettled;
+    BudgetOutlook Outlook;
   };
   struct Reservation {
     WorkspaceId Workspace;
@@ -217,6 +221,10 @@
 
   void submitStated(const WorkspaceId &Workspace, Money Total, TimePoint Now);
   std::uint64_t addBill(const RequestId &Request, Bill Settled, TimePoint Now);
+  /// Submits an operation on a workspace's account and learns from its result
+  /// how long the budget lasts.
+  std::uint64_t submit(const WorkspaceId &Workspace, Operation Change,
+                       TimePoint Now, OperationRouter::Handler Done);
   [[nodiscard]] ReserveOutcome shortage(const Book &Budget, Money Bound) const;
   /// Sends a loan to its lender, or to a successor where that is leaving.
   /// \returns whether there was anyone to send it to.
@@ -226,6 +234,7 @@
   void dropOldLoans(TimePoint Now);
   /// Lends what is free here to the successors, in equal parts.
   void lendRemainders(const std::vector<InstanceId> &Successors, TimePoint Now);
+  [[nodiscard]] std::vector<InstanceId> otherMembers() const;
   /// \returns peers that stay and were heard lately, in random order.
   [[nodiscard]] std::vector<InstanceId> successors(TimePoint Now);
   void returnAmount(const WorkspaceId &Workspace, Money Amount, TimePoint Now);
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -5,10 +5,6 @@
 
 namespace bronzeward {
 
-/// One part in this many of the window is the least history that a rate is
-/// taken from.
-constexpr int MinHistoryPart = 6;
-
 /// Reserves of more requests than this need no rounding.
 constexpr double MaxRounded = 8.0;
 
@@ -42,10 +38,7 @@
 
 void GrantBook::noteSpending(Money Cost, const BudgetPolicy &Policy,
                              TimePoint Now) {
-  const std::chrono::duration<double> Window = Policy.RateWindow;
-  SpendRate = decayed(Policy, Now) +
-              static_cast<double>(Cost.micros()) / Window.count();
-  LastSpend = Now;
+  Spending.note(Cost, Policy.RateWindow, Now);
   if (Now >= PeakSince + Policy.RateWindow) {
     // The peak of the last two windows.
     PeakSince = Now;
@@ -55,8 +48,6 @@
       PeakBound = NewPeakBound;
     NewPeakBound = Money();
   }
-  if (!FirstSpend)
-    FirstSpend = Now;
 }
 
 void GrantBook::charged(Money Cost) {
@@ -125,28 +116,12 @@
   return Held > Used ? Held - Used : Money();
 }
 
-double GrantBook::decayed(const BudgetPolicy &Policy, TimePoint Now) const {
-  const std::chrono::duration<double> Age = Now - LastSpend;
-  const std::chrono::duration<double> Window = Policy.RateWindow;
-  return SpendRate * std::exp(-Age.count() / Window.count());
-}
-
-double GrantBook::rate(const BudgetPolicy &Policy, TimePoint Now) const {
-  if (!FirstSpend)
-    return 0.0;
-  // A short history is a part of the window only.
-  const std::chrono::duration<double> Window = Policy.RateWindow;
-  const std::chrono::duration<double> Seen =
-      std::max(Now - *FirstSpend, Policy.RateWindow / MinHistoryPart);
-  return decayed(Policy, Now) /
-         (1.0 - std::exp(-Seen.count() / Window.count()));
-}
-
 Money GrantBook::lowWater(const BudgetPolicy &Policy, TimePoint Now) const {
-  const std::chrono::duration<double> Horizon = Policy.GrantHorizon;
-  const double Spending =
-      Policy.SpendingMargin * rate(Policy, Now) * Horizon.count();
-  const Money Expected(static_cast<std::int64_t>(std::min(Spending, 1e17)));
+  const std::chrono::duration<double> Covered =
+      std::min(Policy.GrantHorizon, Horizon);
+  const double Rate = Spending.perSecond(Policy.RateWindow, Now);
+  const double Cost = Policy.SpendingMargin * Rate * Covered.count();
+  const Money Expected(static_cast<std::int64_t>(std::min(Cost, 1e17)));
   if (Policy.ReserveWholeRequests)
     return wholeRequests(Expected);
   return Expected + scaled(PeakReserved, Policy.ReservedMultiple);
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Base"
 #include "bronzeward/src/Budget/GrantLifecycle.h"
+#include "bronzeward/src/Budget/SpendingRate.h"
 #include "bronzeward/src/Config/BudgetPolicy.h"
 
 #include <cstdint>
@@ -20,6 +21,9 @@
   /// reserve up, from 0 to 1; places should be spread evenly.
   void setRounding(double Place) { RoundingPlace = Place; }
 
+  /// \brief Sets the spending to cover, where that is less than the policy's.
+  void setHorizon(Duration Covered) { Horizon = Covered; }
+
   /// \brief Sets Bound aside where that much is free.
   [[nodiscard]] bool reserve(Money Bound);
   /// \brief Gives a reservation back unspent.
@@ -73,9 +77,6 @@
   /// \returns an amount rounded to whole requests, up or down by the place, so
   /// that the instances' reserves come to the whole amount together.
   [[nodiscard]] Money wholeRequests(Money Amount) const;
-  /// \returns spending in micro-units a second over the policy's window.
-  [[nodiscard]] double rate(const BudgetPolicy &Policy, TimePoint Now) const;
-  [[nodiscard]] double decayed(const BudgetPolicy &Policy, TimePoint Now) const;
 
   GrantLifecycle Lifecycle;
   Money Held;
@@ -91,10 +92,8 @@
   TimePoint PeakSince;
   double RoundingPlace = 0.5;
   std::uint64_t Sequence = 0;
-  /// Spending in micro-units a second, decayed to LastSpend.
-  double SpendRate = 0.0;
-  TimePoint LastSpend;
-  std::optional<TimePoint> FirstSpend;
+  SpendingRate Spending;
+  Duration Horizon = Duration::max();
 };
 
 } // namespace bronzeward
--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -175,15 +175,30 @@
   Around.Timers.schedule(
       Now + std::chrono::duration_cast<Duration>(Longest * Share),
       [this, Slot](TimePoint At) {
-        SlotOutbox &Ready = Outboxes[Slot];
-        Ready.RetryScheduled = false;
-        Ready.Numbers.insert(Ready.Numbers.end(), Ready.Backlog.begin(),
-                             Ready.Backlog.end());
-        Ready.Backlog.clear();
-        flush(Slot, At);
+        Outboxes[Slot].RetryScheduled = false;
+        flushBacklog(Slot, At);
       });
 }
 
+void OperationRouter::flushBacklog(SlotId Slot, TimePoint Now) {
+  SlotOutbox &Ready = Outboxes[Slot];
+  Ready.Numbers.insert(Ready.Numbers.end(), Ready.Backlog.begin(),
+                       Ready.Backlog.end());
+  Ready.Backlog.clear();
+  flush(Slot, Now);
+}
+
+void OperationRouter::onStoreRegained(TimePoint Now) {
+  SuspectedUntil.clear();
+  std::vector<SlotId> Slots;
+  for (const auto &[Slot, Outbox] : Outboxes)
+    Slots.push_back(Slot);
+  for (const SlotId Slot : Slots) {
+    Outboxes[Slot].Failures = 0;
+    flushBacklog(Slot, Now);
+  }
+}
+
 void OperationRouter::onSubmit(const InstanceId &From,
                                const SubmitOperations &Message, TimePoint Now) {
   std::shared_ptr<ServedBatch> Batch = std::make_shared<ServedBatch>();
--- a/bronzeward/src/Budget/OperationRouter.h
+++ b/bronzeward/src/Budget/OperationRouter.h
@@ -58,6 +58,10 @@
   /// \brief Learns that a peer's connection failed.
   void onPeerUnreachable(const InstanceId &Peer, TimePoint Now);
 
+  /// \brief Learns that the store answers again: what waits for a retry is sent
+  /// at once, and no committer is passed over for having been cut off with it.
+  void onStoreRegained(TimePoint Now);
+
   /// \returns the committer of a slot at this instance, made where missing.
   SlotCommitter &committer(SlotId Slot);
 
@@ -95,6 +99,8 @@
   void finish(std::uint64_t Number, const OperationResult &Outcome,
               TimePoint Now);
   void retryLater(std::uint64_t Number, TimePoint Now);
+  /// Sends what waited for a retry.
+  void flushBacklog(SlotId Slot, TimePoint Now);
   void expire(std::uint64_t BatchNumber, TimePoint Now);
   void suspect(const InstanceId &Peer, TimePoint Now);
   [[nodiscard]] bool suspected(const InstanceId &Peer, TimePoint Now) const;
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -19,6 +19,9 @@
   Duration CommitInterval = 50ms;
   /// Spending that a grant should cover: the store outage to bridge.
   Duration GrantHorizon = 90s;
+  /// Most of a workspace's remaining budget that all grants together may be: a
+  /// loss of every instance takes no more. One for no bound.
+  double JointLossPart = 1.0;
   /// Time over which the observed rate of spending is averaged.
   Duration RateWindow = 60s;
   /// Spending that a grant covers, as a multiple of the expected; requests do
--- a/bronzeward/src/Ledger/LedgerCodec.cpp
+++ b/bronzeward/src/Ledger/LedgerCodec.cpp
@@ -333,7 +333,9 @@
   Out.setAmount(In.Amount.micros());
   Out.setOrder(In.Order);
   writeList(Out.initHolders(In.Holders.size()), In.Holders);
-  Out.setUnsettled(In.Unsettled.micros());
+  Out.setPrepaid(In.Balance.Prepaid.micros());
+  Out.setSettled(In.Balance.Settled.micros());
+  Out.setSetAside(In.Balance.SetAside.micros());
   Out.setHasAnswer(In.Answer.has_value());
   if (In.Answer)
     write(Out.initAnswer(), *In.Answer);
@@ -345,7 +347,9 @@
   Out.Amount = Money(In.getAmount());
   Out.Order = In.getOrder();
   Out.Holders = readList<Incarnation>(In.getHolders());
-  Out.Unsettled = Money(In.getUnsettled());
+  Out.Balance.Prepaid = Money(In.getPrepaid());
+  Out.Balance.Settled = Money(In.getSettled());
+  Out.Balance.SetAside = Money(In.getSetAside());
   if (In.getHasAnswer())
     Out.Answer = read(In.getAnswer());
   return Out;
--- a/bronzeward/src/Ledger/Operation.h
+++ b/bronzeward/src/Ledger/Operation.h
@@ -101,6 +101,21 @@
   Rejected,
 };
 
+/// \brief An account's sums after an operation.
+struct AccountBalance {
+  Money Prepaid;
+  Money Settled;
+  /// Sum of all grants, those of holders that are gone included.
+  Money SetAside;
+
+  /// \returns what a draw can take.
+  [[nodiscard]] Money free() const { return Prepaid - Settled - SetAside; }
+  /// \returns what is not spent for certain. It can only fall until the next
+  /// top-up, so a request that costs more is certainly not covered.
+  [[nodiscard]] Money unsettled() const { return Prepaid - Settled; }
+  bool operator==(const AccountBalance &) const = default;
+};
+
 /// \brief Result of one \ref Operation.
 struct OperationResult {
   OperationStatus Status = OperationStatus::Rejected;
@@ -110,10 +125,8 @@
   std::uint64_t Order = 0;
   /// Holders with budget set aside, where Status is Insufficient.
   std::vector<Incarnation> Holders;
-  /// Prepaid and not settled, where Status is Insufficient. It can only fall
-  /// until the next top-up, so a request that costs more is certainly not
-  /// covered.
-  Money Unsettled;
+  /// Of the operation's account; zero where it has none.
+  AccountBalance Balance;
   std::optional<RecordedAnswer> Answer;
   bool operator==(const OperationResult &) const = default;
 };
--- a/bronzeward/src/Ledger/SlotLedger.cpp
+++ b/bronzeward/src/Ledger/SlotLedger.cpp
@@ -49,9 +49,26 @@
     indexBill(Settled);
 }
 
+static WorkspaceId workspaceOf(const CommitBill &Change) {
+  return Change.Settled.Workspace;
+}
+/// It concerns every account of the slot.
+static WorkspaceId workspaceOf(const ReclaimGrants &) { return {}; }
+template <class OfOneAccount>
+static WorkspaceId workspaceOf(const OfOneAccount &Change) {
+  return Change.Workspace;
+}
+
 OperationResult SlotLedger::apply(const Operation &Change) {
-  return std::visit([this](const auto &Item) { return applyOne(Item); },
-                    Change);
+  return std::visit(
+      [this](const auto &Item) {
+        OperationResult Made = applyOne(Item);
+        if (const Account *Budget = findAccount(workspaceOf(Item)))
+          Made.Balance = {Budget->Prepaid, Budget->Settled,
+                          outstanding(*Budget)};
+        return Made;
+      },
+      Change);
 }
 
 Account *SlotLedger::findAccount(const WorkspaceId &Workspace) {
@@ -127,7 +144,6 @@
   if (Free < Change.Minimum) {
     OperationResult Refusal = result(OperationStatus::Insufficient, Free);
     Refusal.Holders = holdersOf(*Budget);
-    Refusal.Unsettled = Budget->Prepaid - Budget->Settled;
     return Refusal;
   }
   if (Line == nullptr) {
--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -1,11 +1,16 @@
 #include "bronzeward/src/Net/HttpStore.h"
 
+#include <algorithm>
+
 namespace bronzeward {
 
 /// Calls that may wait for the store's thread.
 constexpr std::size_t RingCapacity = 4096;
 /// Entries of one list over all its pages; more is an error of the store.
 constexpr std::size_t MaxListed = 100'000;
+/// Time for a connection to open. A store that was cut off is back this much
+/// earlier than if its lost first packet had to be sent again after a second.
+constexpr Duration ConnectTimeout = 300ms;
 
 /// \brief Collects one answer of the store.
 class HttpStore::ReplyCollector : public HttpListener {
@@ -58,7 +63,7 @@
   if (!Encoded->Body.empty())
     Request.ContentType = "application/json";
   Request.Body = std::move(Encoded->Body);
-  Request.ConnectTimeout = Place.CallTimeout;
+  Request.ConnectTimeout = std::min(ConnectTimeout, Place.CallTimeout);
   Request.IdleTimeout = Place.CallTimeout;
   if (const WatchKeys *Watch = std::get_if<WatchKeys>(&Item.Call))
     Request.IdleTimeout += Watch->Wait;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -8,8 +8,14 @@
 /// Time between two digests to peers, and while the store does not answer.
 constexpr Duration GossipPeriod = 500ms;
 constexpr Duration UrgentGossipPeriod = 250ms;
-/// Peers that get each digest while the store answers.
+/// Peers that get each digest while the store answers, and while it does not:
+/// then as many as there are in a small fleet, and enough that some of them
+/// have the store where a part of a large fleet has lost it.
 constexpr std::size_t GossipFanout = 3;
+constexpr std::size_t UrgentGossipFanout = 7;
+/// A peer that said within this time that it has lost the store is told of
+/// each change.
+constexpr Duration AwayTime = 1s;
 /// Time between two notices of this instance's load where it changed, and where
 /// it did not.
 constexpr Duration LoadPeriod = 100ms;
@@ -164,10 +170,11 @@
                                         TimePoint Now) {
   Owner.takeUpstream(Entry, Owner.UpstreamKeys.regainedAt(), Now);
   Owner.refreshUsable(Now);
-  // A peer that the store does not answer may not know so yet.
+  // Telling every peer would make each change cost the square of the fleet.
   const UpstreamList Changed{Entry.Revision, {Entry}, false};
-  for (const InstanceId &Peer : Owner.otherPeers())
-    Owner.Around.Peers.send(Peer, Changed);
+  for (const auto &[Peer, SaidAt] : Owner.WithoutStore)
+    if (Now < SaidAt + AwayTime)
+      Owner.Around.Peers.send(Peer, Changed);
 }
 
 void FleetCore::takeUpstreams(const std::vector<StoreEntry> &Listed,
@@ -240,7 +247,7 @@
   Made.Suspects = Engine.quarantine().listed(Now);
   Made.Suspects.resize(std::min(Made.Suspects.size(), MaxDigestSuspects));
   std::vector<InstanceId> Others = otherPeers();
-  const std::size_t Fanout = Made.StoreAway ? Others.size() : GossipFanout;
+  const std::size_t Fanout = Made.StoreAway ? UrgentGossipFanout : GossipFanout;
   for (std::size_t Sent = 0; Sent < Fanout && !Others.empty(); ++Sent) {
     const std::size_t Index = Source.below(Others.size());
     Around.Peers.send(Others[Index], Made);
@@ -270,6 +277,10 @@
   if (Members.find(From) == nullptr && !Message.PeerAddress.empty())
     Unlisted[From] =
         Member{Incarnation{From, 0}, {}, Message.PeerAddress, Message.Draining};
+  if (Message.StoreAway)
+    WithoutStore[From] = Now;
+  else
+    WithoutStore.erase(From);
   for (const ContentFingerprint &Content : Message.Suspects)
     Engine.quarantine().onReported(Content, Now);
   if (Message.Configuration < Version)
@@ -321,17 +332,19 @@
   return Store.failingSince().has_value() || !UpstreamKeys.inTouch();
 }
 
-void FleetCore::checkStore() {
+void FleetCore::checkStore(TimePoint Now) {
   if (storeAway() == StoreWasAway)
     return;
   StoreWasAway = !StoreWasAway;
   Around.Log.onEvent(StoreWasAway ? "store-lost" : "store-regained",
                      "upstreams known to revision " +
                          std::to_string(Directory.revision()));
+  if (!StoreWasAway && Budgets)
+    Budgets->onStoreRegained(Now);
 }
 
 void FleetCore::housekeeping(TimePoint Now) {
-  checkStore();
+  checkStore(Now);
   if (LapseCheck && Now >= *LapseCheck)
     refreshUsable(Now);
   if (Budgets && Now >= NextReturn) {
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -136,7 +136,7 @@
                 TimePoint Now);
   [[nodiscard]] PeerDigest digest() const;
   [[nodiscard]] std::vector<InstanceId> otherPeers() const;
-  void checkStore();
+  void checkStore(TimePoint Now);
   void housekeeping(TimePoint Now);
   void finishDrain(TimePoint Now);
   [[nodiscard]] bool storeAway() const;
@@ -165,6 +165,8 @@
   std::map<std::string, StoreEntry> Entries;
   /// When each peer was last heard.
   std::map<InstanceId, TimePoint> LastHeard;
+  /// When each peer that has lost the store said so last.
+  std::map<InstanceId, TimePoint> WithoutStore;
   /// Peers that are not listed, by what they or the settings say.
   std::map<InstanceId, Member> Unlisted;
   std::optional<TimePoint> LapseCheck;
--- a/bronzeward/src/Router/InstanceRegistry.cpp
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -10,8 +10,10 @@
 constexpr std::chrono::seconds LeaseTime{10};
 /// Time between two extensions of the lease.
 constexpr Duration KeepAlivePeriod = 3s;
-/// Time between two readings of the list.
+/// Time between two readings of the list: a base, and a part for each member,
+/// so that an instance reads as much in a large fleet as in a small one.
 constexpr Duration ListPeriod = 2s;
+constexpr Duration ListPeriodPerMember = 20ms;
 /// Longest pause before a failed call is repeated.
 constexpr Duration RetryPause = 1s;
 
@@ -128,6 +130,7 @@
              [this](const StoreReply &Reply, TimePoint At) {
                if (Reply.Status == StoreStatus::Ok) {
                  std::vector<Member> Members;
+                 ListedMembers = static_cast<int>(Reply.Entries.size());
                  for (const StoreEntry &Entry : Reply.Entries) {
                    Result<Member> Item = parseMember(Entry);
                    if (Item)
@@ -135,7 +138,9 @@
                  }
                  Listed(std::move(Members), At);
                }
-               const Duration Pause = Announced ? ListPeriod : RetryPause;
+               const Duration Steady =
+                   ListPeriod + ListedMembers * ListPeriodPerMember;
+               const Duration Pause = Announced ? Steady : RetryPause;
                Timers.schedule(At + Pause,
                                [this](TimePoint Due) { list(Due); });
              });
--- a/bronzeward/src/Router/InstanceRegistry.h
+++ b/bronzeward/src/Router/InstanceRegistry.h
@@ -57,6 +57,7 @@
   RegisteredHandler Registered;
   ListedHandler Listed;
   StoreLeaseId Lease;
+  int ListedMembers = 0;
   bool Announced = false;
   bool Removed = false;
 };
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -27,7 +27,11 @@
               "repeats of all instances for each call, in any window");
 DEFINE_double(retry_extra, 10.0, "repeats of all instances beyond that");
 DEFINE_int32(retry_window_ms, 10000, "length of that window");
-DEFINE_int32(outage_ms, 3500, "store outage that budget in hand bridges");
+DEFINE_int32(outage_ms, 9000,
+             "store outage that budget in hand bridges while there is plenty");
+DEFINE_double(joint_loss_part, 0.5,
+              "most of a workspace's remaining budget that is in hand at all "
+              "instances together");
 DEFINE_int32(watch_wait_ms, 1500,
              "longest wait of one watch; a silent connection is noticed after "
              "it and the store's timeout");
@@ -41,6 +45,9 @@
   BOOST_OUTCOME_TRY(
       requireRange("retry_window_ms", FLAGS_retry_window_ms, 100, 600'000));
   BOOST_OUTCOME_TRY(requireRange("outage_ms", FLAGS_outage_ms, 100, 600'000));
+  if (!(FLAGS_joint_loss_part > 0.0 && FLAGS_joint_loss_part <= 1.0))
+    return fail(ErrorKind::InvalidArgument, "check flag", "joint_loss_part",
+                "is not above 0 and at most 1");
   BOOST_OUTCOME_TRY(
       requireRange("watch_wait_ms", FLAGS_watch_wait_ms, 100, 30'000));
   return requireRange("unready_notice_ms", FLAGS_unready_notice_ms, 0, 60'000);
@@ -65,6 +72,7 @@
   BudgetPolicy Policy;
   Policy.CommitInterval = 400ms;
   Policy.GrantHorizon = std::chrono::milliseconds(FLAGS_outage_ms);
+  Policy.JointLossPart = FLAGS_joint_loss_part;
   Policy.RateWindow = 6s;
   Policy.SpendingMargin = 1.0;
   Policy.ReserveWholeRequests = true;
