--- a/bronzeward/schema/Ledger.capnp
+++ b/bronzeward/schema/Ledger.capnp
@@ -158,4 +158,5 @@
   prepaid @6 :Int64;
   settled @7 :Int64;
   setAside @8 :Int64;
+  holderCount @9 :UInt32;
 }
--- a/bronzeward/schema/Ledger.capnp.h
+++ b/bronzeward/schema/Ledger.capnp.h
@@ -2499,6 +2499,8 @@
 
   inline  ::int64_t getSetAside() const;
 
+  inline  ::uint32_t getHolderCount() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2562,6 +2564,9 @@
   inline  ::int64_t getSetAside();
   inline void setSetAside( ::int64_t value);
 
+  inline  ::uint32_t getHolderCount();
+  inline void setHolderCount( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5214,6 +5219,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t OperationResult::Reader::getHolderCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t OperationResult::Builder::getHolderCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void OperationResult::Builder::setHolderCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 
--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -38,6 +38,7 @@
       upstreamRevision @19 :UInt64;
       storeAway @20 :Bool;
       peerAddress @21 :Text;
+      watchesStore @34 :Bool;
     }
     configuration :group {
       version @16 :UInt64;
@@ -48,6 +49,7 @@
       revision @22 :UInt64;
       entries @23 :List(UpstreamEntry);
       whole @24 :Bool;
+      since @35 :UInt64;
     }
     loanRequest :group {
       workspace @25 :Text;
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -1020,6 +1020,8 @@
   inline bool hasPeerAddress() const;
   inline  ::capnp::Text::Reader getPeerAddress() const;
 
+  inline bool getWatchesStore() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1075,6 +1077,9 @@
   inline void adoptPeerAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownPeerAddress();
 
+  inline bool getWatchesStore();
+  inline void setWatchesStore(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1211,6 +1216,8 @@
 
   inline bool getWhole() const;
 
+  inline  ::uint64_t getSince() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1252,6 +1259,9 @@
   inline bool getWhole();
   inline void setWhole(bool value);
 
+  inline  ::uint64_t getSince();
+  inline void setSince( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2327,6 +2337,7 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
@@ -2402,6 +2413,7 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::UPSTREAMS);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Upstreams::Builder(_builder);
 }
@@ -2914,6 +2926,20 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Digest::Reader::getWatchesStore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerMessage::Digest::Builder::getWatchesStore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Digest::Builder::setWatchesStore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerMessage::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3024,6 +3050,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerMessage::Upstreams::Reader::getSince() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Upstreams::Builder::getSince() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Upstreams::Builder::setSince( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool PeerMessage::LoanRequest::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -253,10 +253,7 @@
   Change.Wanted = std::max(Minimum, Budget.Grant.refill(Missing, Policy, Now));
   if (Budget.DrawAhead)
     Change.Wanted = std::max(Change.Wanted, FirstGrantWanted);
-  Change.Share =
-      std::max(Policy.LeastDrawShares,
-               static_cast<std::uint32_t>(
-                   2 * std::max<std::size_t>(1, Members.members().size())));
+  Change.Share = drawShare(Budget);
   Change.Holder = holder(Budget);
   Budget.Grant.drawSent();
   Change.Sequence = Budget.Grant.sequence();
@@ -271,6 +268,15 @@
   refuseWaiting(Workspace, ReserveOutcome::Unavailable, Now);
 }
 
+std::uint32_t BudgetAgent::drawShare(const Book &Budget) const {
+  // In a large fleet most workspaces are served by few of the instances.
+  std::size_t Sharers = std::max<std::size_t>(1, Members.members().size());
+  if (const std::optional<AccountBalance> &Shown = Budget.Outlook.balance())
+    Sharers = std::min<std::size_t>(Sharers, Shown->Holders + 1);
+  return std::max(Policy.LeastDrawShares,
+                  static_cast<std::uint32_t>(2 * Sharers));
+}
+
 void BudgetAgent::onDrawn(const WorkspaceId &Workspace,
                           const OperationResult &Outcome, TimePoint Now) {
   Book &Budget = Books[Workspace];
@@ -418,8 +424,12 @@
   const std::uint64_t Number =
       submit(Workspace, RaisePrepaid{Workspace, Total}, Now,
              [this, Workspace](const OperationResult &, TimePoint At) {
-               Books[Workspace].Unsettled.reset();
-               if (Books[Workspace].DrawAhead)
+               Book &Budget = Books[Workspace];
+               Budget.Unsettled.reset();
+               // In a large fleet most instances serve few workspaces.
+               Budget.DrawAhead =
+                   Budget.DrawAhead && Members.members().size() <= MaxRanked;
+               if (Budget.DrawAhead)
                  draw(Workspace, At);
              });
   if (Number != 0)
@@ -920,6 +930,7 @@
   if (Changed && Members.members().size() <= MaxRanked)
     for (auto &[Workspace, Budget] : Books)
       Budget.Grant.setRounding(roundingPlace(Workspace));
+  Router.onListed(Now);
   Watch.onListed(Now);
 }
 
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -248,6 +248,8 @@
                      TimePoint Now);
   void onLoan(const Loan &Message, TimePoint Now);
   void draw(const WorkspaceId &Workspace, TimePoint Now);
+  /// \returns the share of the free budget that one draw takes at most.
+  [[nodiscard]] std::uint32_t drawShare(const Book &Budget) const;
   void onDrawn(const WorkspaceId &Workspace, const OperationResult &Outcome,
                TimePoint Now);
   void onInsufficient(const WorkspaceId &Workspace,
--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -11,6 +11,13 @@
 /// First and longest pause before operations are tried again.
 constexpr Duration MinRetry = 50ms;
 constexpr Duration MaxRetry = 1s;
+/// Time between two commits that requests wait for, for each member: first
+/// requests of many workspaces at many instances come close together, and each
+/// commit is a counted call. At most as long as a caller hardly notices.
+constexpr Duration UrgentIntervalPerMember = 1ms;
+constexpr int MaxIntervalMembers = 80;
+/// Longest wait of operations for the list of members.
+constexpr Duration MaxHold = 2s;
 /// Doublings of the pause.
 constexpr int MaxDoublings = 5;
 
@@ -57,6 +64,9 @@
   if (!Place)
     Place = std::make_unique<SlotCommitter>(Slot, Around.Store, Around.Timers,
                                             Around.Source, Around.Policy);
+  const int Members = static_cast<int>(std::min<std::size_t>(
+      Around.Members.members().size(), MaxIntervalMembers));
+  Place->setUrgentInterval(Members * UrgentIntervalPerMember);
   return *Place;
 }
 
@@ -86,6 +96,11 @@
   });
   if (Numbers.empty())
     return;
+  if (holding(Now)) {
+    for (const std::uint64_t Number : Numbers)
+      retryLater(Number, Now);
+    return;
+  }
   const InstanceId To = Around.Members.committerOf(Slot, Self);
   if (To == Self || suspected(To, Now))
     commitHere(Slot, Numbers, Now);
@@ -93,6 +108,22 @@
     sendTo(To, Slot, Numbers, Now);
 }
 
+bool OperationRouter::holding(TimePoint Now) {
+  if (!FirstAt)
+    FirstAt = Now;
+  return Around.Policy.AwaitMembers && Around.Members.find(Self) == nullptr &&
+         Now < *FirstAt + MaxHold;
+}
+
+void OperationRouter::onListed(TimePoint Now) {
+  std::vector<SlotId> Slots;
+  for (const auto &[Slot, Outbox] : Outboxes)
+    Slots.push_back(Slot);
+  for (const SlotId Slot : Slots)
+    if (!holding(Now))
+      flushBacklog(Slot, Now);
+}
+
 void OperationRouter::commitHere(SlotId Slot,
                                  const std::vector<std::uint64_t> &Numbers,
                                  TimePoint Now) {
@@ -190,13 +221,9 @@
 
 void OperationRouter::onStoreRegained(TimePoint Now) {
   SuspectedUntil.clear();
-  std::vector<SlotId> Slots;
-  for (const auto &[Slot, Outbox] : Outboxes)
-    Slots.push_back(Slot);
-  for (const SlotId Slot : Slots) {
-    Outboxes[Slot].Failures = 0;
-    flushBacklog(Slot, Now);
-  }
+  for (auto &[Slot, Outbox] : Outboxes)
+    Outbox.Failures = 0;
+  onListed(Now);
 }
 
 void OperationRouter::onSubmit(const InstanceId &From,
--- a/bronzeward/src/Budget/OperationRouter.h
+++ b/bronzeward/src/Budget/OperationRouter.h
@@ -58,6 +58,9 @@
   /// \brief Learns that a peer's connection failed.
   void onPeerUnreachable(const InstanceId &Peer, TimePoint Now);
 
+  /// \brief Learns that the list of members was read: operations that waited
+  /// for it go out.
+  void onListed(TimePoint Now);
   /// \brief Learns that the store answers again: what waits for a retry is sent
   /// at once, and no committer is passed over for having been cut off with it.
   void onStoreRegained(TimePoint Now);
@@ -92,6 +95,9 @@
 
   void enqueue(SlotId Slot, std::uint64_t Number, TimePoint Now);
   void flush(SlotId Slot, TimePoint Now);
+  /// \returns whether operations wait since no list with this instance in it
+  /// was read: every instance of a fleet that starts would commit by itself.
+  [[nodiscard]] bool holding(TimePoint Now);
   void commitHere(SlotId Slot, const std::vector<std::uint64_t> &Numbers,
                   TimePoint Now);
   void sendTo(const InstanceId &To, SlotId Slot,
@@ -112,6 +118,8 @@
   std::map<SlotId, std::unique_ptr<SlotCommitter>> Committers;
   std::map<std::uint64_t, RemoteBatch> Remote;
   std::map<InstanceId, TimePoint> SuspectedUntil;
+  /// When the first operation came.
+  std::optional<TimePoint> FirstAt;
   std::uint64_t LastNumber = 0;
   std::uint64_t LastBatch = 0;
 };
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -63,6 +63,9 @@
   bool StoreAway = false;
   /// Where the sender listens for peers, "ip:port"; it may not be listed yet.
   std::string PeerAddress;
+  /// Whether the sender follows the store's keys itself and is up to date, so
+  /// that others may rely on its word.
+  bool WatchesStore = false;
 };
 
 /// \brief An accepted configuration, for a peer whose version is older.
@@ -74,13 +77,16 @@
 /// \brief Asks a peer for its configuration.
 struct ConfigurationWanted {};
 
-/// \brief Registry entries of upstreams, for peers that the store does not
-/// answer: every one, or those that just changed.
+/// \brief Registry entries of upstreams, for peers that do not follow the
+/// store themselves: every one, or those that changed.
 struct UpstreamList {
   /// Store revision up to which the sender knows the entries.
   std::uint64_t Revision = 0;
   std::vector<StoreEntry> Entries;
+  /// Whether every entry is listed.
   bool Whole = false;
+  /// Store revision after which every change is listed, where Whole is false.
+  std::uint64_t Since = 0;
 };
 
 /// \brief Asks a peer for a part of its grant.
--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -11,6 +11,11 @@
 constexpr std::size_t KeptHeadSegments = 64;
 /// Commits that an idle slot may make at once, before the interval holds.
 constexpr int CommitBurst = 10;
+/// Longest pause after a second conflict in a row, doubled with each further
+/// one: about a read and a write of the store, so that of several committers
+/// one gets through.
+constexpr Duration ConflictPause = 10ms;
+constexpr int MaxConflictDoublings = 5;
 /// Operations committed by one write at most; as many bills of 500 bytes stay
 /// well under the megabyte that the store takes.
 constexpr std::size_t MaxBatch = 1024;
@@ -67,6 +72,8 @@
 }
 
 TimePoint SlotCommitter::nextAllowed() const {
+  if (urgent())
+    return BeganAt + UrgentInterval;
   return UsedUntil - CommitBurst * Policy.CommitInterval;
 }
 
@@ -82,9 +89,10 @@
 void SlotCommitter::tryStart(TimePoint Now) {
   if (Busy || Queue.empty())
     return;
-  if (Now < nextAllowed() && !urgent()) {
-    if (!Wake)
-      wakeAt(nextAllowed());
+  const TimePoint Allowed = nextAllowed();
+  if (Now < Allowed) {
+    if (!Wake || Allowed < Wake->When)
+      wakeAt(Allowed);
     return;
   }
   takeBatch();
@@ -93,6 +101,7 @@
     return;
   }
   Busy = true;
+  BeganAt = Now;
   Validated = false;
   if (Loaded)
     applyBatch(Now);
@@ -299,6 +308,7 @@
 void SlotCommitter::onWritten(const StoreReply &Reply, TimePoint Now) {
   switch (Reply.Status) {
   case StoreStatus::Ok:
+    Conflicts = 0;
     Revision = Reply.Revision;
     // Commits for urgent operations must not push bills out for long.
     UsedUntil = std::min(std::max(UsedUntil, Now) + Policy.CommitInterval,
@@ -311,8 +321,7 @@
   case StoreStatus::Conflict:
   case StoreStatus::Unknown:
     // Read back: each operation tells by itself whether it took effect.
-    Loaded = false;
-    load(Now);
+    reload(Now);
     return;
   case StoreStatus::Unavailable:
     giveUp(Now);
@@ -320,6 +329,19 @@
   }
 }
 
+void SlotCommitter::reload(TimePoint Now) {
+  Loaded = false;
+  const int Earlier = std::min(Conflicts++, MaxConflictDoublings);
+  if (Earlier == 0) {
+    load(Now);
+    return;
+  }
+  const Duration Longest = ConflictPause * (1 << Earlier);
+  Timers.schedule(
+      Now + std::chrono::duration_cast<Duration>(Longest * Source.unit()),
+      [this](TimePoint At) { load(At); });
+}
+
 void SlotCommitter::finish(TimePoint Now) {
   Busy = false;
   std::vector<Queued> Finished;
--- a/bronzeward/src/Budget/SlotCommitter.h
+++ b/bronzeward/src/Budget/SlotCommitter.h
@@ -43,6 +43,9 @@
   /// commit interval; all else is committed as soon as the store answers.
   void submit(Operation Change, TimePoint Now, Handler Done);
 
+  /// \brief Sets the time between two commits that requests wait for.
+  void setUrgentInterval(Duration Time) { UrgentInterval = Time; }
+
   /// \returns the record as last read or written, or null.
   [[nodiscard]] const SlotRecord *record() const;
   [[nodiscard]] std::size_t waiting() const { return Queue.size(); }
@@ -55,7 +58,7 @@
   };
 
   [[nodiscard]] bool urgent() const;
-  /// \returns when the next commit of bills may start.
+  /// \returns when the next commit may start.
   [[nodiscard]] TimePoint nextAllowed() const;
   void tryStart(TimePoint Now);
   void load(TimePoint Now);
@@ -85,6 +88,8 @@
   void onWritten(const StoreReply &Reply, TimePoint Now);
   void finish(TimePoint Now);
   void giveUp(TimePoint Now);
+  /// Reads the record again after another committer changed it.
+  void reload(TimePoint Now);
   void wakeAt(TimePoint When);
   [[nodiscard]] std::string freshId();
 
@@ -107,8 +112,13 @@
   /// Whether the record was read or written since the batch began.
   bool Validated = false;
   bool Busy = false;
+  /// Conflicts with other committers in a row.
+  int Conflicts = 0;
   /// Whether a segment is being read.
   bool Fetching = false;
+  Duration UrgentInterval{};
+  /// When the last commit began.
+  TimePoint BeganAt;
   /// Time up to which commits have used their share of the store.
   TimePoint UsedUntil;
   std::optional<TimerQueue::Handle> Wake;
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -43,6 +43,10 @@
   std::uint32_t LeastDrawShares = 2;
   /// Whether a grant is drawn before the first request asks for it.
   bool DrawAhead = false;
+  /// Whether operations wait for a list of members with this instance in it, so
+  /// that the instances of a large fleet that start together do not all commit
+  /// by themselves.
+  bool AwaitMembers = false;
   /// Whether instances lend each other parts of their grants.
   bool Lending = false;
   /// How long a request waits for budget before it is refused.
--- a/bronzeward/src/Ledger/Operation.h
+++ b/bronzeward/src/Ledger/Operation.h
@@ -107,6 +107,8 @@
   Money Settled;
   /// Sum of all grants, those of holders that are gone included.
   Money SetAside;
+  /// Holders that have something set aside.
+  std::uint32_t Holders = 0;
 
   /// \returns what a draw can take.
   [[nodiscard]] Money free() const { return Prepaid - Settled - SetAside; }
--- a/bronzeward/src/Ledger/SlotLedger.cpp
+++ b/bronzeward/src/Ledger/SlotLedger.cpp
@@ -49,6 +49,15 @@
     indexBill(Settled);
 }
 
+static AccountBalance balanceOf(const Account &Budget) {
+  AccountBalance Made{Budget.Prepaid, Budget.Settled, Money(), 0};
+  for (const GrantLine &Line : Budget.Grants) {
+    Made.SetAside += Line.Remaining;
+    Made.Holders += Line.Remaining.isZero() ? 0 : 1;
+  }
+  return Made;
+}
+
 static WorkspaceId workspaceOf(const CommitBill &Change) {
   return Change.Settled.Workspace;
 }
@@ -64,8 +73,7 @@
       [this](const auto &Item) {
         OperationResult Made = applyOne(Item);
         if (const Account *Budget = findAccount(workspaceOf(Item)))
-          Made.Balance = {Budget->Prepaid, Budget->Settled,
-                          outstanding(*Budget)};
+          Made.Balance = balanceOf(*Budget);
         return Made;
       },
       Change);
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -53,6 +53,7 @@
   Group.setUpstreamRevision(In.UpstreamRevision);
   Group.setStoreAway(In.StoreAway);
   Group.setPeerAddress(In.PeerAddress);
+  Group.setWatchesStore(In.WatchesStore);
   auto List = Group.initSuspects(In.Suspects.size());
   for (unsigned Index = 0; Index < In.Suspects.size(); ++Index)
     List.set(Index, In.Suspects[Index].Value);
@@ -72,6 +73,7 @@
   schema::PeerMessage::Upstreams::Builder Group = Out.initUpstreams();
   Group.setRevision(In.Revision);
   Group.setWhole(In.Whole);
+  Group.setSince(In.Since);
   auto List = Group.initEntries(In.Entries.size());
   for (unsigned Index = 0; Index < In.Entries.size(); ++Index) {
     const StoreEntry &Entry = In.Entries[Index];
@@ -155,6 +157,7 @@
   Out.UpstreamRevision = In.getUpstreamRevision();
   Out.StoreAway = In.getStoreAway();
   Out.PeerAddress = In.getPeerAddress().cStr();
+  Out.WatchesStore = In.getWatchesStore();
   return Out;
 }
 
@@ -162,6 +165,7 @@
   UpstreamList Out;
   Out.Revision = In.getRevision();
   Out.Whole = In.getWhole();
+  Out.Since = In.getSince();
   for (schema::UpstreamEntry::Reader Item : In.getEntries()) {
     StoreEntry Entry;
     Entry.Key = Item.getKey().cStr();
--- a/bronzeward/src/Relay/UpstreamDirectory.cpp
+++ b/bronzeward/src/Relay/UpstreamDirectory.cpp
@@ -46,14 +46,12 @@
   if (Revision < Place.Revision)
     return;
   Place = {Entry, Revision, std::nullopt};
-  KnownRevision = std::max(KnownRevision, Revision);
 }
 
 void UpstreamDirectory::onRemoved(const UpstreamName &Name,
                                   std::uint64_t Revision,
                                   std::optional<TimePoint> RegainedAt,
                                   TimePoint Now) {
-  KnownRevision = std::max(KnownRevision, Revision);
   const auto Found = Items.find(Name);
   if (Found == Items.end() || Revision < Found->second.Revision)
     return;
--- a/bronzeward/src/Relay/UpstreamDirectory.h
+++ b/bronzeward/src/Relay/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Base"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -52,11 +53,16 @@
   void onRemoved(const UpstreamName &Name, std::uint64_t Revision,
                  std::optional<TimePoint> RegainedAt, TimePoint Now);
 
+  /// \brief Every change up to a revision of the store was taken in.
+  void onCaughtUp(std::uint64_t Revision) {
+    KnownRevision = std::max(KnownRevision, Revision);
+  }
+
   /// \returns the upstreams that may get new calls now.
   [[nodiscard]] std::vector<UpstreamEntry> usable(TimePoint Now) const;
   /// \returns when the next kept entry is to be taken as gone.
   [[nodiscard]] std::optional<TimePoint> nextLapse(TimePoint Now) const;
-  /// \returns the store revision up to which entries are known.
+  /// \returns the store revision up to which every change is known.
   [[nodiscard]] std::uint64_t revision() const { return KnownRevision; }
 
 private:
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -25,10 +25,21 @@
 constexpr std::size_t MaxLoadPeers = 16;
 /// A peer heard within this time stays a member although its entry lapsed.
 constexpr Duration HeardTime = 2s;
+/// Time between two digests of a watcher to those who rely on it.
+constexpr Duration FollowerDigestPeriod = 1s;
+/// Time for which changes are gathered before they are passed on.
+constexpr Duration GatherTime = 30ms;
+/// Fleets above this size gossip with a fixed choice of peers, so that each
+/// instance keeps few connections, and leave texts of configurations to the
+/// store.
+constexpr std::size_t LargeFleet = 16;
+constexpr std::size_t GossipPeers = 8;
 /// Quarantined contents in one digest.
 constexpr std::size_t MaxDigestSuspects = 16;
 /// Time between two looks at what changes without an event.
 constexpr Duration HousekeepingPeriod = 100ms;
+/// Time between two log lines of the calls made to the store.
+constexpr Duration StoreReportPeriod = 10s;
 /// Time between two returns of budget that is not needed.
 constexpr Duration ReturnPeriod = 1s;
 /// Time between two looks at whether a drain is done.
@@ -53,6 +64,7 @@
                         Store, Timers, Source, Configurations),
       UpstreamKeys(Forms.Deployment.upstreamPrefix(), Policy.WatchWait, Store,
                    Timers, Source, Registrations),
+      Duty(Identity.Instance, Identity.Domain),
       Engine(Identity.Domain, Policy.Retries,
              RelaySurroundings{Parts.Callers, Parts.Upstreams, Parts.Log,
                                Parts.Wall, Timers, Source, Forms.Calls,
@@ -107,6 +119,7 @@
   for (const Member &Item : Listed)
     Unlisted.erase(Item.Life.Instance);
   Members.update(Listed);
+  Duty.onMembers(Listed);
   if (Budgets)
     Budgets->onMembers(std::move(Listed), Now);
 }
@@ -127,6 +140,22 @@
   return Others;
 }
 
+std::vector<InstanceId> FleetCore::gossipPeers() const {
+  std::vector<InstanceId> Others = otherPeers();
+  if (Others.size() <= LargeFleet)
+    return Others;
+  std::vector<std::pair<std::uint64_t, InstanceId>> Ranked;
+  Ranked.reserve(Others.size());
+  for (InstanceId &Peer : Others)
+    Ranked.emplace_back(hash64(Identity.Instance.Value + Peer.Value),
+                        std::move(Peer));
+  std::partial_sort(Ranked.begin(), Ranked.begin() + GossipPeers, Ranked.end());
+  Others.clear();
+  for (std::size_t Place = 0; Place < GossipPeers; ++Place)
+    Others.push_back(std::move(Ranked[Place].second));
+  return Others;
+}
+
 // Configuration.
 
 void FleetCore::ConfigurationFeed::onListed(
@@ -157,24 +186,83 @@
                                           std::to_string(Version.Number) +
                                           " from " + From);
   Engine.configure(std::move(Parsed).value(), Now);
+  tellFollowers();
+}
+
+void FleetCore::readNewerConfiguration(ConfigurationVersion Wanted,
+                                       TimePoint Now) {
+  if (ReadingConfiguration)
+    return;
+  ReadingConfiguration = true;
+  // Mostly a cheap read has it; the store may be asked for the latest then.
+  const auto Take = [this](const StoreReply &Reply, TimePoint At) {
+    ReadingConfiguration = false;
+    if (Reply.Status == StoreStatus::Ok)
+      Configurations.onListed(Reply.Entries, Reply.Revision, At);
+  };
+  const std::string Key = Codecs.Deployment.configurationKey();
+  Store.call(ListKeys{Key, "", true}, Now,
+             [this, Take, Key, Wanted](const StoreReply &Reply, TimePoint At) {
+               Take(Reply, At);
+               if (Wanted <= Version)
+                 return;
+               ReadingConfiguration = true;
+               Store.call(ListKeys{Key, "", false}, At, Take);
+             });
 }
 
 // Upstreams.
 
 void FleetCore::UpstreamFeed::onListed(const std::vector<StoreEntry> &Found,
                                        std::uint64_t Revision, TimePoint Now) {
-  Owner.takeUpstreams(Found, Revision, Owner.UpstreamKeys.regainedAt(), Now);
+  Owner.takeUpstreams(Found, Revision, Owner.storeRegainedAt(), Now);
+  Owner.tellFollowers();
 }
 
 void FleetCore::UpstreamFeed::onChanged(const StoreEntry &Entry,
                                         TimePoint Now) {
-  Owner.takeUpstream(Entry, Owner.UpstreamKeys.regainedAt(), Now);
+  Owner.takeUpstream(Entry, Owner.storeRegainedAt(), Now);
+  Owner.passOnChange(Entry, Now);
+  Owner.Directory.onCaughtUp(Entry.Revision);
   Owner.refreshUsable(Now);
+}
+
+std::optional<TimePoint> FleetCore::storeRegainedAt() const {
+  return std::max(UpstreamKeys.regainedAt(), Duty.regainedAt());
+}
+
+void FleetCore::passOnChange(const StoreEntry &Entry, TimePoint Now) {
+  if (UnsentChanges.empty()) {
+    UnsentSince = Directory.revision();
+    Timers.schedule(Now + GatherTime,
+                    [this](TimePoint At) { sendChanges(At); });
+  }
+  UnsentChanges.push_back(Entry);
+}
+
+void FleetCore::sendChanges(TimePoint Now) {
+  UpstreamList Changed;
+  Changed.Entries.swap(UnsentChanges);
+  Changed.Since = UnsentSince;
+  Changed.Revision = Changed.Entries.back().Revision;
   // Telling every peer would make each change cost the square of the fleet.
-  const UpstreamList Changed{Entry.Revision, {Entry}, false};
-  for (const auto &[Peer, SaidAt] : Owner.WithoutStore)
+  std::set<InstanceId> To(Duty.followers().begin(), Duty.followers().end());
+  for (const auto &[Peer, SaidAt] : WithoutStore)
     if (Now < SaidAt + AwayTime)
-      Owner.Around.Peers.send(Peer, Changed);
+      To.insert(Peer);
+  for (const InstanceId &Peer : To)
+    Around.Peers.send(Peer, Changed);
+}
+
+UpstreamList FleetCore::changesSince(std::uint64_t Revision) const {
+  UpstreamList Made;
+  Made.Revision = Directory.revision();
+  Made.Whole = Revision < EntriesSince;
+  Made.Since = Revision;
+  for (const auto &[Key, Entry] : Entries)
+    if (Made.Whole ? !Entry.Deleted : Entry.Revision > Revision)
+      Made.Entries.push_back(Entry);
+  return Made;
 }
 
 void FleetCore::takeUpstreams(const std::vector<StoreEntry> &Listed,
@@ -192,6 +280,7 @@
     Fresh[Entry.Key] = Entry;
   }
   Entries = std::move(Fresh);
+  EntriesSince = Revision;
   Directory.onListed(Known, Revision, RegainedAt, Now);
   refreshUsable(Now);
 }
@@ -220,8 +309,11 @@
     takeUpstreams(Message.Entries, Message.Revision, std::nullopt, Now);
     return;
   }
+  const bool NoGap = Message.Since <= Directory.revision();
   for (const StoreEntry &Entry : Message.Entries)
-    takeUpstream(Entry, UpstreamKeys.regainedAt(), Now);
+    takeUpstream(Entry, storeRegainedAt(), Now);
+  if (NoGap)
+    Directory.onCaughtUp(Message.Revision);
   refreshUsable(Now);
 }
 
@@ -239,14 +331,38 @@
   Made.UpstreamRevision = Directory.revision();
   Made.StoreAway = storeAway();
   Made.PeerAddress = Identity.PeerAddress;
+  Made.WatchesStore = !Made.StoreAway && ConfigurationKeys.inTouch() &&
+                      UpstreamKeys.following() && ConfigurationKeys.following();
   return Made;
 }
 
+void FleetCore::updateWatching(TimePoint Now) {
+  if (Duty.watches(Now)) {
+    ConfigurationKeys.resume(Now);
+    UpstreamKeys.resume(Now);
+  } else {
+    ConfigurationKeys.pause();
+    UpstreamKeys.pause();
+  }
+  if (Now < NextFollowerDigest)
+    return;
+  NextFollowerDigest = Now + FollowerDigestPeriod;
+  tellFollowers();
+}
+
+void FleetCore::tellFollowers() {
+  if (Duty.followers().empty())
+    return;
+  const PeerDigest Made = digest();
+  for (const InstanceId &Peer : Duty.followers())
+    Around.Peers.send(Peer, Made);
+}
+
 void FleetCore::gossip(TimePoint Now) {
   PeerDigest Made = digest();
   Made.Suspects = Engine.quarantine().listed(Now);
   Made.Suspects.resize(std::min(Made.Suspects.size(), MaxDigestSuspects));
-  std::vector<InstanceId> Others = otherPeers();
+  std::vector<InstanceId> Others = gossipPeers();
   const std::size_t Fanout = Made.StoreAway ? UrgentGossipFanout : GossipFanout;
   for (std::size_t Sent = 0; Sent < Fanout && !Others.empty(); ++Sent) {
     const std::size_t Index = Source.below(Others.size());
@@ -258,11 +374,14 @@
 }
 
 void FleetCore::tellLoad(TimePoint Now) {
+  if (Members.members().size() > MaxLoadPeers + 1) {
+    Timers.schedule(Now + LoadRepeat, [this](TimePoint At) { tellLoad(At); });
+    return;
+  }
   const std::vector<InstanceId> Others = otherPeers();
   LoadNotice Load = Engine.upstreams().ownLoad();
   const bool Due = Now >= ToldLoadAt + LoadRepeat;
-  if (Others.size() <= MaxLoadPeers &&
-      (Load.Upstreams != ToldLoad.Upstreams || Due)) {
+  if (Load.Upstreams != ToldLoad.Upstreams || Due) {
     ToldLoad = std::move(Load);
     ToldLoadAt = Now;
     for (const InstanceId &Peer : Others)
@@ -283,20 +402,39 @@
     WithoutStore.erase(From);
   for (const ContentFingerprint &Content : Message.Suspects)
     Engine.quarantine().onReported(Content, Now);
-  if (Message.Configuration < Version)
+  compareConfigurations(From, Message, Now);
+  compareUpstreams(From, Message, Now);
+}
+
+void FleetCore::compareConfigurations(const InstanceId &From,
+                                      const PeerDigest &Message,
+                                      TimePoint Now) {
+  // Texts are long: in a large fleet those who reach the store read it there.
+  const bool Large = Members.members().size() > LargeFleet;
+  if (Message.Configuration < Version && (!Large || Message.StoreAway))
     Around.Peers.send(From, ConfigurationText{Version, CurrentText});
-  else if (Message.Configuration > Version)
+  if (Message.Configuration <= Version)
+    return;
+  if (!Large || storeAway())
     Around.Peers.send(From, ConfigurationWanted{});
-  if (!Message.StoreAway || storeAway() ||
-      Message.UpstreamRevision >= Directory.revision())
+  else if (!Duty.watches(Now))
+    readNewerConfiguration(Message.Configuration, Now);
+}
+
+void FleetCore::compareUpstreams(const InstanceId &From,
+                                 const PeerDigest &Message, TimePoint Now) {
+  const std::uint64_t Known = Directory.revision();
+  if (Message.UpstreamRevision < Known) {
+    if (!Message.WatchesStore && !storeAway())
+      Around.Peers.send(From, changesSince(Message.UpstreamRevision));
+  } else if (Message.UpstreamRevision > Known) {
+    // The watcher answers a digest with what is missing here.
+    if (Message.WatchesStore && !Duty.watches(Now))
+      Around.Peers.send(From, digest());
     return;
-  UpstreamList Whole;
-  Whole.Revision = Directory.revision();
-  Whole.Whole = true;
-  for (const auto &[Key, Entry] : Entries)
-    if (!Entry.Deleted)
-      Whole.Entries.push_back(Entry);
-  Around.Peers.send(From, Whole);
+  }
+  if (Message.WatchesStore && Message.Configuration <= Version)
+    Duty.onConfirmed(Now);
 }
 
 void FleetCore::onPeerMessage(const InstanceId &From,
@@ -329,7 +467,9 @@
 }
 
 bool FleetCore::storeAway() const {
-  return Store.failingSince().has_value() || !UpstreamKeys.inTouch();
+  // Where others follow the store, their word says that it is there.
+  return Store.failingSince().has_value() ||
+         (UpstreamKeys.following() && !UpstreamKeys.inTouch());
 }
 
 void FleetCore::checkStore(TimePoint Now) {
@@ -343,8 +483,25 @@
     Budgets->onStoreRegained(Now);
 }
 
+void FleetCore::reportStoreCalls(TimePoint Now) {
+  if (Now < NextStoreReport)
+    return;
+  NextStoreReport = Now + StoreReportPeriod;
+  const StoreCounters &Made = Store.counters();
+  Around.Log.onEvent("store-calls",
+                     "reads " + std::to_string(Made.Reads) + " lists " +
+                         std::to_string(Made.Lists) + " watches " +
+                         std::to_string(Made.Watches) + " writes " +
+                         std::to_string(Made.Writes) + " leases " +
+                         std::to_string(Made.Leases) + " renewals " +
+                         std::to_string(Made.Renewals) + " failures " +
+                         std::to_string(Made.Failures) + " since the start");
+}
+
 void FleetCore::housekeeping(TimePoint Now) {
+  reportStoreCalls(Now);
   checkStore(Now);
+  updateWatching(Now);
   if (LapseCheck && Now >= *LapseCheck)
     refreshUsable(Now);
   if (Budgets && Now >= NextReturn) {
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -3,6 +3,7 @@
 #include "bronzeward/Relay"
 #include "bronzeward/src/Router/InstanceCore.h"
 #include "bronzeward/src/Router/InstanceRegistry.h"
+#include "bronzeward/src/Router/WatchDuty.h"
 
 #include <map>
 #include <memory>
@@ -129,14 +130,37 @@
                     std::optional<TimePoint> RegainedAt, TimePoint Now);
   void onUpstreamList(const UpstreamList &Message, TimePoint Now);
   void refreshUsable(TimePoint Now);
+  /// \returns when entries that lapsed with the store began to come back.
+  [[nodiscard]] std::optional<TimePoint> storeRegainedAt() const;
+  /// Follows the store's keys, or leaves that to the watchers.
+  void updateWatching(TimePoint Now);
+  /// Tells those who rely on this instance how far it knows the keys.
+  void tellFollowers();
+  /// Gathers a change for those who do not follow the store themselves.
+  void passOnChange(const StoreEntry &Entry, TimePoint Now);
+  void sendChanges(TimePoint Now);
+  /// \returns every entry that changed after a revision, or all of them where
+  /// the changes since are not known.
+  [[nodiscard]] UpstreamList changesSince(std::uint64_t Revision) const;
+  void readNewerConfiguration(ConfigurationVersion Wanted, TimePoint Now);
 
   void gossip(TimePoint Now);
   void tellLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
   [[nodiscard]] PeerDigest digest() const;
+  /// Answers a peer whose configuration is older, or asks for a newer one.
+  void compareConfigurations(const InstanceId &From, const PeerDigest &Message,
+                             TimePoint Now);
+  /// Answers a peer that knows less of the upstreams, or relies on one that
+  /// knows as much.
+  void compareUpstreams(const InstanceId &From, const PeerDigest &Message,
+                        TimePoint Now);
   [[nodiscard]] std::vector<InstanceId> otherPeers() const;
+  /// \returns the peers that digests go to.
+  [[nodiscard]] std::vector<InstanceId> gossipPeers() const;
   void checkStore(TimePoint Now);
+  void reportStoreCalls(TimePoint Now);
   void housekeeping(TimePoint Now);
   void finishDrain(TimePoint Now);
   [[nodiscard]] bool storeAway() const;
@@ -156,6 +180,7 @@
   StoreFollower ConfigurationKeys;
   StoreFollower UpstreamKeys;
   UpstreamDirectory Directory;
+  WatchDuty Duty;
   RelayEngine Engine;
   std::unique_ptr<BudgetAgent> Budgets;
   std::optional<Incarnation> Life;
@@ -163,6 +188,14 @@
   std::string CurrentText;
   /// Registry entries as stored, for peers that the store does not answer.
   std::map<std::string, StoreEntry> Entries;
+  /// Revision of the list that Entries began with; changes since are all known.
+  std::uint64_t EntriesSince = 0;
+  /// Changes that are sent together.
+  std::vector<StoreEntry> UnsentChanges;
+  /// Revision after which they are all the changes.
+  std::uint64_t UnsentSince = 0;
+  TimePoint NextFollowerDigest;
+  bool ReadingConfiguration = false;
   /// When each peer was last heard.
   std::map<InstanceId, TimePoint> LastHeard;
   /// When each peer that has lost the store said so last.
@@ -171,6 +204,7 @@
   std::map<InstanceId, Member> Unlisted;
   std::optional<TimePoint> LapseCheck;
   TimePoint NextReturn;
+  TimePoint NextStoreReport;
   LoadNotice ToldLoad;
   TimePoint ToldLoadAt;
   std::optional<TimePoint> StartedAt;
--- a/bronzeward/src/Router/InstanceRegistry.cpp
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -75,7 +75,8 @@
                  return;
                }
                Lease = Reply.Lease;
-               readOwnEntry(At);
+               // Mostly the name is free, or its entry is of this life.
+               writeOwnEntry(OwnRevision, At);
              });
 }
 
@@ -96,20 +97,31 @@
   Store.call(
       CompareAndSwap{ownKey(), encodeMember(Self), ExpectedRevision, Lease},
       Now, [this](const StoreReply &Reply, TimePoint At) {
+        if (Reply.Status == StoreStatus::Conflict) {
+          readOwnEntry(At);
+          return;
+        }
         if (Reply.Status != StoreStatus::Ok) {
           retry(At);
           return;
         }
-        if (!Announced) {
-          Announced = true;
-          Self.Life.Epoch = Reply.Revision << RegistrationShift;
-          Registered(Self.Life, At);
-        }
-        Timers.schedule(At + KeepAlivePeriod,
-                        [this](TimePoint Due) { keepAlive(Due); });
+        OwnRevision = Reply.Revision;
+        onWritten(At);
       });
 }
 
+void InstanceRegistry::onWritten(TimePoint Now) {
+  if (!Announced) {
+    Announced = true;
+    Self.Life.Epoch = OwnRevision << RegistrationShift;
+    Registered(Self.Life, Now);
+    // The next periodic list is seconds away, and may not have this entry yet.
+    readList(false, Now);
+  }
+  Timers.schedule(Now + KeepAlivePeriod,
+                  [this](TimePoint Due) { keepAlive(Due); });
+}
+
 void InstanceRegistry::keepAlive(TimePoint Now) {
   if (Removed)
     return;
@@ -126,26 +138,32 @@
 }
 
 void InstanceRegistry::list(TimePoint Now) {
-  Store.call(ListKeys{InstancePrefix, "", true}, Now,
+  readList(true, Now);
+  const Duration Steady = ListPeriod + ListedMembers * ListPeriodPerMember;
+  Timers.schedule(Now + (Announced ? Steady : RetryPause),
+                  [this](TimePoint Due) { list(Due); });
+}
+
+void InstanceRegistry::readList(bool MayBeStale, TimePoint Now) {
+  Store.call(ListKeys{InstancePrefix, "", MayBeStale}, Now,
              [this](const StoreReply &Reply, TimePoint At) {
-               if (Reply.Status == StoreStatus::Ok) {
-                 std::vector<Member> Members;
-                 ListedMembers = static_cast<int>(Reply.Entries.size());
-                 for (const StoreEntry &Entry : Reply.Entries) {
-                   Result<Member> Item = parseMember(Entry);
-                   if (Item)
-                     Members.push_back(std::move(Item).value());
-                 }
-                 Listed(std::move(Members), At);
-               }
-               const Duration Steady =
-                   ListPeriod + ListedMembers * ListPeriodPerMember;
-               const Duration Pause = Announced ? Steady : RetryPause;
-               Timers.schedule(At + Pause,
-                               [this](TimePoint Due) { list(Due); });
+               if (Reply.Status == StoreStatus::Ok)
+                 takeList(Reply.Entries, At);
              });
 }
 
+void InstanceRegistry::takeList(const std::vector<StoreEntry> &Entries,
+                                TimePoint Now) {
+  std::vector<Member> Members;
+  for (const StoreEntry &Entry : Entries) {
+    Result<Member> Item = parseMember(Entry);
+    if (Item)
+      Members.push_back(std::move(Item).value());
+  }
+  ListedMembers = static_cast<int>(Members.size());
+  Listed(std::move(Members), Now);
+}
+
 void InstanceRegistry::leave(TimePoint Now) {
   Self.Leaving = true;
   if (Announced)
--- a/bronzeward/src/Router/InstanceRegistry.h
+++ b/bronzeward/src/Router/InstanceRegistry.h
@@ -46,7 +46,10 @@
   void readOwnEntry(TimePoint Now);
   void writeOwnEntry(std::uint64_t ExpectedRevision, TimePoint Now);
   void keepAlive(TimePoint Now);
+  void onWritten(TimePoint Now);
   void list(TimePoint Now);
+  void readList(bool MayBeStale, TimePoint Now);
+  void takeList(const std::vector<StoreEntry> &Entries, TimePoint Now);
   void retry(TimePoint Now);
   [[nodiscard]] std::string ownKey() const;
 
@@ -57,6 +60,8 @@
   RegisteredHandler Registered;
   ListedHandler Listed;
   StoreLeaseId Lease;
+  /// Revision of the entry that this life wrote; zero before.
+  std::uint64_t OwnRevision = 0;
   int ListedMembers = 0;
   bool Announced = false;
   bool Removed = false;
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -97,12 +97,17 @@
               Requests.OverReported);
   Out.counter("quarantined_total", "Contents put under quarantine here.",
               Requests.Quarantined);
-  Out.counter("store_reads_total", "Read calls to the store.",
+  Out.counter("store_reads_total", "Reads of one key of the store.",
               Status.Store.Reads);
+  Out.counter("store_lists_total", "Reads of all keys with a prefix.",
+              Status.Store.Lists);
+  Out.counter("store_watches_total", "Waits for changes of the store.",
+              Status.Store.Watches);
   Out.counter("store_writes_total", "Write calls to the store.",
               Status.Store.Writes);
-  Out.counter("store_lease_calls_total", "Lease calls to the store.",
-              Status.Store.Leases);
+  Out.counter("store_leases_total", "Leases asked for.", Status.Store.Leases);
+  Out.counter("store_renewals_total", "Extensions of a lease.",
+              Status.Store.Renewals);
   Out.counter("store_failures_total", "Store calls that failed.",
               Status.Store.Failures);
   Out.counter("store_calls_held_back_total",
--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -79,13 +79,18 @@
 }
 
 void StoreClient::count(const StoreCall &Request) {
-  if (!changesState(Request))
+  if (std::holds_alternative<ReadKey>(Request))
     ++Counters.Reads;
-  else if (std::holds_alternative<CompareAndSwap>(Request) ||
-           std::holds_alternative<DeleteKey>(Request))
-    ++Counters.Writes;
-  else
+  else if (std::holds_alternative<ListKeys>(Request))
+    ++Counters.Lists;
+  else if (std::holds_alternative<WatchKeys>(Request))
+    ++Counters.Watches;
+  else if (std::holds_alternative<GrantLease>(Request))
     ++Counters.Leases;
+  else if (std::holds_alternative<KeepAlive>(Request))
+    ++Counters.Renewals;
+  else
+    ++Counters.Writes;
 }
 
 void StoreClient::noteSuccess() {
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -23,9 +23,14 @@
 /// \ingroup Store
 /// \brief Calls made, for the metrics and the benches.
 struct StoreCounters {
+  /// Reads of one key, of all keys with a prefix, and waits for changes.
   std::uint64_t Reads = 0;
+  std::uint64_t Lists = 0;
+  std::uint64_t Watches = 0;
   std::uint64_t Writes = 0;
+  /// Leases asked for, and extended.
   std::uint64_t Leases = 0;
+  std::uint64_t Renewals = 0;
   std::uint64_t Failures = 0;
   /// Calls refused by the breaker or the cap, which never left.
   std::uint64_t NotSent = 0;
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -14,7 +14,20 @@
     : Prefix(std::move(KeyPrefix)), WatchWait(Wait), Store(Client),
       Timers(Queue), Jitter(Source), Listener(Sink) {}
 
+bool StoreFollower::proceeds() {
+  Stopped = Paused;
+  return !Paused;
+}
+
+void StoreFollower::resume(TimePoint Now) {
+  Paused = false;
+  if (Stopped)
+    list(Now);
+}
+
 void StoreFollower::list(TimePoint Now) {
+  if (!proceeds())
+    return;
   Store.call(ListKeys{Prefix, "", false}, Now,
              [this](const StoreReply &Reply, TimePoint At) {
                if (Reply.Status != StoreStatus::Ok) {
@@ -29,6 +42,8 @@
 }
 
 void StoreFollower::watch(TimePoint Now) {
+  if (!proceeds())
+    return;
   Store.call(
       WatchKeys{Prefix, Revision, WatchWait}, Now,
       [this](const StoreReply &Reply, TimePoint At) { onWatched(Reply, At); });
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -33,7 +33,13 @@
                 StoreFollowerListener &Sink);
 
   void start(TimePoint Now) { list(Now); }
+  /// \brief Makes no further calls until resumed.
+  void pause() { Paused = true; }
+  /// \brief Goes on with a list, where it was paused.
+  void resume(TimePoint Now);
 
+  /// \returns whether it keeps up with the store, and is not paused.
+  [[nodiscard]] bool following() const { return !Paused; }
   /// \returns whether the latest call was answered.
   [[nodiscard]] bool inTouch() const { return InTouch; }
   /// \returns when the store answered again after it had not; nothing where it
@@ -43,6 +49,8 @@
   [[nodiscard]] std::uint64_t revision() const { return Revision; }
 
 private:
+  /// \returns whether a call may be made; where not, resuming makes it.
+  [[nodiscard]] bool proceeds();
   void list(TimePoint Now);
   void watch(TimePoint Now);
   void onWatched(const StoreReply &Reply, TimePoint Now);
@@ -56,6 +64,9 @@
   Random &Jitter;
   StoreFollowerListener &Listener;
   std::uint64_t Revision = 0;
+  bool Paused = false;
+  /// Whether no call and no timer is under way.
+  bool Stopped = false;
   bool InTouch = false;
   bool WasLost = false;
   std::optional<TimePoint> Regained;
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -81,6 +81,7 @@
   Policy.LeastDrawShares = 18;
   Policy.DrawAhead = true;
   Policy.Lending = true;
+  Policy.AwaitMembers = true;
   Policy.CommitterTimeout = 2500ms;
   Policy.BudgetWait = 250ms;
   Policy.MaxHeadBills = 128;
--- a/test/BudgetLendingTest.cpp
+++ b/test/BudgetLendingTest.cpp
@@ -264,5 +264,109 @@
   }
 }
 
+/// \returns the store calls of twelve instances that start together, each with
+/// a request of a workspace of its own.
+std::uint64_t callsOfJointStart(bool AwaitMembers) {
+  constexpr std::size_t Instances = 12;
+  BudgetPolicy Policy = lendingPolicy();
+  Policy.AwaitMembers = AwaitMembers;
+  Policy.BudgetWait = 4s;
+  FakeFleet Fleet(Instances, Policy, 1);
+  for (std::size_t Node = 0; Node < Instances; ++Node)
+    Fleet.topUp(WorkspaceId{"w" + std::to_string(Node)}, Money(10'000));
+  Fleet.restartAll();
+  const std::uint64_t Before = Fleet.store().Reads + Fleet.store().Writes;
+  for (std::size_t Node = 0; Node < Instances; ++Node) {
+    FakeRequest Made = requestOf(static_cast<int>(Node), Node, Money(100));
+    Made.Workspace.Value = "w" + std::to_string(Node);
+    Fleet.start(Made);
+  }
+  Fleet.runFor(4s);
+  for (std::size_t Node = 0; Node < Instances; ++Node)
+    CHECK(Fleet.outcome("r" + std::to_string(Node)).Answered);
+  checkPromises(Fleet);
+  return Fleet.store().Reads + Fleet.store().Writes - Before;
+}
+
+// Load pattern: a fleet starts at once, and no instance knows the others yet.
+TEST_CASE("Instances that start together leave the commits to one",
+          "[BudgetLending]") {
+  const std::uint64_t Alone = callsOfJointStart(false);
+  const std::uint64_t Together = callsOfJointStart(true);
+  CAPTURE(Alone, Together);
+  CHECK(Together <= 12);
+  CHECK(Together * 3 <= Alone);
+}
+
+/// What one span of a replayed day came to.
+struct SpanCount {
+  int Asked = 0;
+  int Granted = 0;
+  [[nodiscard]] double share() const {
+    return static_cast<double>(Granted) / Asked;
+  }
+};
+
+/// Sends requests of ten workspaces, the first of which has a quarter of them
+/// and mostly comes to one instance.
+SpanCount replaySpan(FakeFleet &Fleet, Random &Source, int &Last,
+                     Duration Length) {
+  constexpr Duration Pause = 12ms;
+  SpanCount Seen;
+  std::vector<std::string> Names;
+  for (Duration Spent{}; Spent < Length; Spent += Pause) {
+    const std::uint64_t Drawn = Source.below(12);
+    const std::uint64_t Workspace = Drawn < 3 ? 0 : Drawn - 2;
+    const bool Stray = Source.below(10) < 3;
+    const std::size_t Home = Stray ? Source.below(7) : Workspace % 7;
+    FakeRequest Made = requestOf(++Last, Home, Money(2'000));
+    Made.Bound = Money(static_cast<std::int64_t>(500 + Source.below(3'000)));
+    Made.Cost = Money(Made.Bound.micros() * 4 / 5);
+    Made.Workspace.Value = "w" + std::to_string(Workspace);
+    Made.Work = 400ms;
+    Made.Released = true;
+    Fleet.start(Made);
+    Names.push_back(Made.Id.Value);
+    Fleet.runFor(Pause);
+  }
+  Fleet.runFor(300ms);
+  for (const std::string &Name : Names) {
+    ++Seen.Asked;
+    Seen.Granted += Fleet.outcome(Name).Reserve == ReserveOutcome::Granted ||
+                            Fleet.outcome(Name).Executed
+                        ? 1
+                        : 0;
+  }
+  return Seen;
+}
+
+// Load pattern: no instance reaches the store for eight seconds, early in a day
+// whose budgets are 1.3 times what is spent.
+TEST_CASE("A cut of eight seconds is served nearly as the time before it",
+          "[BudgetLending]") {
+  BudgetPolicy Policy = lendingPolicy();
+  Policy.CommitInterval = 400ms;
+  Policy.GrantHorizon = 9s;
+  Policy.JointLossPart = 0.5;
+  Policy.LeastDrawShares = 18;
+  FakeFleet Fleet(7, Policy, 1);
+  // 83 requests a second of 1,600 on average, for 34 seconds.
+  const std::int64_t Day = 83 * 34 * 1'600;
+  for (int Index = 0; Index < 10; ++Index)
+    Fleet.topUp(WorkspaceId{"w" + std::to_string(Index)},
+                Money(Day * 13 / 10 * (Index == 0 ? 3 : 1) / 12));
+  Random Source(7);
+  int Last = 0;
+  const SpanCount Before = replaySpan(Fleet, Source, Last, 8s);
+  Fleet.setStoreAway(true);
+  const SpanCount Cut = replaySpan(Fleet, Source, Last, 8s);
+  Fleet.setStoreAway(false);
+  CAPTURE(Before.share(), Cut.share());
+  CHECK(Before.share() > 0.98);
+  CHECK(Cut.share() >= 0.9 * Before.share());
+  Fleet.runFor(5s);
+  checkPromises(Fleet);
+}
+
 } // namespace
 } // namespace bronzeward::fakes
--- a/test/BudgetOutlookTest.cpp
+++ b/test/BudgetOutlookTest.cpp
@@ -20,8 +20,8 @@
 BudgetOutlook spending(Money Prepaid, int Seconds) {
   BudgetOutlook Outlook;
   for (int Second = 0; Second <= Seconds; ++Second)
-    Outlook.onShown({Prepaid, scaled(Money(1'000), Second), Money()}, policy(),
-                    Start + Second * 1s);
+    Outlook.onShown({Prepaid, scaled(Money(1'000), Second), Money(), 0},
+                    policy(), Start + Second * 1s);
   return Outlook;
 }
 
@@ -50,7 +50,7 @@
 TEST_CASE("Sums that come late change nothing", "[BudgetOutlook]") {
   BudgetOutlook Outlook = spending(Money(18'000), 12);
   const Duration Before = Outlook.horizon(policy(), Start + 12s);
-  Outlook.onShown({Money(18'000), Money(2'000), Money()}, policy(),
+  Outlook.onShown({Money(18'000), Money(2'000), Money(), 0}, policy(),
                   Start + 12s);
   CHECK(Outlook.horizon(policy(), Start + 12s) == Before);
 }
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -110,5 +110,25 @@
   CHECK(Item.Keys.regainedAt() == std::nullopt);
 }
 
+TEST_CASE("A paused follower makes no calls, and lists when resumed",
+          "[StoreFollower]") {
+  Follower Item;
+  ALLOW_CALL(Item.Listener, onListed(_, _, _));
+  Item.answer(ok(7));
+  REQUIRE(Item.Calls.size() == 2);
+  Item.Keys.pause();
+  // Resumed before the watch under way ended, it goes on with that one.
+  Item.Keys.resume(Item.Now);
+  CHECK(Item.Calls.size() == 2);
+  Item.Keys.pause();
+  Item.answer(ok(8));
+  Item.wait(20s);
+  CHECK(Item.Calls.size() == 2);
+  CHECK_FALSE(Item.Keys.following());
+  Item.Keys.resume(Item.Now);
+  REQUIRE(Item.Calls.size() == 3);
+  CHECK(Item.lastIs<ListKeys>());
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/UpstreamDirectoryTest.cpp
+++ b/test/UpstreamDirectoryTest.cpp
@@ -83,5 +83,17 @@
   CHECK(usable(Directory, Start) == 2);
 }
 
+// Load pattern: changes reach an instance through peers, and one is lost.
+TEST_CASE("A single change does not claim those before it",
+          "[UpstreamDirectory]") {
+  UpstreamDirectory Directory;
+  Directory.onListed(listOf({"a", "b", "c"}), 5, std::nullopt, Start);
+  Directory.onEntry(entryOf("a", true), 9, Start);
+  Directory.onRemoved(UpstreamName{"b"}, 11, std::nullopt, Start);
+  CHECK(Directory.revision() == 5);
+  Directory.onCaughtUp(11);
+  CHECK(Directory.revision() == 11);
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/support/FakeFleet.cpp
+++ b/test/support/FakeFleet.cpp
@@ -233,6 +233,15 @@
   announceMembers();
 }
 
+void FakeFleet::restartAll() {
+  for (const std::unique_ptr<Node> &Item : Nodes) {
+    Item->stop();
+    Item->begin();
+    Item->Paused = false;
+  }
+  NextList = Now + ListPeriod;
+}
+
 void FakeFleet::setPaused(std::size_t Index, bool Paused) {
   Nodes[Index]->Paused = Paused;
 }
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -85,6 +85,9 @@
   void topUp(const WorkspaceId &Workspace, Money Amount);
   void end(std::size_t Node);
   void restart(std::size_t Node);
+  /// \brief Ends and begins every instance; none knows the others until the
+  /// next list.
+  void restartAll();
   /// \brief Drains an instance for at most a time, then ends it.
   void stop(std::size_t Node, Duration Limit);
   void setPaused(std::size_t Node, bool Paused);
