Space commits in large fleets only, and name the size of a small fleet once

Cause: a reading of the change. Five constants of 16 in four files said "small fleet".

Change: SmallFleet in Membership.h is the one constant. Up to that size commits are not spaced, as before the interval came; this is the one change in what instances do. FakeFleet's restarts share a piece; a digest asks once whether keys are followed.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -5,9 +5,6 @@
 
 namespace bronzeward {
 
-/// Fleets up to this size rank their members for each workspace, so that the
-/// reserves round evenly; in larger ones a hash does.
-constexpr std::size_t MaxRanked = 16;
 /// Time for recalled budget to come back before it is drawn again.
 constexpr Duration RecallWait = 60ms;
 /// Wanted in a first grant that is drawn ahead; the draw's share bounds it.
@@ -65,7 +62,8 @@
     return hash64(Workspace.Value + Instance.Value);
   };
   const std::uint64_t Own = Weight(Self.Instance);
-  if (Members.members().size() > MaxRanked)
+  // Ranks round evenly; in a large fleet a hash does.
+  if (Members.members().size() > SmallFleet)
     return static_cast<double>(Own) /
            static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   int Lower = 0;
@@ -428,7 +426,7 @@
                Budget.Unsettled.reset();
                // In a large fleet most instances serve few workspaces.
                Budget.DrawAhead =
-                   Budget.DrawAhead && Members.members().size() <= MaxRanked;
+                   Budget.DrawAhead && Members.members().size() <= SmallFleet;
                if (Budget.DrawAhead)
                  draw(Workspace, At);
              });
@@ -927,7 +925,7 @@
 void BudgetAgent::onMembers(std::vector<Member> Listed, TimePoint Now) {
   const bool Changed = Listed != Members.members();
   Members.update(std::move(Listed));
-  if (Changed && Members.members().size() <= MaxRanked)
+  if (Changed && Members.members().size() <= SmallFleet)
     for (auto &[Workspace, Budget] : Books)
       Budget.Grant.setRounding(roundingPlace(Workspace));
   Router.onListed(Now);
--- a/bronzeward/src/Budget/Membership.h
+++ b/bronzeward/src/Budget/Membership.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Base"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -21,6 +22,11 @@
   bool operator==(const Member &) const = default;
 };
 
+/// Fleets up to this size are small: each instance can watch, talk to all and
+/// commit for itself at little cost. In larger ones that cost grows with the
+/// square of the fleet.
+inline constexpr std::size_t SmallFleet = 16;
+
 /// \ingroup Budget
 /// \brief The live instances as this one last saw them; may be wrong at a
 /// cost in speed only.
--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -11,18 +11,18 @@
 /// Instances that are asked to commit for a slot before this one does. In a
 /// small fleet a second silent one would cost more than some conflicts.
 constexpr std::size_t CommitterChoices = 2;
-constexpr std::size_t SmallFleet = 16;
 /// Time after the store's return in which a committer that does not reach it is
 /// asked again: the longest pause of its breaker, and a call's timeout.
 constexpr Duration ReturnGrace = 2s;
 /// First and longest pause before operations are tried again.
 constexpr Duration MinRetry = 50ms;
 constexpr Duration MaxRetry = 1s;
-/// Time between two commits that requests wait for, for each member: first
+/// Time between two commits that requests wait for, for each member of a large
+/// fleet: first
 /// requests of many workspaces at many instances come close together, and each
 /// commit is a counted call. At most as long as a caller hardly notices.
 constexpr Duration UrgentIntervalPerMember = 1ms;
-constexpr int MaxIntervalMembers = 80;
+constexpr std::size_t MaxIntervalMembers = 80;
 /// Longest wait of operations for the list of members.
 constexpr Duration MaxHold = 2s;
 /// Doublings of the pause.
@@ -66,14 +66,19 @@
     Change->AnswerReleased = true;
 }
 
+static Duration urgentInterval(std::size_t Members) {
+  if (Members <= SmallFleet)
+    return {};
+  return static_cast<int>(std::min(Members, MaxIntervalMembers)) *
+         UrgentIntervalPerMember;
+}
+
 SlotCommitter &OperationRouter::committer(SlotId Slot) {
   std::unique_ptr<SlotCommitter> &Place = Committers[Slot];
   if (!Place)
     Place = std::make_unique<SlotCommitter>(Slot, Around.Store, Around.Timers,
                                             Around.Source, Around.Policy);
-  const int Members = static_cast<int>(std::min<std::size_t>(
-      Around.Members.members().size(), MaxIntervalMembers));
-  Place->setUrgentInterval(Members * UrgentIntervalPerMember);
+  Place->setUrgentInterval(urgentInterval(Around.Members.members().size()));
   return *Place;
 }
 
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -20,19 +20,14 @@
 /// it did not.
 constexpr Duration LoadPeriod = 100ms;
 constexpr Duration LoadRepeat = 500ms;
-/// Fleets above this size place calls by stated loads alone; notices grow with
-/// the square of the instances.
-constexpr std::size_t MaxLoadPeers = 16;
 /// A peer heard within this time stays a member although its entry lapsed.
 constexpr Duration HeardTime = 2s;
 /// Time between two digests of a watcher to those who rely on it.
 constexpr Duration FollowerDigestPeriod = 1s;
 /// Time for which changes are gathered before they are passed on.
 constexpr Duration GatherTime = 30ms;
-/// Fleets above this size gossip with a fixed choice of peers, so that each
-/// instance keeps few connections, and leave texts of configurations to the
-/// store.
-constexpr std::size_t LargeFleet = 16;
+/// Peers that an instance of a large fleet gossips with, always the same, so
+/// that it keeps few connections.
 constexpr std::size_t GossipPeers = 8;
 /// Quarantined contents in one digest.
 constexpr std::size_t MaxDigestSuspects = 16;
@@ -142,7 +137,7 @@
 
 std::vector<InstanceId> FleetCore::gossipPeers() const {
   std::vector<InstanceId> Others = otherPeers();
-  if (Others.size() <= LargeFleet)
+  if (Others.size() <= SmallFleet)
     return Others;
   std::vector<std::pair<std::uint64_t, InstanceId>> Ranked;
   Ranked.reserve(Others.size());
@@ -331,8 +326,9 @@
   Made.UpstreamRevision = Directory.revision();
   Made.StoreAway = storeAway();
   Made.PeerAddress = Identity.PeerAddress;
-  Made.WatchesStore = !Made.StoreAway && ConfigurationKeys.inTouch() &&
-                      UpstreamKeys.following() && ConfigurationKeys.following();
+  // Both kinds of keys are followed or paused together.
+  Made.WatchesStore = !Made.StoreAway && UpstreamKeys.following() &&
+                      ConfigurationKeys.inTouch();
   return Made;
 }
 
@@ -374,7 +370,8 @@
 }
 
 void FleetCore::tellLoad(TimePoint Now) {
-  if (Members.members().size() > MaxLoadPeers + 1) {
+  // Large fleets place calls by the loads that upstreams state.
+  if (Members.members().size() > SmallFleet + 1) {
     Timers.schedule(Now + LoadRepeat, [this](TimePoint At) { tellLoad(At); });
     return;
   }
@@ -410,7 +407,7 @@
                                       const PeerDigest &Message,
                                       TimePoint Now) {
   // Texts are long: in a large fleet those who reach the store read it there.
-  const bool Large = Members.members().size() > LargeFleet;
+  const bool Large = Members.members().size() > SmallFleet;
   if (Message.Configuration < Version && (!Large || Message.StoreAway))
     Around.Peers.send(From, ConfigurationText{Version, CurrentText});
   if (Message.Configuration <= Version)
--- a/bronzeward/src/Router/WatchDuty.cpp
+++ b/bronzeward/src/Router/WatchDuty.cpp
@@ -5,9 +5,6 @@
 
 namespace bronzeward {
 
-/// Fleets up to this size watch one and all: their calls cost little, and each
-/// instance learns of changes without a detour.
-constexpr std::size_t AllWatch = 16;
 /// Watchers of a failure domain, so that one may be lost.
 constexpr std::size_t WatchersOfDomain = 2;
 /// How long a watcher's word holds: two of its digests may be lost.
@@ -19,7 +16,7 @@
 void WatchDuty::onMembers(const std::vector<Member> &Listed) {
   Followers.clear();
   Elected = true;
-  if (Listed.size() <= AllWatch)
+  if (Listed.size() <= SmallFleet)
     return;
   // The strongest first.
   std::vector<std::tuple<double, std::uint64_t, InstanceId>> Ranked;
--- a/test/support/FakeFleet.cpp
+++ b/test/support/FakeFleet.cpp
@@ -226,19 +226,20 @@
   end(Index);
 }
 
-void FakeFleet::restart(std::size_t Index) {
+void FakeFleet::beginAnew(std::size_t Index) {
   Nodes[Index]->stop();
   Nodes[Index]->begin();
   Nodes[Index]->Paused = false;
+}
+
+void FakeFleet::restart(std::size_t Index) {
+  beginAnew(Index);
   announceMembers();
 }
 
 void FakeFleet::restartAll() {
-  for (const std::unique_ptr<Node> &Item : Nodes) {
-    Item->stop();
-    Item->begin();
-    Item->Paused = false;
-  }
+  for (std::size_t Index = 0; Index < Nodes.size(); ++Index)
+    beginAnew(Index);
   NextList = Now + ListPeriod;
 }
 
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -141,6 +141,7 @@
   struct Node;
   friend struct Node;
 
+  void beginAnew(std::size_t Index);
   void deliver(const Effect &Item, Fate What);
   void callStore(const Effect &Item, Fate What);
   void runTimers();
