Count configurations exchanged with peers, and put gauges first in the metrics

The monitoring keeps the first 4 KB of the metrics, and the version in force stood behind the histograms. Counted now: texts sent, received and known already, and store calls that ended by timeout.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -184,6 +184,19 @@
   tellFollowers();
 }
 
+void FleetCore::onPeerConfiguration(const InstanceId &From,
+                                    const ConfigurationText &Message,
+                                    TimePoint Now) {
+  ++Texts.Received;
+  Texts.Known += Message.Version <= Version ? 1 : 0;
+  onConfigurationText(Message.Text, From.Value, Now);
+}
+
+void FleetCore::sendConfiguration(const InstanceId &To) {
+  ++Texts.Sent;
+  Around.Peers.send(To, ConfigurationText{Version, CurrentText});
+}
+
 void FleetCore::readNewerConfiguration(ConfigurationVersion Wanted,
                                        TimePoint Now) {
   if (ReadingConfiguration)
@@ -409,7 +422,7 @@
   // Texts are long: in a large fleet those who reach the store read it there.
   const bool Large = Members.members().size() > SmallFleet;
   if (Message.Configuration < Version && (!Large || Message.StoreAway))
-    Around.Peers.send(From, ConfigurationText{Version, CurrentText});
+    sendConfiguration(From);
   if (Message.Configuration <= Version)
     return;
   if (!Large || storeAway())
@@ -440,9 +453,9 @@
   if (const auto *Digest = std::get_if<PeerDigest>(&Message))
     onDigest(From, *Digest, Now);
   else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
-    onConfigurationText(Text->Text, From.Value, Now);
+    onPeerConfiguration(From, *Text, Now);
   else if (std::holds_alternative<ConfigurationWanted>(Message))
-    Around.Peers.send(From, ConfigurationText{Version, CurrentText});
+    sendConfiguration(From);
   else if (const auto *List = std::get_if<UpstreamList>(&Message))
     onUpstreamList(*List, Now);
   else if (const auto *Load = std::get_if<LoadNotice>(&Message))
@@ -492,7 +505,12 @@
                          std::to_string(Made.Writes) + " leases " +
                          std::to_string(Made.Leases) + " renewals " +
                          std::to_string(Made.Renewals) + " failures " +
-                         std::to_string(Made.Failures) + " since the start");
+                         std::to_string(Made.Failures) + " timeouts " +
+                         std::to_string(Made.Timeouts) + " since the start");
+  Around.Log.onEvent("peer-configurations",
+                     "sent " + std::to_string(Texts.Sent) + " received " +
+                         std::to_string(Texts.Received) + " known " +
+                         std::to_string(Texts.Known) + " since the start");
 }
 
 void FleetCore::housekeeping(TimePoint Now) {
@@ -566,6 +584,7 @@
       commonStatus(Identity, notReadyReason(Now), Store, Members);
   Status.Draining = DrainingSince.has_value();
   Status.Configuration = Version;
+  Status.Texts = Texts;
   Status.StoreFailing = storeAway();
   Status.Upstreams = Engine.upstreams().size();
   Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -142,6 +142,9 @@
   /// \returns every entry that changed after a revision, or all of them where
   /// the changes since are not known.
   [[nodiscard]] UpstreamList changesSince(std::uint64_t Revision) const;
+  void onPeerConfiguration(const InstanceId &From,
+                           const ConfigurationText &Message, TimePoint Now);
+  void sendConfiguration(const InstanceId &To);
   void readNewerConfiguration(ConfigurationVersion Wanted, TimePoint Now);
 
   void gossip(TimePoint Now);
@@ -186,6 +189,7 @@
   std::optional<Incarnation> Life;
   ConfigurationVersion Version;
   std::string CurrentText;
+  ConfigurationTextCounters Texts;
   /// Registry entries as stored, for peers that the store does not answer.
   std::map<std::string, StoreEntry> Entries;
   /// Revision of the list that Entries began with; changes since are all known.
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -77,6 +77,31 @@
 
 std::string statusMetrics(const RouterStatus &Status) {
   internal::MetricsWriter Out;
+  // What tells states apart goes first, the long histograms last: collectors
+  // may keep only the beginning of the text.
+  Out.gauge("requests_in_flight", "Requests in flight.", Status.InFlight);
+  Out.gauge("pending_operations", "Ledger operations without a result.",
+            static_cast<std::int64_t>(Status.PendingOperations));
+  Out.gauge("carried_bills", "Bills carried for other instances.",
+            static_cast<std::int64_t>(Status.CarriedBills));
+  Out.gauge("held_grants_micros", "Budget held in grants here.",
+            Status.HeldGrants.micros());
+  Out.gauge("configuration_version", "Configuration version in force.",
+            static_cast<std::int64_t>(Status.Configuration.Number));
+  Out.gauge("upstreams", "Upstreams that may get new requests.",
+            static_cast<std::int64_t>(Status.Upstreams));
+  Out.gauge("store_failing", "Whether the store does not answer.",
+            Status.StoreFailing ? 1 : 0);
+  Out.gauge("ready", "Whether the instance takes requests.",
+            Status.Ready ? 1 : 0);
+  Out.counter("store_timeouts_total", "Store calls without a reply in time.",
+              Status.Store.Timeouts);
+  Out.counter("configuration_texts_sent_total", "Configurations sent to peers.",
+              Status.Texts.Sent);
+  Out.counter("configuration_texts_received_total",
+              "Configurations received from peers.", Status.Texts.Received);
+  Out.counter("configuration_texts_known_total",
+              "Received configurations that were no news.", Status.Texts.Known);
   const RequestCounters &Requests = Status.Requests;
   Out.counter("requests_total", "Requests received.", Requests.Accepted);
   Out.counter("requests_answered_total", "Requests answered whole.",
@@ -113,31 +138,16 @@
   Out.counter("store_calls_held_back_total",
               "Store calls not sent: breaker open or too many in flight.",
               Status.Store.NotSent);
+  for (const RingCount &Ring : Status.Rings)
+    Out.counter(("ring_" + Ring.Name + "_refused_total").c_str(),
+                "Items refused by the full ring into this thread.",
+                Ring.Refused);
   Out.latencies("first_byte_seconds",
                 "Time from arrival to the first byte for the caller.",
                 Status.FirstByte);
   Out.latencies("whole_answer_seconds",
                 "Time from arrival to the end of the whole answer.",
                 Status.Whole);
-  for (const RingCount &Ring : Status.Rings)
-    Out.counter(("ring_" + Ring.Name + "_refused_total").c_str(),
-                "Items refused by the full ring into this thread.",
-                Ring.Refused);
-  Out.gauge("requests_in_flight", "Requests in flight.", Status.InFlight);
-  Out.gauge("pending_operations", "Ledger operations without a result.",
-            static_cast<std::int64_t>(Status.PendingOperations));
-  Out.gauge("carried_bills", "Bills carried for other instances.",
-            static_cast<std::int64_t>(Status.CarriedBills));
-  Out.gauge("held_grants_micros", "Budget held in grants here.",
-            Status.HeldGrants.micros());
-  Out.gauge("configuration_version", "Configuration version in force.",
-            static_cast<std::int64_t>(Status.Configuration.Number));
-  Out.gauge("upstreams", "Upstreams that may get new requests.",
-            static_cast<std::int64_t>(Status.Upstreams));
-  Out.gauge("store_failing", "Whether the store does not answer.",
-            Status.StoreFailing ? 1 : 0);
-  Out.gauge("ready", "Whether the instance takes requests.",
-            Status.Ready ? 1 : 0);
   return Out.Text;
 }
 
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -16,6 +16,15 @@
   std::uint64_t Refused = 0;
 };
 
+/// \ingroup Router
+/// \brief Configurations exchanged with peers, as whole texts.
+struct ConfigurationTextCounters {
+  std::uint64_t Sent = 0;
+  std::uint64_t Received = 0;
+  /// Received ones whose version was in force already.
+  std::uint64_t Known = 0;
+};
+
 /// \ingroup Router
 /// \brief A copy of one instance's state for operators and metrics.
 struct RouterStatus {
@@ -33,6 +42,7 @@
   Money HeldGrants;
   bool StoreFailing = false;
   StoreCounters Store;
+  ConfigurationTextCounters Texts;
   RequestCounters Requests;
   LatencyCounts FirstByte;
   LatencyCounts Whole;
--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -60,6 +60,7 @@
     return;
   const Pending Entry = std::move(Found->second);
   InFlight.erase(Found);
+  ++Counters.Timeouts;
   noteFailure(Now);
   StoreReply Lost;
   Lost.Status = Entry.Changes ? StoreStatus::Unknown : StoreStatus::Unavailable;
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -32,6 +32,8 @@
   std::uint64_t Leases = 0;
   std::uint64_t Renewals = 0;
   std::uint64_t Failures = 0;
+  /// Failures for want of a reply in time.
+  std::uint64_t Timeouts = 0;
   /// Calls refused by the breaker or the cap, which never left.
   std::uint64_t NotSent = 0;
 };
