--- /dev/null
+++ b/test/ConfigurationSpreadTest.cpp
@@ -0,0 +1,40 @@
+#include "test/support/FleetNetwork.h"
+
+namespace bronzeward {
+namespace {
+
+/// Time in which a change is in force everywhere, from the stated target.
+constexpr Duration InForce = 3s;
+/// Ten megabits a second, the smallest link that instances have.
+constexpr double SmallLink = 1.25e6;
+constexpr std::size_t Instances = 24;
+
+std::vector<std::size_t> lagging(const fakes::FleetNetwork &Fleet,
+                                 std::uint64_t Version) {
+  std::vector<std::size_t> Behind;
+  for (std::size_t Node = 0; Node < Fleet.size(); ++Node)
+    if (Fleet.version(Node) != Version)
+      Behind.push_back(Node);
+  return Behind;
+}
+
+// Load pattern: the store turns a third of a large fleet away while the
+// operator adds 2,000 routes and changes them twice.
+TEST_CASE("A long configuration reaches instances without the store in time",
+          "[ConfigurationSpread]") {
+  fakes::FleetNetwork Fleet(Instances, 4, SmallLink);
+  Fleet.configure(1, 20);
+  Fleet.runFor(8s);
+  REQUIRE(lagging(Fleet, 1).empty());
+  for (std::size_t Node = 0; Node < Instances; Node += 3)
+    Fleet.setStoreAway(Node, true);
+  Fleet.runFor(4s);
+  for (std::uint64_t Version = 2; Version < 5; ++Version) {
+    Fleet.configure(Version, 2000);
+    Fleet.runFor(InForce);
+    CHECK(lagging(Fleet, Version) == std::vector<std::size_t>());
+  }
+}
+
+} // namespace
+} // namespace bronzeward
--- /dev/null
+++ b/test/support/FleetNetwork.cpp
@@ -0,0 +1,308 @@
+#include "test/support/FleetNetwork.h"
+
+#include "bronzeward/src/Net/PeerCodec.h"
+
+#include <boost/json.hpp>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+
+namespace bronzeward::fakes {
+
+namespace json = boost::json;
+
+/// Time between two steps of the network.
+constexpr Duration StepTime = 10ms;
+/// Time without delivery after which a peer's connection is given up, as in
+/// the transport.
+constexpr Duration DeliveryTimeout = 1s;
+/// Bytes of one answer of the store beside its values.
+constexpr double ReplyBytes = 300;
+
+// The store.
+
+static bool begins(const std::string &Key, const std::string &Prefix) {
+  return Key.starts_with(Prefix);
+}
+
+void WatchedStore::execute(std::size_t Caller, StoreCallId Id,
+                           const StoreCall &Call, TimePoint Now) {
+  StoreReply Reply;
+  Reply.Status = StoreStatus::Ok;
+  if (const auto *Wait = std::get_if<WatchKeys>(&Call)) {
+    Waiting.push_back({Caller, Id, *Wait, Now + Wait->Wait});
+    endWatches(Now);
+    return;
+  }
+  if (const auto *List = std::get_if<ListKeys>(&Call)) {
+    for (const auto &[Key, Entry] : Entries)
+      if (begins(Key, List->Prefix) && !Entry.Deleted)
+        Reply.Entries.push_back(Entry);
+    Reply.Revision = Revision;
+  } else if (const auto *Read = std::get_if<ReadKey>(&Call)) {
+    const auto Found = Entries.find(Read->Key);
+    if (Found != Entries.end() && !Found->second.Deleted)
+      Reply.Entries.push_back(Found->second);
+  } else if (const auto *Swap = std::get_if<CompareAndSwap>(&Call)) {
+    Reply = swap(*Swap, Now);
+  } else if (const auto *Gone = std::get_if<DeleteKey>(&Call)) {
+    remove(Gone->Key, Now);
+  } else if (std::holds_alternative<GrantLease>(Call)) {
+    Reply.Lease.Number = ++LastLease;
+  }
+  Answers.push_back({Caller, Id, std::move(Reply)});
+}
+
+StoreReply WatchedStore::swap(const CompareAndSwap &Call, TimePoint Now) {
+  StoreReply Reply;
+  const auto Found = Entries.find(Call.Key);
+  const bool Exists = Found != Entries.end() && !Found->second.Deleted;
+  if ((Exists ? Found->second.Revision : 0) != Call.ExpectedRevision) {
+    Reply.Status = StoreStatus::Conflict;
+    return Reply;
+  }
+  write(Call.Key, Call.Value, Now);
+  Reply.Status = StoreStatus::Ok;
+  Reply.Revision = Revision;
+  return Reply;
+}
+
+void WatchedStore::write(const std::string &Key, const std::string &Value,
+                         TimePoint Now) {
+  Entries[Key] = {Key, Value, ++Revision, false};
+  endWatches(Now);
+}
+
+void WatchedStore::remove(const std::string &Key, TimePoint Now) {
+  Entries[Key] = {Key, "", ++Revision, true};
+  endWatches(Now);
+}
+
+std::vector<StoreEntry> WatchedStore::changes(const WatchKeys &Call) const {
+  std::vector<StoreEntry> Made;
+  for (const auto &[Key, Entry] : Entries)
+    if (begins(Key, Call.Prefix) && Entry.Revision > Call.AfterRevision)
+      Made.push_back(Entry);
+  std::sort(Made.begin(), Made.end(),
+            [](const StoreEntry &Left, const StoreEntry &Right) {
+              return Left.Revision < Right.Revision;
+            });
+  return Made;
+}
+
+void WatchedStore::endWatches(TimePoint Now) {
+  std::erase_if(Waiting, [this, Now](const Watch &Item) {
+    StoreReply Reply;
+    Reply.Status = StoreStatus::Ok;
+    Reply.Entries = changes(Item.Call);
+    Reply.Revision = Revision;
+    if (Reply.Entries.empty() && Now < Item.Until)
+      return false;
+    Answers.push_back({Item.Caller, Item.Id, std::move(Reply)});
+    return true;
+  });
+}
+
+std::vector<WatchedStore::Answered> WatchedStore::takeAnswers(TimePoint Now) {
+  endWatches(Now);
+  std::vector<Answered> Taken;
+  Taken.swap(Answers);
+  return Taken;
+}
+
+// One instance.
+
+struct FleetNetwork::Node : StorePort, PeerPort {
+  Node(FleetNetwork &Owner, std::size_t Place, std::size_t Domains)
+      : Network(Owner), Index(Place) {
+    RouterIdentity Who;
+    Who.Instance.Value = "i" + std::to_string(Place);
+    Who.Domain.Value = "d" + std::to_string(Place % Domains);
+    Who.PeerAddress = Who.Instance.Value;
+    Who.Seed = Place + 1;
+    Who.Store.CallTimeout = 900ms;
+    Who.Store.MaxOpen = 600ms;
+    Core = std::make_unique<FleetCore>(
+        Who, FleetPolicy(),
+        RouterSurroundings{*this, *this, Owner.Callers, Owner.Upstreams,
+                           Owner.Log, Owner.Wall},
+        FleetCodecs{Owner.Deployment, Owner.Calls});
+  }
+
+  void send(StoreCallId Id, const StoreCall &Call) override {
+    Network.callStore(Index, Id, Call);
+  }
+  void send(const InstanceId &To, const PeerMessage &Message) override {
+    Network.sendToPeer(Index, To, Message);
+  }
+
+  FleetNetwork &Network;
+  std::size_t Index;
+  std::unique_ptr<FleetCore> Core;
+  std::size_t BytesFromPeers = 0;
+};
+
+// The network.
+
+FleetNetwork::FleetNetwork(std::size_t Size, std::size_t Domains,
+                           double LinkBytesPerSecond)
+    : Bandwidth(LinkBytesPerSecond), Links(Size) {
+  for (std::size_t Place = 0; Place < Size; ++Place)
+    Nodes.push_back(std::make_unique<Node>(*this, Place, Domains));
+  for (const std::unique_ptr<Node> &Item : Nodes)
+    Item->Core->start(Now);
+}
+
+FleetNetwork::~FleetNetwork() = default;
+
+void FleetNetwork::configure(std::uint64_t Version, std::size_t Routes) {
+  json::array Listed;
+  for (std::size_t Number = 0; Number < Routes; ++Number) {
+    const std::string Name =
+        std::to_string(hash64(std::to_string(Number)) % 1000000);
+    Listed.push_back(json::object{{"name", "r" + Name},
+                                  {"host", "h" + Name + ".example"},
+                                  {"prefix", "/p" + Name + "/"},
+                                  {"kind", "streaming"},
+                                  {"service", "drafting"},
+                                  {"timeout_ms", 12000},
+                                  {"target_latency_ms", 800},
+                                  {"gap_aim_ms", 400},
+                                  {"priority", 1},
+                                  {"attempts", 1},
+                                  {"session_affinity", true},
+                                  {"stream_resume", false},
+                                  {"public", false}});
+  }
+  Store.write(Deployment.configurationKey(),
+              json::serialize(json::object{{"version", Version},
+                                           {"routes", std::move(Listed)},
+                                           {"services", json::array()}}),
+              Now);
+}
+
+void FleetNetwork::writeUpstream(const std::string &Name) {
+  Store.write(Deployment.upstreamPrefix() + Name,
+              json::serialize(json::object{{"service", "drafting"},
+                                           {"address", "10.0.0.1:80"},
+                                           {"zone", "d0"},
+                                           {"version", 1},
+                                           {"capacity", 64},
+                                           {"state", "ready"},
+                                           {"warmup_left_ms", 0},
+                                           {"sequence", 1},
+                                           {"born", 1}}),
+              Now);
+}
+
+void FleetNetwork::removeUpstream(const std::string &Name) {
+  Store.remove(Deployment.upstreamPrefix() + Name, Now);
+}
+
+void FleetNetwork::setStoreAway(std::size_t Place, bool IsAway) {
+  if (IsAway)
+    Away.insert(Place);
+  else
+    Away.erase(Place);
+}
+
+std::uint64_t FleetNetwork::version(std::size_t Place) const {
+  return Nodes[Place]->Core->status(Now).Configuration.Number;
+}
+
+std::size_t FleetNetwork::upstreams(std::size_t Place) const {
+  return Nodes[Place]->Core->status(Now).Upstreams;
+}
+
+std::size_t FleetNetwork::bytesFromPeers(std::size_t Place) const {
+  return Nodes[Place]->BytesFromPeers;
+}
+
+void FleetNetwork::sendToPeer(std::size_t From, const InstanceId &To,
+                              const PeerMessage &Message) {
+  const std::size_t Place = std::stoul(To.Value.substr(1));
+  capnp::MallocMessageBuilder Built;
+  internal::write(Built.initRoot<schema::PeerMessage>(),
+                  InstanceId{"i" + std::to_string(From)}, Message);
+  const double Bytes =
+      static_cast<double>(capnp::computeSerializedSizeInWords(Built)) *
+      sizeof(capnp::word);
+  Links[Place][From].push_back({Bytes, Now, Message, std::nullopt});
+}
+
+void FleetNetwork::callStore(std::size_t From, StoreCallId Id,
+                             const StoreCall &Call) {
+  if (!Away.contains(From))
+    Store.execute(From, Id, Call, Now);
+}
+
+void FleetNetwork::arrive(std::size_t From, std::size_t To,
+                          const Transfer &Item) {
+  FleetCore &Core = *Nodes[To]->Core;
+  if (Item.Reply)
+    Core.onStoreReply(Item.Reply->Id, Item.Reply->Reply, Now);
+  else
+    Core.onPeerMessage(InstanceId{"i" + std::to_string(From)}, Item.Message,
+                       Now);
+}
+
+void FleetNetwork::moveBytes(std::size_t To) {
+  Connections &Link = Links[To];
+  std::erase_if(Link, [](const auto &Item) { return Item.second.empty(); });
+  const double Share =
+      Bandwidth * std::chrono::duration<double>(StepTime).count() /
+      static_cast<double>(std::max<std::size_t>(1, Link.size()));
+  std::vector<std::pair<std::size_t, Transfer>> Done;
+  std::vector<std::size_t> Lost;
+  for (auto &[From, Waiting] : Link) {
+    double Left = Share;
+    while (!Waiting.empty() && Left > 0) {
+      const double Moved = std::min(Left, Waiting.front().BytesLeft);
+      Waiting.front().BytesLeft -= Moved;
+      Left -= Moved;
+      Nodes[To]->BytesFromPeers +=
+          From < size() ? static_cast<std::size_t>(Moved) : 0;
+      if (Waiting.front().BytesLeft > 0)
+        break;
+      Done.emplace_back(From, std::move(Waiting.front()));
+      Waiting.pop_front();
+    }
+    if (From < size() && !Waiting.empty() &&
+        Now >= Waiting.front().SentAt + DeliveryTimeout) {
+      Waiting.clear();
+      Lost.push_back(From);
+    }
+  }
+  for (const auto &[From, Item] : Done)
+    arrive(From, To, Item);
+  for (const std::size_t From : Lost)
+    Nodes[From]->Core->onPeerUnreachable(InstanceId{"i" + std::to_string(To)},
+                                         Now);
+}
+
+void FleetNetwork::step() {
+  Now += StepTime;
+  for (WatchedStore::Answered &Item : Store.takeAnswers(Now)) {
+    if (Away.contains(Item.Caller))
+      continue;
+    // Values travel as base64.
+    double Bytes = ReplyBytes;
+    for (const StoreEntry &Entry : Item.Reply.Entries)
+      Bytes += static_cast<double>(Entry.Value.size()) * 4 / 3;
+    const std::size_t To = Item.Caller;
+    Links[To][size()].push_back({Bytes, Now, {}, std::move(Item)});
+  }
+  for (std::size_t To = 0; To < size(); ++To)
+    moveBytes(To);
+  for (const std::unique_ptr<Node> &Item : Nodes)
+    Item->Core->runTimers(Now);
+}
+
+void FleetNetwork::runFor(Duration Time) {
+  const TimePoint End = Now + Time;
+  while (Now < End)
+    step();
+}
+
+} // namespace bronzeward::fakes
