Ask one peer at a time for a newer configuration instead of sending it unasked

Cause: every digest of an instance without the store was answered with the whole text, by seven peers, four times a second. At 500 kB the copies fill a link of 10 Mbit/s, outlast the transport's timeout of 1 s, are dropped and sent again. Now a peer offers its version, and the instance that lacks it asks one peer at a time and another where the text does not come within a second. ConfigurationFollower of the product's own interface asked every peer too, and uses the same class.

--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -68,6 +68,7 @@
     handover :group {
       operations @32 :List(SlotOperation);
     }
+    configurationOffer @36 :UInt64;
   }
 }
 
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -67,6 +67,7 @@
     LOAN,
     LOAD,
     HANDOVER,
+    CONFIGURATION_OFFER,
   };
   struct Submit;
   struct Results;
@@ -428,6 +429,9 @@
   inline bool isHandover() const;
   inline typename Handover::Reader getHandover() const;
 
+  inline bool isConfigurationOffer() const;
+  inline  ::uint64_t getConfigurationOffer() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -520,6 +524,10 @@
   inline typename Handover::Builder getHandover();
   inline typename Handover::Builder initHandover();
 
+  inline bool isConfigurationOffer();
+  inline  ::uint64_t getConfigurationOffer();
+  inline void setConfigurationOffer( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2510,6 +2518,32 @@
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Handover::Builder(_builder);
 }
+inline bool PeerMessage::Reader::isConfigurationOffer() const {
+  return which() == PeerMessage::CONFIGURATION_OFFER;
+}
+inline bool PeerMessage::Builder::isConfigurationOffer() {
+  return which() == PeerMessage::CONFIGURATION_OFFER;
+}
+inline  ::uint64_t PeerMessage::Reader::getConfigurationOffer() const {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_OFFER),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Builder::getConfigurationOffer() {
+  KJ_IREQUIRE((which() == PeerMessage::CONFIGURATION_OFFER),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setConfigurationOffer( ::uint64_t value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION_OFFER);
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerMessage::Submit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -74,6 +74,12 @@
   std::string Text;
 };
 
+/// \brief Tells a peer whose configuration is older of the sender's, which the
+/// peer may ask for.
+struct ConfigurationOffer {
+  ConfigurationVersion Version;
+};
+
 /// \brief Asks a peer for its configuration.
 struct ConfigurationWanted {};
 
@@ -139,8 +145,8 @@
 using PeerMessage =
     std::variant<SubmitOperations, OperationResults, RecallGrant, CarryBill,
                  BillCarried, ForgetBills, PeerDigest, ConfigurationText,
-                 ConfigurationWanted, UpstreamList, LoanRequest, Loan,
-                 LoadNotice, OperationsHandover>;
+                 ConfigurationOffer, ConfigurationWanted, UpstreamList,
+                 LoanRequest, Loan, LoadNotice, OperationsHandover>;
 
 /// \brief Sends messages to other instances; any of them may be lost.
 class PeerPort {
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -65,6 +65,10 @@
   Group.setText(In.Text);
 }
 
+static void writeOne(Builder Out, const ConfigurationOffer &In) {
+  Out.setConfigurationOffer(In.Version.Number);
+}
+
 static void writeOne(Builder Out, const ConfigurationWanted &) {
   Out.setConfigurationWanted();
 }
@@ -215,6 +219,8 @@
     return ConfigurationText{
         ConfigurationVersion{In.getConfiguration().getVersion()},
         In.getConfiguration().getText().cStr()};
+  case schema::PeerMessage::CONFIGURATION_OFFER:
+    return ConfigurationOffer{ConfigurationVersion{In.getConfigurationOffer()}};
   case schema::PeerMessage::CONFIGURATION_WANTED:
     return ConfigurationWanted{};
   case schema::PeerMessage::UPSTREAMS:
--- a/bronzeward/src/Router/ConfigurationFollower.cpp
+++ b/bronzeward/src/Router/ConfigurationFollower.cpp
@@ -72,13 +72,17 @@
 }
 
 void ConfigurationFollower::onDigest(const InstanceId &From,
-                                     const PeerDigest &Message) {
-  if (Message.Configuration > Version)
-    Peers.send(From, ConfigurationWanted{});
+                                     const PeerDigest &Message, TimePoint Now) {
+  if (Message.Configuration <= Version || !Pull.mayAsk(From, Now))
+    return;
+  Pull.onAsked(From, Now);
+  Peers.send(From, ConfigurationWanted{});
 }
 
-void ConfigurationFollower::onText(const ConfigurationText &Message,
+void ConfigurationFollower::onText(const InstanceId &From,
+                                   const ConfigurationText &Message,
                                    TimePoint Now) {
+  Pull.onArrived(From);
   accept(Message.Version, Message.Text, Now);
 }
 
--- a/bronzeward/src/Router/ConfigurationFollower.h
+++ b/bronzeward/src/Router/ConfigurationFollower.h
@@ -3,6 +3,7 @@
 #include "bronzeward/Budget"
 #include "bronzeward/Config"
 #include "bronzeward/Store"
+#include "bronzeward/src/Router/ConfigurationPull.h"
 
 #include <functional>
 #include <optional>
@@ -26,8 +27,10 @@
 
   void start(TimePoint Now, AcceptedHandler OnAccepted);
   /// \brief Asks a peer for its text where its version is newer.
-  void onDigest(const InstanceId &From, const PeerDigest &Message);
-  void onText(const ConfigurationText &Message, TimePoint Now);
+  void onDigest(const InstanceId &From, const PeerDigest &Message,
+                TimePoint Now);
+  void onText(const InstanceId &From, const ConfigurationText &Message,
+              TimePoint Now);
   void onWanted(const InstanceId &From);
 
   [[nodiscard]] ConfigurationVersion version() const { return Version; }
@@ -49,6 +52,7 @@
   AcceptedHandler Accepted;
   ConfigurationVersion Version;
   std::string CurrentText;
+  ConfigurationPull Pull;
 };
 
 } // namespace bronzeward
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -189,6 +189,7 @@
                                     TimePoint Now) {
   ++Texts.Received;
   Texts.Known += Message.Version <= Version ? 1 : 0;
+  Pull.onArrived(From);
   onConfigurationText(Message.Text, From.Value, Now);
 }
 
@@ -419,16 +420,27 @@
 void FleetCore::compareConfigurations(const InstanceId &From,
                                       const PeerDigest &Message,
                                       TimePoint Now) {
-  // Texts are long: in a large fleet those who reach the store read it there.
   const bool Large = Members.members().size() > SmallFleet;
   if (Message.Configuration < Version && (!Large || Message.StoreAway))
-    sendConfiguration(From);
-  if (Message.Configuration <= Version)
+    Around.Peers.send(From, ConfigurationOffer{Version});
+  onOffered(From, Message.Configuration, Now);
+}
+
+void FleetCore::onOffered(const InstanceId &From, ConfigurationVersion Offered,
+                          TimePoint Now) {
+  if (Offered <= Version)
+    return;
+  // In a large fleet those who reach the store read it there.
+  const bool Large = Members.members().size() > SmallFleet;
+  if (Large && !storeAway()) {
+    if (!Duty.watches(Now))
+      readNewerConfiguration(Offered, Now);
+    return;
+  }
+  if (!Pull.mayAsk(From, Now))
     return;
-  if (!Large || storeAway())
-    Around.Peers.send(From, ConfigurationWanted{});
-  else if (!Duty.watches(Now))
-    readNewerConfiguration(Message.Configuration, Now);
+  Pull.onAsked(From, Now);
+  Around.Peers.send(From, ConfigurationWanted{});
 }
 
 void FleetCore::compareUpstreams(const InstanceId &From,
@@ -454,6 +466,8 @@
     onDigest(From, *Digest, Now);
   else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
     onPeerConfiguration(From, *Text, Now);
+  else if (const auto *Offer = std::get_if<ConfigurationOffer>(&Message))
+    onOffered(From, Offer->Version, Now);
   else if (std::holds_alternative<ConfigurationWanted>(Message))
     sendConfiguration(From);
   else if (const auto *List = std::get_if<UpstreamList>(&Message))
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Relay"
+#include "bronzeward/src/Router/ConfigurationPull.h"
 #include "bronzeward/src/Router/InstanceCore.h"
 #include "bronzeward/src/Router/InstanceRegistry.h"
 #include "bronzeward/src/Router/WatchDuty.h"
@@ -152,9 +153,12 @@
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
   [[nodiscard]] PeerDigest digest() const;
-  /// Answers a peer whose configuration is older, or asks for a newer one.
+  /// Tells a peer whose configuration is older, or gets a newer one.
   void compareConfigurations(const InstanceId &From, const PeerDigest &Message,
                              TimePoint Now);
+  /// Gets a newer configuration that a peer has, from that peer or the store.
+  void onOffered(const InstanceId &From, ConfigurationVersion Offered,
+                 TimePoint Now);
   /// Answers a peer that knows less of the upstreams, or relies on one that
   /// knows as much.
   void compareUpstreams(const InstanceId &From, const PeerDigest &Message,
@@ -200,6 +204,7 @@
   std::uint64_t UnsentSince = 0;
   TimePoint NextFollowerDigest;
   bool ReadingConfiguration = false;
+  ConfigurationPull Pull;
   /// When each peer was last heard.
   std::map<InstanceId, TimePoint> LastHeard;
   /// When each peer that has lost the store said so last.
--- a/bronzeward/src/Router/RouterCore.cpp
+++ b/bronzeward/src/Router/RouterCore.cpp
@@ -148,12 +148,12 @@
 void RouterCore::onPeerMessage(const InstanceId &From,
                                const PeerMessage &Message, TimePoint Now) {
   if (const auto *Digest = std::get_if<PeerDigest>(&Message)) {
-    Follower.onDigest(From, *Digest);
+    Follower.onDigest(From, *Digest, Now);
     if (Engine)
       for (const ContentFingerprint &Content : Digest->Suspects)
         Engine->quarantine().onReported(Content, Now);
   } else if (const auto *Text = std::get_if<ConfigurationText>(&Message)) {
-    Follower.onText(*Text, Now);
+    Follower.onText(From, *Text, Now);
   } else if (std::holds_alternative<ConfigurationWanted>(Message)) {
     Follower.onWanted(From);
   }
--- /dev/null
+++ b/test/ConfigurationPullTest.cpp
@@ -0,0 +1,41 @@
+#include "bronzeward/Router"
+
+#include <catch2/catch.hpp>
+
+namespace bronzeward {
+namespace {
+
+const TimePoint Start{1h};
+const InstanceId First{"a"};
+const InstanceId Second{"b"};
+
+// Load pattern: seven peers offer the same long text four times a second.
+TEST_CASE("One configuration is under way at a time", "[ConfigurationPull]") {
+  ConfigurationPull Pull;
+  int Asked = 0;
+  for (Duration At{}; At < 900ms; At += 30ms) {
+    const InstanceId Peer{std::to_string(At / 30ms % 7)};
+    if (!Pull.mayAsk(Peer, Start + At))
+      continue;
+    Pull.onAsked(Peer, Start + At);
+    ++Asked;
+  }
+  CHECK(Asked == 1);
+}
+
+TEST_CASE("Another peer is asked where a configuration does not come",
+          "[ConfigurationPull]") {
+  ConfigurationPull Pull;
+  Pull.onAsked(First, Start);
+  CHECK_FALSE(Pull.mayAsk(Second, Start + 900ms));
+  CHECK(Pull.mayAsk(Second, Start + 1s));
+  CHECK_FALSE(Pull.mayAsk(First, Start + 1s));
+  CHECK(Pull.mayAsk(First, Start + 2s));
+  Pull.onArrived(Second);
+  CHECK_FALSE(Pull.mayAsk(First, Start + 1s));
+  Pull.onArrived(First);
+  CHECK(Pull.mayAsk(First, Start + 1s));
+}
+
+} // namespace
+} // namespace bronzeward
--- a/test/ConfigurationTest.cpp
+++ b/test/ConfigurationTest.cpp
@@ -83,10 +83,10 @@
                           TimePoint) { Seen.push_back(Version.Number); });
   const std::string Text = Head + serviceOf("a", "");
 
-  Follower.onText({{5}, Text}, Now);
-  Follower.onText({{4}, Text}, Now);
-  Follower.onText({{5}, Text}, Now);
-  Follower.onText({{6}, "not a text"}, Now);
+  Follower.onText(InstanceId{"j"}, {{5}, Text}, Now);
+  Follower.onText(InstanceId{"j"}, {{4}, Text}, Now);
+  Follower.onText(InstanceId{"j"}, {{5}, Text}, Now);
+  Follower.onText(InstanceId{"j"}, {{6}, "not a text"}, Now);
   CHECK(Follower.version().Number == 5);
 
   // A restored store shows an older head.
@@ -101,10 +101,10 @@
 
   PeerDigest Newer;
   Newer.Configuration = {9};
-  Follower.onDigest(InstanceId{"j"}, Newer);
+  Follower.onDigest(InstanceId{"j"}, Newer, Now);
   REQUIRE(Ports.Sent.size() == 1);
   CHECK(std::holds_alternative<ConfigurationWanted>(Ports.Sent[0]));
-  Follower.onText({{9}, Text}, Now);
+  Follower.onText(InstanceId{"j"}, {{9}, Text}, Now);
   CHECK(Seen == std::vector<std::uint64_t>{5, 9});
 }
 
