Count silence against a store call, not the time that a long reply takes

Cause: a list of a configuration of 500 kB, 650 kB as the store sends it, was given up at 0.9 s with bytes still arriving; the list was read again from its beginning, and lost again. Each loss also opened the breaker for budgets. The transport now tells the client of each 64 KiB that arrive; the timeout counts from there, up to four timeouts in all. The new spread case failed before: 16 of 24 lacked the last of ten versions after 3 s. So did the follower's cases (no such notice).

--- a/bronzeward/src/Net/CoreThread.cpp
+++ b/bronzeward/src/Net/CoreThread.cpp
@@ -38,6 +38,8 @@
     takeUpstream(*OfUpstream, Now);
   else if (const auto *Replied = std::get_if<StoreReplied>(&Event))
     Core->onStoreReply(Replied->Id, Replied->Reply, Now);
+  else if (const auto *Progressed = std::get_if<StoreProgressed>(&Event))
+    Core->onStoreProgress(Progressed->Id, Now);
   else if (const auto *Received = std::get_if<PeerReceived>(&Event))
     Core->onPeerMessage(Received->From, Received->Message, Now);
   else if (const auto *Lost = std::get_if<PeerLost>(&Event))
--- a/bronzeward/src/Net/CoreThread.h
+++ b/bronzeward/src/Net/CoreThread.h
@@ -24,6 +24,9 @@
   StoreCallId Id;
   StoreReply Reply;
 };
+struct StoreProgressed {
+  StoreCallId Id;
+};
 struct PeerReceived {
   InstanceId From;
   PeerMessage Message;
@@ -38,8 +41,8 @@
 
 /// \brief Anything that the core is told.
 using CoreEvent =
-    std::variant<CallerEvent, UpstreamEvent, StoreReplied, PeerReceived,
-                 PeerLost, DrainWanted, QuarantineLifted>;
+    std::variant<CallerEvent, UpstreamEvent, StoreReplied, StoreProgressed,
+                 PeerReceived, PeerLost, DrainWanted, QuarantineLifted>;
 
 /// \brief The thread in which one instance decides.
 class CoreThread {
--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -12,6 +12,10 @@
 /// earlier than if its lost first packet had to be sent again after a second.
 constexpr Duration ConnectTimeout = 300ms;
 
+/// Bytes of a reply between two notices of its progress: short replies need
+/// none.
+constexpr std::size_t ProgressBytes = 65536;
+
 /// \brief Collects one answer of the store.
 class HttpStore::ReplyCollector : public HttpListener {
 public:
@@ -19,7 +23,13 @@
       : Owner(Store), Item(std::move(Asked)) {}
 
   void onHead(const HttpHead &Head) override { Status = Head.Status; }
-  void onBody(std::string_view Bytes) override { Body.append(Bytes); }
+  void onBody(std::string_view Bytes) override {
+    Body.append(Bytes);
+    if (Body.size() < Told + ProgressBytes)
+      return;
+    Told = Body.size();
+    Owner.Progress(Item.Id);
+  }
   void onEnd() override {
     StoreReply Reply = Owner.Codec.parse(Item.Call, Status, Body);
     Owner.finish(std::move(Item), std::move(Reply));
@@ -36,12 +46,16 @@
   Outgoing Item;
   std::uint16_t Status = 0;
   std::string Body;
+  /// Length of the body at the last notice.
+  std::size_t Told = 0;
 };
 
 HttpStore::HttpStore(boost::asio::io_context *Shared, HttpStorePlace Where,
-                     const StoreCodec &Form, ReplyHandler OnReply)
+                     const StoreCodec &Form, ReplyHandler OnReply,
+                     ProgressHandler OnProgress)
     : Place(std::move(Where)), Codec(Form), Handler(std::move(OnReply)),
-      Thread(Shared), Connections(makeHttpConnections(Thread.context())),
+      Progress(std::move(OnProgress)), Thread(Shared),
+      Connections(makeHttpConnections(Thread.context())),
       Ring(Thread.context(), RingCapacity,
            [this](Outgoing &Item) { exchange(std::move(Item)); }) {}
 
--- a/bronzeward/src/Net/HttpStore.h
+++ b/bronzeward/src/Net/HttpStore.h
@@ -26,11 +26,14 @@
 class HttpStore : public StorePort {
 public:
   using ReplyHandler = std::function<void(StoreCallId, StoreReply)>;
+  using ProgressHandler = std::function<void(StoreCallId)>;
 
   /// \param Shared loop to run in; null for a thread of its own.
   /// \param OnReply runs in the store's thread.
+  /// \param OnProgress a part of a long reply arrived; runs there too.
   HttpStore(boost::asio::io_context *Shared, HttpStorePlace Where,
-            const StoreCodec &Form, ReplyHandler OnReply);
+            const StoreCodec &Form, ReplyHandler OnReply,
+            ProgressHandler OnProgress);
   ~HttpStore() override { Thread.stop(); }
 
   void start() { Thread.start(); }
@@ -57,6 +60,7 @@
   HttpStorePlace Place;
   const StoreCodec &Codec;
   ReplyHandler Handler;
+  ProgressHandler Progress;
   DutyThread Thread;
   std::shared_ptr<HttpConnections> Connections;
   Mailbox<Outgoing> Ring;
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -77,6 +77,9 @@
   void onLoadReport(const UpstreamName &, const LoadReport &, bool) override {}
   void onStoreReply(StoreCallId Id, const StoreReply &Reply,
                     TimePoint Now) override;
+  void onStoreProgress(StoreCallId Id, TimePoint Now) override {
+    Store.onProgress(Id, Now);
+  }
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now) override;
   void onPeerUnreachable(const InstanceId &Peer, TimePoint Now) override;
--- a/bronzeward/src/Router/InstanceCore.h
+++ b/bronzeward/src/Router/InstanceCore.h
@@ -69,6 +69,8 @@
                             bool Leaving) = 0;
   virtual void onStoreReply(StoreCallId Id, const StoreReply &Reply,
                             TimePoint Now) = 0;
+  /// \brief A part of a long reply arrived.
+  virtual void onStoreProgress(StoreCallId Id, TimePoint Now) = 0;
   virtual void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                              TimePoint Now) = 0;
   virtual void onPeerUnreachable(const InstanceId &Peer, TimePoint Now) = 0;
--- a/bronzeward/src/Router/RouterCore.h
+++ b/bronzeward/src/Router/RouterCore.h
@@ -35,6 +35,9 @@
                          TimePoint Now) override;
   void onStoreReply(StoreCallId Id, const StoreReply &Reply,
                     TimePoint Now) override;
+  void onStoreProgress(StoreCallId Id, TimePoint Now) override {
+    Store.onProgress(Id, Now);
+  }
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now) override;
   void onPeerUnreachable(const InstanceId &Peer, TimePoint Now) override;
--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -4,6 +4,10 @@
 
 namespace bronzeward {
 
+/// Multiple of the call's timeout for which a reply may go on arriving: the
+/// longest value of a store, 1 MiB as text, over 10 Mbit/s that calls share.
+constexpr int LongestReply = 4;
+
 static bool changesState(const StoreCall &Request) {
   return !std::holds_alternative<ReadKey>(Request) &&
          !std::holds_alternative<ListKeys>(Request) &&
@@ -31,8 +35,8 @@
   Duration Limit = Policy.CallTimeout;
   if (const WatchKeys *Watch = std::get_if<WatchKeys>(&Request))
     Limit += Watch->Wait;
-  Entry.Timeout = Timers.schedule(Now + Limit,
-                                  [this, Id](TimePoint At) { expire(Id, At); });
+  Entry.Timeout = expireAt(Id, Now + Limit);
+  Entry.Latest = Now + Limit + (LongestReply - 1) * Policy.CallTimeout;
   InFlight.emplace(Id, std::move(Entry));
   Port.send(Id, Request);
 }
@@ -54,6 +58,20 @@
   Entry.Done(Reply, Now);
 }
 
+void StoreClient::onProgress(StoreCallId Id, TimePoint Now) {
+  const auto Found = InFlight.find(Id);
+  if (Found == InFlight.end())
+    return;
+  Pending &Entry = Found->second;
+  Timers.cancel(Entry.Timeout);
+  Entry.Timeout =
+      expireAt(Id, std::min(Now + Policy.CallTimeout, Entry.Latest));
+}
+
+TimerQueue::Handle StoreClient::expireAt(StoreCallId Id, TimePoint When) {
+  return Timers.schedule(When, [this, Id](TimePoint At) { expire(Id, At); });
+}
+
 void StoreClient::expire(StoreCallId Id, TimePoint Now) {
   const auto Found = InFlight.find(Id);
   if (Found == InFlight.end())
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -10,7 +10,8 @@
 /// \ingroup Store
 /// \brief Limits on an instance's use of the platform's service.
 struct StorePolicy {
-  /// A call without a reply for this long counts as lost.
+  /// A call without a reply, or a further part of one, for this long counts as
+  /// lost.
   Duration CallTimeout = 1s;
   std::size_t MaxInFlight = 64;
   /// Consecutive failures that open the circuit breaker.
@@ -55,6 +56,9 @@
   /// \brief Takes in a reply; a late one is dropped.
   void onReply(StoreCallId Id, const StoreReply &Reply, TimePoint Now);
 
+  /// \brief A part of a long reply arrived: the call is not lost yet.
+  void onProgress(StoreCallId Id, TimePoint Now);
+
   /// \returns whether a call made now would be sent.
   [[nodiscard]] bool available(TimePoint Now) const;
   /// \returns since when every call failed, where the last one failed.
@@ -68,10 +72,13 @@
   struct Pending {
     Handler Done;
     TimerQueue::Handle Timeout;
+    /// When the reply counts as lost, however much of it arrived.
+    TimePoint Latest;
     bool Changes = false;
   };
 
   void count(const StoreCall &Request);
+  [[nodiscard]] TimerQueue::Handle expireAt(StoreCallId Id, TimePoint When);
   void expire(StoreCallId Id, TimePoint Now);
   void noteSuccess(TimePoint Now);
   void noteFailure(TimePoint Now);
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -17,7 +17,8 @@
 DEFINE_string(peer_advertise, "",
               "address that peers use, ip:port; --peer_listen where empty");
 DEFINE_string(store, "127.0.0.1:2379", "the platform's store, ip:port");
-DEFINE_int32(store_timeout_ms, 1000, "time for one store call");
+DEFINE_int32(store_timeout_ms, 1000,
+             "longest silence of the store in one call");
 DEFINE_int32(store_breaker_ms, 5000,
              "longest pause before a store that fails is called again");
 DEFINE_int32(max_connections, 10000, "callers' connections at a time");
@@ -107,16 +108,18 @@
                                  std::function<void(StructuredLog &)> OnReload)
     : Settings(std::move(Read)), Reload(std::move(OnReload)), Main(1),
       Log(Settings.Identity.Instance.Value),
-      Store(shared(),
-            {Settings.Store.Host, Settings.Store.Port,
-             Settings.Identity.Store.CallTimeout},
-            Form,
-            [this](StoreCallId Id, StoreReply Reply) {
-              if (const std::optional<std::string> Line =
-                      Unreadable.report(Reply.Problem, Time.now()))
-                Log.onEvent("store-reply-unreadable", *Line);
-              Core.tell(StoreReplied{Id, std::move(Reply)});
-            }),
+      Store(
+          shared(),
+          {Settings.Store.Host, Settings.Store.Port,
+           Settings.Identity.Store.CallTimeout},
+          Form,
+          [this](StoreCallId Id, StoreReply Reply) {
+            if (const std::optional<std::string> Line =
+                    Unreadable.report(Reply.Problem, Time.now()))
+              Log.onEvent("store-reply-unreadable", *Line);
+            Core.tell(StoreReplied{Id, std::move(Reply)});
+          },
+          [this](StoreCallId Id) { Core.tell(StoreProgressed{Id}); }),
       Peers(
           Settings.Identity.Instance,
           [this](InstanceId From, PeerMessage Message) {
--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -36,5 +36,21 @@
   }
 }
 
+// Load pattern: calls take more than half of every link while versions of a
+// long text follow each other three times a second.
+TEST_CASE("A long configuration comes into force over links that calls share",
+          "[ConfigurationSpread]") {
+  fakes::FleetNetwork Fleet(Instances, 4, 0.4 * SmallLink);
+  Fleet.configure(1, 20);
+  Fleet.runFor(8s);
+  REQUIRE(lagging(Fleet, 1).empty());
+  for (std::uint64_t Version = 2; Version < 12; ++Version) {
+    Fleet.configure(Version, 2000);
+    Fleet.runFor(330ms);
+  }
+  Fleet.runFor(InForce - 330ms);
+  CHECK(lagging(Fleet, 11) == std::vector<std::size_t>());
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -99,6 +99,42 @@
   CHECK(Item.Keys.regainedAt() == Item.Now);
 }
 
+// Load pattern: a list of a long value over a small link.
+TEST_CASE("A long reply that still arrives is not given up",
+          "[StoreFollower]") {
+  Follower Item;
+  const StoreCallId List = Item.Calls.back().first;
+  for (int Part = 0; Part < 4; ++Part) {
+    Item.wait(700ms);
+    Item.Client.onProgress(List, Item.Now);
+  }
+  REQUIRE_CALL(Item.Listener, onListed(_, 7U, _));
+  Item.answer(ok(7));
+  CHECK(Item.Keys.inTouch());
+  CHECK(Item.Client.failingSince() == std::nullopt);
+}
+
+TEST_CASE("A reply that stops arriving is given up", "[StoreFollower]") {
+  Follower Item;
+  const StoreCallId List = Item.Calls.back().first;
+  Item.wait(900ms);
+  Item.Client.onProgress(List, Item.Now);
+  Item.wait(900ms);
+  CHECK(Item.Client.failingSince() == std::nullopt);
+  Item.wait(100ms);
+  CHECK(Item.Client.failingSince() == Item.Now);
+}
+
+TEST_CASE("A reply that arrives without end is given up", "[StoreFollower]") {
+  Follower Item;
+  const StoreCallId List = Item.Calls.back().first;
+  for (int Part = 0; Part < 30; ++Part) {
+    Item.wait(500ms);
+    Item.Client.onProgress(List, Item.Now);
+  }
+  CHECK(Item.Client.counters().Timeouts > 0);
+}
+
 TEST_CASE("A first contact is no return of the store", "[StoreFollower]") {
   Follower Item;
   StoreReply Away;
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -78,11 +78,19 @@
   struct Node;
   struct Transfer {
     double BytesLeft = 0;
+    /// Bytes since the receiver last heard of the transfer's progress.
+    double Untold = 0;
     TimePoint SentAt;
     PeerMessage Message;
     /// Set for an answer of the store.
     std::optional<WatchedStore::Answered> Reply;
   };
+  /// A store call that nothing answers.
+  struct Silent {
+    std::size_t Caller = 0;
+    StoreCallId Id;
+    TimePoint Until;
+  };
   /// Transfers to one instance, by the sender's place; Size for the store.
   using Connections = std::map<std::size_t, std::deque<Transfer>>;
 
@@ -90,6 +98,8 @@
                   const PeerMessage &Message);
   void callStore(std::size_t From, StoreCallId Id, const StoreCall &Call);
   void moveBytes(std::size_t To);
+  void tellProgress(std::size_t To, Transfer &Item, double Moved);
+  void endSilent();
   void arrive(std::size_t From, std::size_t To, const Transfer &Item);
   void step();
 
@@ -105,6 +115,7 @@
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<Connections> Links;
   std::set<std::size_t> Away;
+  std::vector<Silent> Unanswered;
 };
 
 } // namespace bronzeward::fakes
