Let followers get long configurations from their watchers, compressed

Cause: in a large fleet each instance read the whole text from the store, 650 kB as base64 at 2,000 routes, over links of 10 Mbit/s that calls fill; the watchers of its domain had the text already. Now a follower asks the peer that announces the version; texts between instances are compressed by zlib, once a version. Where the peer does not answer within a second the store is read as before. Earlier instances' uncompressed texts are still read.

--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -42,7 +42,11 @@
     }
     configuration :group {
       version @16 :UInt64;
+      # Written by earlier versions; packed is empty then.
       text @17 :Text;
+      # In the zlib format, and the length of the text.
+      packed @37 :Data;
+      length @38 :UInt64;
     }
     configurationWanted @18 :Void;
     upstreams :group {
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -1136,6 +1136,11 @@
   inline bool hasText() const;
   inline  ::capnp::Text::Reader getText() const;
 
+  inline bool hasPacked() const;
+  inline  ::capnp::Data::Reader getPacked() const;
+
+  inline  ::uint64_t getLength() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1174,6 +1179,16 @@
   inline void adoptText(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownText();
 
+  inline bool hasPacked();
+  inline  ::capnp::Data::Builder getPacked();
+  inline void setPacked( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPacked();
+
+  inline  ::uint64_t getLength();
+  inline void setLength( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2371,7 +2386,9 @@
   _builder.setDataField<PeerMessage::Which>(
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::CONFIGURATION);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Configuration::Builder(_builder);
 }
 inline bool PeerMessage::Reader::isConfigurationWanted() const {
@@ -3022,6 +3039,54 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::Configuration::Reader::hasPacked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Configuration::Builder::hasPacked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PeerMessage::Configuration::Reader::getPacked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PeerMessage::Configuration::Builder::getPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Configuration::Builder::setPacked( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PeerMessage::Configuration::Builder::initPacked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Configuration::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PeerMessage::Configuration::Builder::disownPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PeerMessage::Configuration::Reader::getLength() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Configuration::Builder::getLength() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Configuration::Builder::setLength( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerMessage::Upstreams::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -71,7 +71,7 @@
 /// \brief An accepted configuration, for a peer whose version is older.
 struct ConfigurationText {
   ConfigurationVersion Version;
-  std::string Text;
+  PackedText Text;
 };
 
 /// \brief Tells a peer whose configuration is older of the sender's, which the
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -62,7 +62,10 @@
 static void writeOne(Builder Out, const ConfigurationText &In) {
   schema::PeerMessage::Configuration::Builder Group = Out.initConfiguration();
   Group.setVersion(In.Version.Number);
-  Group.setText(In.Text);
+  Group.setPacked(capnp::Data::Reader(
+      reinterpret_cast<const kj::byte *>(In.Text.Bytes.data()),
+      In.Text.Bytes.size()));
+  Group.setLength(In.Text.Length);
 }
 
 static void writeOne(Builder Out, const ConfigurationOffer &In) {
@@ -190,6 +193,20 @@
   return Out;
 }
 
+static PeerMessage
+readConfiguration(schema::PeerMessage::Configuration::Reader In) {
+  ConfigurationText Out;
+  Out.Version.Number = In.getVersion();
+  if (!In.hasPacked()) {
+    Out.Text = packText(In.getText().cStr());
+    return Out;
+  }
+  Out.Text.Bytes.assign(In.getPacked().asChars().begin(),
+                        In.getPacked().size());
+  Out.Text.Length = In.getLength();
+  return Out;
+}
+
 static PeerMessage readHandover(schema::PeerMessage::Handover::Reader In) {
   OperationsHandover Out;
   for (schema::SlotOperation::Reader Item : In.getOperations())
@@ -216,9 +233,7 @@
   case schema::PeerMessage::DIGEST:
     return readDigest(In.getDigest());
   case schema::PeerMessage::CONFIGURATION:
-    return ConfigurationText{
-        ConfigurationVersion{In.getConfiguration().getVersion()},
-        In.getConfiguration().getText().cStr()};
+    return readConfiguration(In.getConfiguration());
   case schema::PeerMessage::CONFIGURATION_OFFER:
     return ConfigurationOffer{ConfigurationVersion{In.getConfigurationOffer()}};
   case schema::PeerMessage::CONFIGURATION_WANTED:
--- a/bronzeward/src/Router/ConfigurationFollower.cpp
+++ b/bronzeward/src/Router/ConfigurationFollower.cpp
@@ -83,12 +83,14 @@
                                    const ConfigurationText &Message,
                                    TimePoint Now) {
   Pull.onArrived(From);
-  accept(Message.Version, Message.Text, Now);
+  const Result<std::string> Text = unpackText(Message.Text);
+  if (Text)
+    accept(Message.Version, Text.value(), Now);
 }
 
 void ConfigurationFollower::onWanted(const InstanceId &From) {
   if (Version.Number > 0)
-    Peers.send(From, ConfigurationText{Version, CurrentText});
+    Peers.send(From, ConfigurationText{Version, packText(CurrentText)});
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Router/ConfigurationPull.cpp
+++ b/bronzeward/src/Router/ConfigurationPull.cpp
@@ -17,6 +17,10 @@
   Asked = Request{Peer, Now};
 }
 
+bool ConfigurationPull::unanswered(TimePoint Now) const {
+  return Asked && Now >= Asked->At + AnswerTime;
+}
+
 void ConfigurationPull::onArrived(const InstanceId &From) {
   if (Asked && Asked->Peer == From)
     Asked.reset();
--- a/bronzeward/src/Router/ConfigurationPull.h
+++ b/bronzeward/src/Router/ConfigurationPull.h
@@ -18,8 +18,12 @@
   /// \returns whether a peer that offers a newer version is to be asked now.
   [[nodiscard]] bool mayAsk(const InstanceId &Peer, TimePoint Now) const;
   void onAsked(const InstanceId &Peer, TimePoint Now);
+  /// \returns whether the peer that was asked last has let the time pass.
+  [[nodiscard]] bool unanswered(TimePoint Now) const;
   /// \brief A text came from a peer.
   void onArrived(const InstanceId &From);
+  /// \brief A newer version is in force, wherever it came from.
+  void onAccepted() { Asked.reset(); }
 
 private:
   struct Request {
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -177,6 +177,8 @@
     return;
   Version = Parsed.value().Version;
   CurrentText = Text;
+  CurrentPacked.reset();
+  Pull.onAccepted();
   Around.Log.onEvent("configuration", "version " +
                                           std::to_string(Version.Number) +
                                           " from " + From);
@@ -188,14 +190,24 @@
                                     const ConfigurationText &Message,
                                     TimePoint Now) {
   ++Texts.Received;
-  Texts.Known += Message.Version <= Version ? 1 : 0;
   Pull.onArrived(From);
-  onConfigurationText(Message.Text, From.Value, Now);
+  if (Message.Version <= Version) {
+    ++Texts.Known;
+    return;
+  }
+  const Result<std::string> Text = unpackText(Message.Text);
+  if (Text)
+    onConfigurationText(Text.value(), From.Value, Now);
+  else
+    Around.Log.onEvent("configuration-invalid",
+                       "from " + From.Value + ": " + describe(Text.error()));
 }
 
 void FleetCore::sendConfiguration(const InstanceId &To) {
   ++Texts.Sent;
-  Around.Peers.send(To, ConfigurationText{Version, CurrentText});
+  if (!CurrentPacked)
+    CurrentPacked = packText(CurrentText);
+  Around.Peers.send(To, ConfigurationText{Version, *CurrentPacked});
 }
 
 void FleetCore::readNewerConfiguration(ConfigurationVersion Wanted,
@@ -430,12 +442,16 @@
                           TimePoint Now) {
   if (Offered <= Version)
     return;
-  // In a large fleet those who reach the store read it there.
   const bool Large = Members.members().size() > SmallFleet;
   if (Large && !storeAway()) {
-    if (!Duty.watches(Now))
+    // Its own watch brings it to a watcher; the others leave the store's bytes
+    // and calls to the watchers for as long as these answer.
+    if (Duty.watches(Now))
+      return;
+    if (Pull.unanswered(Now)) {
       readNewerConfiguration(Offered, Now);
-    return;
+      return;
+    }
   }
   if (!Pull.mayAsk(From, Now))
     return;
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -159,7 +159,8 @@
   /// Tells a peer whose configuration is older, or gets a newer one.
   void compareConfigurations(const InstanceId &From, const PeerDigest &Message,
                              TimePoint Now);
-  /// Gets a newer configuration that a peer has, from that peer or the store.
+  /// Gets a newer configuration that a peer has: from that peer, or from the
+  /// store where peers do not answer.
   void onOffered(const InstanceId &From, ConfigurationVersion Offered,
                  TimePoint Now);
   /// Answers a peer that knows less of the upstreams, or relies on one that
@@ -196,6 +197,8 @@
   std::optional<Incarnation> Life;
   ConfigurationVersion Version;
   std::string CurrentText;
+  /// CurrentText for sending, made when it is first asked for.
+  std::optional<PackedText> CurrentPacked;
   ConfigurationTextCounters Texts;
   /// Registry entries as stored, for peers that the store does not answer.
   std::map<std::string, StoreEntry> Entries;
--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -52,5 +52,20 @@
   CHECK(lagging(Fleet, 11) == std::vector<std::size_t>());
 }
 
+// Load pattern: the links of all but the strongest instances are nearly full
+// of calls when the operator adds 2,000 routes.
+TEST_CASE("A long configuration comes into force over links that are busy",
+          "[ConfigurationSpread]") {
+  fakes::FleetNetwork Fleet(Instances, 4, 0.15 * SmallLink, 2);
+  Fleet.configure(1, 20);
+  Fleet.runFor(8s);
+  REQUIRE(lagging(Fleet, 1).empty());
+  for (std::uint64_t Version = 2; Version < 5; ++Version) {
+    Fleet.configure(Version, 2000);
+    Fleet.runFor(InForce);
+    CHECK(lagging(Fleet, Version) == std::vector<std::size_t>());
+  }
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/ConfigurationTest.cpp
+++ b/test/ConfigurationTest.cpp
@@ -83,10 +83,10 @@
                           TimePoint) { Seen.push_back(Version.Number); });
   const std::string Text = Head + serviceOf("a", "");
 
-  Follower.onText(InstanceId{"j"}, {{5}, Text}, Now);
-  Follower.onText(InstanceId{"j"}, {{4}, Text}, Now);
-  Follower.onText(InstanceId{"j"}, {{5}, Text}, Now);
-  Follower.onText(InstanceId{"j"}, {{6}, "not a text"}, Now);
+  Follower.onText(InstanceId{"j"}, {{5}, packText(Text)}, Now);
+  Follower.onText(InstanceId{"j"}, {{4}, packText(Text)}, Now);
+  Follower.onText(InstanceId{"j"}, {{5}, packText(Text)}, Now);
+  Follower.onText(InstanceId{"j"}, {{6}, packText("not a text")}, Now);
   CHECK(Follower.version().Number == 5);
 
   // A restored store shows an older head.
@@ -104,7 +104,7 @@
   Follower.onDigest(InstanceId{"j"}, Newer, Now);
   REQUIRE(Ports.Sent.size() == 1);
   CHECK(std::holds_alternative<ConfigurationWanted>(Ports.Sent[0]));
-  Follower.onText(InstanceId{"j"}, {{9}, Text}, Now);
+  Follower.onText(InstanceId{"j"}, {{9}, packText(Text)}, Now);
   CHECK(Seen == std::vector<std::uint64_t>{5, 9});
 }
 
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -17,6 +17,10 @@
 /// Time without delivery after which a peer's connection is given up, as in
 /// the transport.
 constexpr Duration DeliveryTimeout = 1s;
+/// Link of a strong instance, and the part of a core of each kind.
+constexpr double StrongLink = 25e6;
+constexpr double StrongCapacity = 0.5;
+constexpr double WeakCapacity = 0.12;
 /// Silence after which a store call is given up, as in the store's client.
 constexpr Duration StoreSilence = 900ms;
 /// Bytes between two notices of a long answer's progress.
@@ -118,13 +122,15 @@
 // One instance.
 
 struct FleetNetwork::Node : StorePort, PeerPort {
-  Node(FleetNetwork &Owner, std::size_t Place, std::size_t Domains)
+  Node(FleetNetwork &Owner, std::size_t Place, std::size_t Domains,
+       double Capacity)
       : Network(Owner), Index(Place) {
     RouterIdentity Who;
     Who.Instance.Value = "i" + std::to_string(Place);
     Who.Domain.Value = "d" + std::to_string(Place % Domains);
     Who.PeerAddress = Who.Instance.Value;
     Who.Seed = Place + 1;
+    Who.Capacity = Capacity;
     Who.Store.CallTimeout = 900ms;
     Who.Store.MaxOpen = 600ms;
     Core = std::make_unique<FleetCore>(
@@ -150,10 +156,15 @@
 // The network.
 
 FleetNetwork::FleetNetwork(std::size_t Size, std::size_t Domains,
-                           double LinkBytesPerSecond)
-    : Bandwidth(LinkBytesPerSecond), Links(Size) {
-  for (std::size_t Place = 0; Place < Size; ++Place)
-    Nodes.push_back(std::make_unique<Node>(*this, Place, Domains));
+                           double LinkBytesPerSecond, std::size_t Strong)
+    : Bandwidth(Size, LinkBytesPerSecond), Links(Size) {
+  for (std::size_t Place = 0; Place < Size; ++Place) {
+    const bool IsStrong = Place < Strong * Domains;
+    if (IsStrong)
+      Bandwidth[Place] = StrongLink;
+    Nodes.push_back(std::make_unique<Node>(
+        *this, Place, Domains, IsStrong ? StrongCapacity : WeakCapacity));
+  }
   for (const std::unique_ptr<Node> &Item : Nodes)
     Item->Core->start(Now);
 }
@@ -260,7 +271,7 @@
   Connections &Link = Links[To];
   std::erase_if(Link, [](const auto &Item) { return Item.second.empty(); });
   const double Share =
-      Bandwidth * std::chrono::duration<double>(StepTime).count() /
+      Bandwidth[To] * std::chrono::duration<double>(StepTime).count() /
       static_cast<double>(std::max<std::size_t>(1, Link.size()));
   std::vector<std::pair<std::size_t, Transfer>> Done;
   std::vector<std::size_t> Lost;
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -56,8 +56,10 @@
 class FleetNetwork {
 public:
   /// \param LinkBytesPerSecond bandwidth into one instance.
-  FleetNetwork(std::size_t Size, std::size_t Domains,
-               double LinkBytesPerSecond);
+  /// \param Strong instances of each domain with four times the processor and
+  /// a link of 200 Mbit/s.
+  FleetNetwork(std::size_t Size, std::size_t Domains, double LinkBytesPerSecond,
+               std::size_t Strong = 0);
   ~FleetNetwork();
 
   void runFor(Duration Time);
@@ -110,7 +112,7 @@
   SilentLog Log;
   FixedClock Wall;
   WatchedStore Store;
-  double Bandwidth;
+  std::vector<double> Bandwidth;
   TimePoint Now{1h};
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<Connections> Links;
--- a/tools/PeerNotice.cpp
+++ b/tools/PeerNotice.cpp
@@ -32,7 +32,8 @@
     return;
   Transport.setMembers(Members);
   for (const Member &Item : Members)
-    Transport.send(Item.Life.Instance, ConfigurationText{Version, Text});
+    Transport.send(Item.Life.Instance,
+                   ConfigurationText{Version, packText(Text)});
   std::this_thread::sleep_for(DeliveryTime);
   Transport.stop();
 }
