Refuse calls at once at an instance whose own link is what they wait for

What callers saw: too little served (SHORT), worst in the failure domain whose callers come to one small instance. Cause: when its link of 10 Mbit/s is full, connections to every upstream time out after 300 ms; each call was sent to four upstreams one after the other, which fills the link further, each upstream was passed over as unreachable, and the call was refused 1.2 s late. Now such timeouts to several upstreams at once, more than answers begin, count as congestion here: the call ends at once with a time to come back, no upstream is blamed, and the number of calls under way is halved until connections open.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -124,7 +124,10 @@
       if (Self->Cancelled)
         return;
       if (Result) {
-        Self->fail(HttpFailure::NotSent, Result.message());
+        Self->fail(Result == beast::error::timeout
+                       ? HttpFailure::ConnectTimedOut
+                       : HttpFailure::NotSent,
+                   Result.message());
         return;
       }
       Self->setOptions();
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -45,7 +45,14 @@
 };
 
 /// \brief How far a failed exchange came.
-enum class HttpFailure { NotSent, Closed, TimedOut, Invalid };
+enum class HttpFailure {
+  NotSent,
+  /// Not sent, since no connection opened in time.
+  ConnectTimedOut,
+  Closed,
+  TimedOut,
+  Invalid
+};
 
 /// \brief Receives the parts of an answer.
 class HttpListener {
--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -36,8 +36,9 @@
   }
   void onFailure(HttpFailure How, const std::string &) override {
     StoreReply Reply;
-    Reply.Status = How == HttpFailure::NotSent ? StoreStatus::Unavailable
-                                               : StoreStatus::Unknown;
+    const bool NotSent =
+        How == HttpFailure::NotSent || How == HttpFailure::ConnectTimedOut;
+    Reply.Status = NotSent ? StoreStatus::Unavailable : StoreStatus::Unknown;
     Owner.finish(std::move(Item), std::move(Reply));
   }
 
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -35,6 +35,8 @@
     UpstreamFailure Kind = UpstreamFailure::Closed;
     if (How == HttpFailure::NotSent)
       Kind = UpstreamFailure::NotSent;
+    else if (How == HttpFailure::ConnectTimedOut)
+      Kind = UpstreamFailure::ConnectTimedOut;
     else if (How == HttpFailure::Invalid)
       Kind = UpstreamFailure::Invalid;
     Owner.Handler(UpstreamFailed{Attempt, Kind});
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -108,6 +108,10 @@
     refuse(Ticket, &Call, Terms.error());
     return;
   }
+  if (!Congestion.admits(Active.size(), Now)) {
+    refuse(Ticket, &Call, Reason::Overloaded);
+    return;
+  }
   if (Terms.value().Metered && Budgets == nullptr) {
     refuse(Ticket, &Call, Reason::StoreUnavailable);
     return;
@@ -300,6 +304,7 @@
   ActiveCall *Item = find(Attempt);
   if (Item == nullptr)
     return;
+  Congestion.onReached(Now);
   Item->Head = Around.Codec.parseAnswerHead(Head);
   if (Item->Head->Load)
     Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
@@ -408,16 +413,37 @@
     onTurnedAway(*Item, Now);
     return;
   }
-  if (How != UpstreamFailure::NotSent) {
+  if (How != UpstreamFailure::NotSent &&
+      How != UpstreamFailure::ConnectTimedOut) {
     Around.Upstreams.cancel(Attempt);
     onBroken(*Item, Now);
     return;
   }
+  if (How == UpstreamFailure::ConnectTimedOut && Now < Item->ExpiresAt) {
+    onConnectTimeout(*Item, Now);
+    return;
+  }
   endTry(*Item, TryEnd::Unreachable, Now);
   noteDown(Item->Upstream, Now);
   tryAgain(*Item, Now);
 }
 
+void RelayEngine::onConnectTimeout(ActiveCall &Item, TimePoint Now) {
+  if (Congestion.onConnectTimeout(Item.Upstream, Active.size(), Now))
+    Around.Log.onEvent("congested", "connections to several upstreams time "
+                                    "out, calls under way " +
+                                        std::to_string(Active.size()));
+  if (Congestion.congested(Now)) {
+    // The upstream is not to blame, and another would be reached no sooner.
+    endTry(Item, TryEnd::Cancelled, Now);
+    endWithout(Item, Reason::Overloaded, Now);
+    return;
+  }
+  endTry(Item, TryEnd::Unreachable, Now);
+  noteDown(Item.Upstream, Now);
+  tryAgain(Item, Now);
+}
+
 void RelayEngine::onBroken(ActiveCall &Item, TimePoint Now) {
   endTry(Item, TryEnd::Broken, Now);
   noteCrashes(Evidence.onBroken(Item.Upstream, Item.Content, Now), Now);
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -4,6 +4,7 @@
 #include "bronzeward/Routing"
 #include "bronzeward/src/Relay/CrashEvidence.h"
 #include "bronzeward/src/Relay/EventStream.h"
+#include "bronzeward/src/Relay/LocalCongestion.h"
 #include "bronzeward/src/Relay/RelayAdmission.h"
 #include "bronzeward/src/Relay/SharedRetryBudget.h"
 #include "bronzeward/src/Relay/UpstreamPool.h"
@@ -130,6 +131,8 @@
   void forwardEvents(ActiveCall &Item, std::string_view Bytes, TimePoint Now);
   void endTry(ActiveCall &Item, TryEnd How, TimePoint Now);
   void onTurnedAway(ActiveCall &Item, TimePoint Now);
+  /// A connection did not open in time.
+  void onConnectTimeout(ActiveCall &Item, TimePoint Now);
   void onBroken(ActiveCall &Item, TimePoint Now);
   [[nodiscard]] bool mayRunAgain(ActiveCall &Item, TimePoint Now);
   void tryAgain(ActiveCall &Item, TimePoint Now);
@@ -152,6 +155,7 @@
   Incarnation Self;
   std::shared_ptr<const RouteTable> Routes;
   UpstreamPool Pool;
+  LocalCongestion Congestion;
   Quarantine Crashes;
   CrashEvidence Evidence;
   std::map<ServiceName, SharedRetryBudget> Retries;
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -86,6 +86,8 @@
 enum class UpstreamFailure {
   /// No byte of the request was sent.
   NotSent,
+  /// The same, since no connection opened in time.
+  ConnectTimedOut,
   /// The connection ended before the whole answer came.
   Closed,
   /// The answer broke the protocol.
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -347,7 +347,8 @@
   ActiveRequest *Item = find(Attempt);
   if (Item == nullptr)
     return;
-  const bool Sent = How != UpstreamFailure::NotSent;
+  const bool Sent = How != UpstreamFailure::NotSent &&
+                    How != UpstreamFailure::ConnectTimedOut;
   failAttempt(*Item, How == UpstreamFailure::Closed, Now);
   retryOrEnd(*Item, Sent, Now);
 }
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -130,6 +130,20 @@
     Now += Time;
     Timers.runDue(Now);
   }
+  /// Replaces the upstreams by that many.
+  void addUpstreams(int Count) {
+    std::vector<UpstreamEntry> All;
+    for (int Place = 0; Place < Count; ++Place) {
+      All.push_back(entries(0ms).front());
+      All.back().Name.Value = "u" + std::to_string(Place);
+    }
+    Engine.setUsable(All, Now);
+  }
+  /// Lets the oldest connection that is still opening time out.
+  void timeOutOldest() {
+    Engine.onUpstreamFailure(Calls[TimedOut++].Attempt,
+                             UpstreamFailure::ConnectTimedOut, Now);
+  }
   [[nodiscard]] static bool promisesNotRun(const Answer &Made) {
     return Made.Status == 503 || Made.Status == 429 || Made.Status == 408 ||
            Made.Status == 421;
@@ -139,6 +153,7 @@
   MockCallers Callers;
   MockUpstreams Upstreams;
   std::vector<UpstreamCall> Calls;
+  std::size_t TimedOut = 0;
   std::vector<AttemptId> Cancelled;
   std::vector<Answer> Answers;
   int Streams = 0;
@@ -458,5 +473,61 @@
   CHECK(Item.Calls.size() == 6);
 }
 
+// Load pattern: most callers of a failure domain come to an instance whose own
+// link is full, so that no connection opens in time, to whichever upstream.
+TEST_CASE(
+    "A congested instance refuses at once instead of trying every upstream",
+    "[RelayEngine]") {
+  Relay Item;
+  Item.addUpstreams(30);
+  constexpr int Calls = 200;
+  for (int Number = 0; Number < Calls; ++Number) {
+    Item.request("/post/x");
+    Item.wait(10ms);
+    // Connections time out 300 ms after each was begun.
+    while (Item.Calls.size() > Item.TimedOut + 30)
+      Item.timeOutOldest();
+  }
+  // Refused ones are told so truly and at once, with a time to come back.
+  CHECK(Item.Calls.size() < Calls);
+  CHECK(Item.Answers.size() > Calls / 2);
+  for (const Answer &Made : Item.Answers) {
+    CHECK(Made.Status == 503);
+    CHECK(findHeader(Made.Headers, "Retry-After") != nullptr);
+  }
+  // No upstream was given up: the next call goes out once the link is free.
+  Item.wait(10s);
+  const std::size_t Before = Item.Calls.size();
+  Item.request("/post/x");
+  REQUIRE(Item.Calls.size() == Before + 1);
+  Item.head(200);
+  Item.end();
+  CHECK(Item.Answers.back().Status == 200);
+}
+
+// Load pattern: a quarter of the upstreams goes dark.
+TEST_CASE("Dark upstreams do not make an instance count itself congested",
+          "[RelayEngine]") {
+  Relay Item;
+  Item.addUpstreams(30);
+  int Refused = 0;
+  for (int Number = 0; Number < 400; ++Number) {
+    const std::size_t Before = Item.Answers.size();
+    Item.request("/post/x");
+    Item.wait(10ms);
+    while (Item.Answers.size() == Before) {
+      const int Place = std::stoi(Item.Calls.back().Upstream.Value.substr(1));
+      if (Place % 4 == 0) {
+        Item.fail(UpstreamFailure::ConnectTimedOut);
+        continue;
+      }
+      Item.head(200);
+      Item.end();
+    }
+    Refused += Item.Answers.back().Status == 200 ? 0 : 1;
+  }
+  CHECK(Refused == 0);
+}
+
 } // namespace
 } // namespace bronzeward
