Do not parse a configuration that is in force again

The new case failed before: 30 parses by 6 instances of one version over four returns of the store, 6 now.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -167,6 +167,9 @@
 
 void FleetCore::onConfigurationText(const std::string &Text,
                                     const std::string &From, TimePoint Now) {
+  // Lists after a gap bring the text in force again.
+  if (Text == CurrentText)
+    return;
   Result<FleetConfiguration> Parsed =
       Codecs.Deployment.parseConfiguration(Text);
   if (!Parsed) {
--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -67,5 +67,23 @@
   }
 }
 
+// Load pattern: a store that comes and goes, so that its keys are listed anew
+// each time.
+TEST_CASE("A configuration in force is not read again",
+          "[ConfigurationSpread]") {
+  fakes::FleetNetwork Fleet(6, 3, SmallLink);
+  Fleet.configure(1, 20);
+  Fleet.runFor(8s);
+  REQUIRE(lagging(Fleet, 1).empty());
+  for (int Round = 0; Round < 4; ++Round) {
+    for (const bool Away : {true, false}) {
+      for (std::size_t Node = 0; Node < Fleet.size(); ++Node)
+        Fleet.setStoreAway(Node, Away);
+      Fleet.runFor(4s);
+    }
+  }
+  CHECK(Fleet.parsed() == Fleet.size());
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -50,6 +50,17 @@
   std::int64_t LastLease = 0;
 };
 
+/// \brief Counts configurations that are read whole.
+class CountingForm : public platform::DeploymentForm {
+public:
+  [[nodiscard]] Result<FleetConfiguration>
+  parseConfiguration(const std::string &Text) const override {
+    ++Parsed;
+    return DeploymentForm::parseConfiguration(Text);
+  }
+  mutable std::size_t Parsed = 0;
+};
+
 /// \brief Several fleet instances, the store and the links into each instance,
 /// in virtual time. Connections share a link; what is not delivered within the
 /// peers' timeout is lost with all that its connection still held.
@@ -74,6 +85,8 @@
   [[nodiscard]] std::size_t upstreams(std::size_t Place) const;
   /// \returns bytes that arrived at an instance from its peers.
   [[nodiscard]] std::size_t bytesFromPeers(std::size_t Place) const;
+  /// \returns configurations that all instances together read whole.
+  [[nodiscard]] std::size_t parsed() const { return Deployment.Parsed; }
   [[nodiscard]] std::size_t size() const { return Nodes.size(); }
 
 private:
@@ -105,7 +118,7 @@
   void arrive(std::size_t From, std::size_t To, const Transfer &Item);
   void step();
 
-  platform::DeploymentForm Deployment;
+  CountingForm Deployment;
   platform::CallForm Calls;
   MockCallers Callers;
   MockUpstreams Upstreams;
