Cut an upstream's bytes that have no end

Now each has a bound, and the answers held together have one of 32 MiB. A rejection is taken at its word: the call goes to another upstream.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -23,6 +23,13 @@
 /// Size of one read.
 constexpr std::size_t ReadBytes = 16384;
 
+/// Bytes of a head, a chunk's extension or the trailers; more is no answer.
+constexpr std::size_t MaxFramingBytes = 65536;
+/// Answers to other requests and interim heads that are read on the way to the
+/// awaited answer, and the bytes of their bodies; more is no answer.
+constexpr int MaxSkipped = 16;
+constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
+
 /// Time before a peer's own idle timeout at which a connection is given up, so
 /// that a request does not cross the peer's close.
 constexpr Duration KeepMargin = 1s;
@@ -210,6 +217,8 @@
     Skipping = Interim || Foreign;
     if (!Skipping)
       Listener->onHead(Head);
+    else if (++Skipped > MaxSkipped)
+      fail(HttpFailure::Invalid, "other answers without end");
     readBody();
   }
 
@@ -236,12 +245,20 @@
           }
           const std::size_t Length =
               Self->Chunk.size() - Self->Parser->get().body().size;
-          if (Length > 0 && !Self->Skipping)
+          if (!Self->Skipping && Length > 0)
             Self->Listener->onBody({Self->Chunk.data(), Length});
+          if (Self->Skipping)
+            Self->countSkipped(Length);
           Self->readBody();
         });
   }
 
+  void countSkipped(std::size_t Length) {
+    SkippedBytes += Length;
+    if (SkippedBytes > MaxSkippedBytes)
+      fail(HttpFailure::Invalid, "another request's answer has no end");
+  }
+
   /// \returns for how long the peer keeps this connection open.
   [[nodiscard]] Duration keepTime() const {
     const auto Field = Parser->get().find(http::field::keep_alive);
@@ -305,10 +322,12 @@
   std::unique_ptr<beast::tcp_stream> Stream;
   http::request<http::string_body> Request;
   std::optional<http::response_parser<http::buffer_body>> Parser;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxFramingBytes};
   std::array<char, ReadBytes> Chunk{};
   /// Whether the answer being read is not the one asked for.
   bool Skipping = false;
+  int Skipped = 0;
+  std::size_t SkippedBytes = 0;
   bool Cancelled = false;
 };
 
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -31,6 +31,14 @@
 constexpr Duration MaxIdleConnection = 60s;
 /// Answer bodies beyond this are refused as invalid.
 constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
+/// Bytes of unfinished answers held for all calls together: about a third of
+/// the smallest instance's memory.
+constexpr std::size_t MaxHeldBytes = std::size_t{32} * 1024 * 1024;
+/// Longest event of a stream; an event of a few tokens has hundreds of bytes.
+constexpr std::size_t MaxEventBytes = std::size_t{256} * 1024;
+/// Bytes of a rejection's body that are read so that its connection can be
+/// kept.
+constexpr std::size_t MaxRejectionBytes = 65536;
 
 RelayEngine::RelayEngine(FailureDomain Home, RetryAllowance FleetRetries,
                          RelaySurroundings Parts)
@@ -234,6 +242,7 @@
   Item.Dispatched = Around.Wall.wallNow();
   Item.Head.reset();
   Item.Body.clear();
+  Item.Rejection = 0;
   Item.Lifecycle.process(RequestEvent::Dispatch);
   ByAttempt.emplace(Item.Attempt, Item.Id);
   Pool.onDispatched(Item.Attempt, Upstream, Item.Query, Now);
@@ -330,21 +339,51 @@
 void RelayEngine::onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
                                   TimePoint Now) {
   ActiveCall *Item = find(Attempt);
-  if (Item == nullptr || !Item->Head || Item->Head->NotRun)
+  if (Item == nullptr || !Item->Head)
+    return;
+  if (Item->Head->NotRun) {
+    skipRejection(*Item, Bytes.size(), Now);
     return;
+  }
   const bool Success = Item->Head->Status < 300;
   if (Item->Terms.Route->Kind == CallKind::Stream && Success) {
     forwardEvents(*Item, Bytes, Now);
     return;
   }
   Item->Body.append(Bytes);
+  HeldBytes += Bytes.size();
   if (Item->Body.size() > MaxAnswerBytes)
     onUpstreamFailure(Attempt, UpstreamFailure::Invalid, Now);
+  else if (HeldBytes > MaxHeldBytes)
+    cutLongestAnswer(Now);
+}
+
+void RelayEngine::skipRejection(ActiveCall &Item, std::size_t Length,
+                                TimePoint Now) {
+  Item.Rejection += Length;
+  if (Item.Rejection <= MaxRejectionBytes)
+    return;
+  Around.Upstreams.cancel(Item.Attempt);
+  onTurnedAway(Item, Now);
+}
+
+void RelayEngine::cutLongestAnswer(TimePoint Now) {
+  const auto Longest =
+      std::max_element(ByAttempt.begin(), ByAttempt.end(),
+                       [this](const auto &Left, const auto &Right) {
+                         return Active.at(Left.second).Body.size() <
+                                Active.at(Right.second).Body.size();
+                       });
+  onUpstreamFailure(Longest->first, UpstreamFailure::Invalid, Now);
 }
 
 void RelayEngine::forwardEvents(ActiveCall &Item, std::string_view Bytes,
                                 TimePoint Now) {
   const std::string Events = Item.Events.feed(Bytes);
+  if (Item.Events.rest().size() > MaxEventBytes) {
+    onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
+    return;
+  }
   if (Events.empty())
     return;
   Pool.onFirstByte(Item.Attempt, Now);
@@ -358,8 +397,10 @@
 }
 
 void RelayEngine::endTry(ActiveCall &Item, TryEnd How, TimePoint Now) {
-  if (ByAttempt.erase(Item.Attempt) > 0)
+  if (ByAttempt.erase(Item.Attempt) > 0) {
     Pool.onEnded(Item.Attempt, How, Now);
+    HeldBytes -= Item.Body.size();
+  }
   if (Item.Patience)
     Around.Timers.cancel(*Item.Patience);
   Item.Patience.reset();
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -103,6 +103,8 @@
     Duration ComeBack{};
     std::optional<RelayAnswerHead> Head;
     std::string Body;
+    /// Bytes of a rejection's body.
+    std::size_t Rejection = 0;
     EventStream Events;
     /// Whether the caller has the head of a stream.
     bool Begun = false;
@@ -129,6 +131,10 @@
   /// Takes over what the upstream asks of this instance.
   void noteWishes(const ActiveCall &Item, TimePoint Now);
   void forwardEvents(ActiveCall &Item, std::string_view Bytes, TimePoint Now);
+  /// Reads over the body of an answer that says the call did not run.
+  void skipRejection(ActiveCall &Item, std::size_t Length, TimePoint Now);
+  /// Frees memory that an answer without end would take.
+  void cutLongestAnswer(TimePoint Now);
   void endTry(ActiveCall &Item, TryEnd How, TimePoint Now);
   void onTurnedAway(ActiveCall &Item, TimePoint Now);
   /// A connection did not open in time.
@@ -162,6 +168,8 @@
   std::map<RequestId, ActiveCall> Active;
   std::map<CallerTicket, RequestId> ByTicket;
   std::map<AttemptId, RequestId> ByAttempt;
+  /// Bytes of all unfinished answers that are not passed on as they come.
+  std::size_t HeldBytes = 0;
   bool Admitting = true;
   std::uint64_t LastRequest = 0;
   std::uint64_t LastAttempt = 0;
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -2,6 +2,9 @@
 
 #include "test/support/EngineMocks.h"
 
+#include <algorithm>
+#include <map>
+
 namespace bronzeward {
 namespace {
 
@@ -529,5 +532,73 @@
   CHECK(Refused == 0);
 }
 
+/// Feeds one answer without end until its call is cut, or a mebibyte is read.
+std::size_t readEndless(Relay &Item, const std::string &Part) {
+  std::size_t Read = 0;
+  while (Read < 1024 * 1024 && Item.Cancelled.empty()) {
+    Item.bytes(Part.c_str());
+    Read += Part.size();
+  }
+  return Read;
+}
+
+TEST_CASE("An event without end is cut, and its upstream's connection closed",
+          "[RelayEngine]") {
+  Relay Item;
+  Item.request("/stream/x");
+  Item.head(200);
+  Item.bytes("id: 1\ndata: a\n\n");
+  CHECK(readEndless(Item, std::string(1000, 'x')) < 1024 * 1024);
+  CHECK(Item.Cancelled.size() == 1);
+  CHECK(Item.Disconnected == 1);
+  CHECK(Item.Text == "id: 1\ndata: a\n\n");
+}
+
+TEST_CASE("A rejection whose body has no end is taken at its word",
+          "[RelayEngine]") {
+  Relay Item;
+  Item.request("/post/x");
+  Item.head(503, {{"Not-Run", "1"}});
+  CHECK(readEndless(Item, std::string(1000, 'x')) < 1024 * 1024);
+  REQUIRE(Item.Cancelled.size() == 1);
+  // It did not run, so another upstream is asked.
+  REQUIRE(Item.Calls.size() == 2);
+  Item.head(200);
+  Item.bytes("body");
+  Item.end();
+  CHECK(Item.Answers.at(0).Status == 200);
+}
+
+// Load pattern: a faulty upstream sends bytes without end to many calls.
+TEST_CASE("Answers without end take a bounded memory together",
+          "[RelayEngine]") {
+  Relay Item;
+  constexpr int Calls = 40;
+  for (int Number = 0; Number < Calls; ++Number) {
+    Item.request("/post/x");
+    Item.head(200);
+  }
+  const std::string Part(64 * 1024, 'x');
+  std::size_t Held = 0;
+  std::size_t Most = 0;
+  std::map<AttemptId, std::size_t> Read;
+  for (int Round = 0; Round < 100; ++Round)
+    for (const UpstreamCall &Call : Item.Calls) {
+      if (std::count(Item.Cancelled.begin(), Item.Cancelled.end(),
+                     Call.Attempt) > 0)
+        continue;
+      Item.Engine.onUpstreamBytes(Call.Attempt, Part, Item.Now);
+      Read[Call.Attempt] += Part.size();
+      Held = 0;
+      for (const auto &[Attempt, Bytes] : Read)
+        if (std::count(Item.Cancelled.begin(), Item.Cancelled.end(), Attempt) ==
+            0)
+          Held += Bytes;
+      Most = std::max(Most, Held);
+    }
+  // The smallest instance has 88 MB.
+  CHECK(Most <= std::size_t{44} * 1024 * 1024);
+}
+
 } // namespace
 } // namespace bronzeward
