Let a slow instance give its operations to the committer instead of competing with it

Cause: an instance that could not reach the two committers of a slot committed by itself; over a small link a read and a write of the record take longer than the pause between the committer's writes, so that each write ended in a conflict, and the operation stayed in its own committer for good. Now three conflicts in a row, in a large fleet and at an instance that is not the first choice, return the operations to the router, which asks the committers again. The new case failed before: the operation was pending 4 s after the peers were back.

--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -78,7 +78,10 @@
   if (!Place)
     Place = std::make_unique<SlotCommitter>(Slot, Around.Store, Around.Timers,
                                             Around.Source, Around.Policy);
-  Place->setUrgentInterval(urgentInterval(Around.Members.members().size()));
+  const std::size_t Members = Around.Members.members().size();
+  Place->setUrgentInterval(urgentInterval(Members));
+  Place->setYielding(Members > SmallFleet &&
+                     Around.Members.committerOf(Slot, Self) != Self);
   return *Place;
 }
 
@@ -167,10 +170,15 @@
         Found->second.Change, Now,
         [this, Number](const std::optional<OperationResult> &Outcome,
                        TimePoint At) {
-          if (Outcome)
+          if (Outcome) {
             finish(Number, *Outcome, At);
-          else
-            retryLater(Number, At);
+            return;
+          }
+          // Given up with the store in reach: another instance commits, so the
+          // ones that were passed over are worth asking again.
+          if (!Around.Store.failingSince())
+            SuspectedUntil.clear();
+          retryLater(Number, At);
         });
   }
 }
--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -16,6 +16,9 @@
 /// one gets through.
 constexpr Duration ConflictPause = 10ms;
 constexpr int MaxConflictDoublings = 5;
+/// Conflicts in a row that show another committer at work, faster than this
+/// instance: one or two may be chance.
+constexpr int ConflictsToYield = 3;
 /// Operations committed by one write at most; as many bills of 500 bytes stay
 /// well under the megabyte that the store takes.
 constexpr std::size_t MaxBatch = 1024;
@@ -332,6 +335,11 @@
 void SlotCommitter::reload(TimePoint Now) {
   Loaded = false;
   const int Earlier = std::min(Conflicts++, MaxConflictDoublings);
+  if (Yielding && Conflicts >= ConflictsToYield) {
+    Conflicts = 0;
+    giveUp(Now);
+    return;
+  }
   if (Earlier == 0) {
     load(Now);
     return;
--- a/bronzeward/src/Budget/SlotCommitter.h
+++ b/bronzeward/src/Budget/SlotCommitter.h
@@ -46,6 +46,11 @@
   /// \brief Sets the time between two commits that requests wait for.
   void setUrgentInterval(Duration Time) { UrgentInterval = Time; }
 
+  /// \brief Sets whether another instance is to commit for this slot: batches
+  /// are given up, to be sent elsewhere, after some conflicts in
+  /// a row, which show that it does.
+  void setYielding(bool Value) { Yielding = Value; }
+
   /// \returns the record as last read or written, or null.
   [[nodiscard]] const SlotRecord *record() const;
   [[nodiscard]] std::size_t waiting() const { return Queue.size(); }
@@ -116,6 +121,7 @@
   int Conflicts = 0;
   /// Whether a segment is being read.
   bool Fetching = false;
+  bool Yielding = false;
   Duration UrgentInterval{};
   /// When the last commit began.
   TimePoint BeganAt;
--- a/test/BudgetLendingTest.cpp
+++ b/test/BudgetLendingTest.cpp
@@ -1,5 +1,7 @@
 #include "test/support/FakeFleet.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 namespace bronzeward::fakes {
@@ -336,6 +338,40 @@
   checkPromises(Fleet);
 }
 
+// Load pattern: an instance with a small link loses its committers for a
+// moment, while the rest of a large fleet commits several times a second.
+TEST_CASE("A slow instance does not compete with the committer for good",
+          "[BudgetLending]") {
+  constexpr std::size_t Instances = 20;
+  FakeFleet Fleet(Instances, lendingPolicy(), 1);
+  Fleet.topUp(Khan, Money(10'000'000));
+  Fleet.runFor(3s);
+  const std::vector<InstanceId> Committers =
+      Fleet.agent(0).membership().committersOf(SlotId{0}, 3);
+  std::size_t Slow = 0;
+  while (std::count(Committers.begin(), Committers.end(),
+                    InstanceId{"node-" + std::to_string(Slow)}) > 0)
+    ++Slow;
+  int Last = 0;
+  const auto RequestElsewhere = [&](int Rounds) {
+    for (int Round = 0; Round < Rounds; ++Round) {
+      for (std::size_t Node = 0; Node < Instances; ++Node)
+        if (Node != Slow)
+          Fleet.start(requestOf(++Last, Node, Money(100)));
+      Fleet.runFor(100ms);
+    }
+  };
+  Fleet.setStoreLag(Slow, 400ms);
+  Fleet.setCutFromPeers(Slow, true);
+  Fleet.start(requestOf(++Last, Slow, Money(3'000)));
+  RequestElsewhere(60);
+  Fleet.setCutFromPeers(Slow, false);
+  // The committers are in reach again: what waits goes through them.
+  RequestElsewhere(40);
+  CHECK(Fleet.agent(Slow).pendingOperations() == 0);
+  checkPromises(Fleet);
+}
+
 /// What one span of a replayed day came to.
 struct SpanCount {
   int Asked = 0;
--- a/test/support/FakeFleet.cpp
+++ b/test/support/FakeFleet.cpp
@@ -95,7 +95,7 @@
     Item.Life = Life;
     Item.Id = Id;
     Item.Call = Call;
-    Item.Due = Fleet.Now + Fleet.StoreDelay;
+    Item.Due = Fleet.Now + Fleet.StoreDelay + StoreLag;
     Fleet.Effects.push_back(std::move(Item));
   }
 
@@ -171,6 +171,7 @@
   std::unique_ptr<BudgetAgent> Agent;
   bool Paused = false;
   bool CutFromStore = false;
+  Duration StoreLag{};
   bool CutFromPeers = false;
 };
 
@@ -251,6 +252,10 @@
   Nodes[Index]->CutFromStore = Cut;
 }
 
+void FakeFleet::setStoreLag(std::size_t Index, Duration Lag) {
+  Nodes[Index]->StoreLag = Lag;
+}
+
 void FakeFleet::setCutFromPeers(std::size_t Index, bool Cut) {
   Nodes[Index]->CutFromPeers = Cut;
 }
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -94,6 +94,8 @@
   void setStoreAway(bool Away) { StoreAway = Away; }
   void setCutFromStore(std::size_t Node, bool Cut);
   void setCutFromPeers(std::size_t Node, bool Cut);
+  /// \brief Makes each of an instance's store calls take that much longer.
+  void setStoreLag(std::size_t Node, Duration Lag);
   /// \brief Tells every instance who is listed; ended and paused ones may be
   /// left out.
   void announceMembers(bool ListPaused = true);
