--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -85,5 +85,37 @@
   CHECK(Fleet.parsed() == Fleet.size());
 }
 
+/// What a node may spend on control, in bytes a second, from the stated size.
+constexpr double ControlBytes = 7000;
+
+// Load pattern: the store turns a third of a large fleet away for ten seconds;
+// upstreams come and go meanwhile.
+TEST_CASE("Instances without the store get changes of upstreams, not the list",
+          "[ConfigurationSpread]") {
+  fakes::FleetNetwork Fleet(Instances, 4, SmallLink);
+  Fleet.configure(1, 20);
+  for (int Number = 0; Number < 90; ++Number)
+    Fleet.writeUpstream("u" + std::to_string(Number));
+  Fleet.runFor(8s);
+  std::vector<std::size_t> Before;
+  for (std::size_t Node = 0; Node < Instances; ++Node) {
+    Fleet.setStoreAway(Node, Node % 3 == 0);
+    Before.push_back(Fleet.bytesFromPeers(Node));
+  }
+  for (int Second = 0; Second < 10; ++Second) {
+    Fleet.writeUpstream("new" + std::to_string(Second));
+    Fleet.removeUpstream("u" + std::to_string(Second));
+    Fleet.runFor(1s);
+  }
+  Fleet.runFor(1s);
+  for (std::size_t Node = 0; Node < Instances; ++Node) {
+    CAPTURE(Node);
+    CHECK(Fleet.upstreams(Node) == 90);
+    const double Spent =
+        static_cast<double>(Fleet.bytesFromPeers(Node) - Before[Node]) / 11;
+    CHECK(Spent <= ControlBytes);
+  }
+}
+
 } // namespace
 } // namespace bronzeward
