--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -28,7 +28,7 @@
 /// Answers to other requests and interim heads that are read on the way to the
 /// awaited answer, and the bytes of their bodies; more is no answer.
 constexpr int MaxSkipped = 16;
-constexpr std::size_t MaxSkippedBytes = 1024 * 1024;
+constexpr std::size_t MaxSkippedBytes = std::size_t{1024} * 1024;
 
 /// Time before a peer's own idle timeout at which a connection is given up, so
 /// that a request does not cross the peer's close.
--- a/bronzeward/src/Relay/LocalCongestion.cpp
+++ b/bronzeward/src/Relay/LocalCongestion.cpp
@@ -10,17 +10,6 @@
 /// Distinct upstreams whose connections time out at once: fewer may be lost
 /// machines.
 constexpr std::size_t ManyUpstreams = 4;
-/// Factor of the limit at a sign of congestion, and the least time between two
-/// cuts: a connection's timeout, so that the effect of one is seen.
-constexpr double Cut = 0.5;
-constexpr Duration CutPause = 300ms;
-/// Growth of the limit with each answer that begins: a fifth for a round of
-/// answers.
-constexpr double Growth = 0.2;
-/// Calls that are carried at least, to see when the congestion ends.
-constexpr double LeastCalls = 8.0;
-/// Time without a timeout after which there is no limit.
-constexpr Duration Recovered = 5s;
 
 void LocalCongestion::forget(TimePoint Now) {
   while (!Timeouts.empty() && Now >= Timeouts.front().At + Window)
@@ -29,27 +18,15 @@
     Reached.pop_front();
 }
 
-bool LocalCongestion::onConnectTimeout(const UpstreamName &Upstream,
-                                       std::size_t InFlight, TimePoint Now) {
+void LocalCongestion::onConnectTimeout(const UpstreamName &Upstream,
+                                       TimePoint Now) {
   forget(Now);
-  if (Now >= LastTimeout + Recovered)
-    Limit.reset();
-  LastTimeout = Now;
   Timeouts.push_back({Upstream, Now});
-  if (!congested(Now) || Now < LoweredAt + CutPause)
-    return false;
-  LoweredAt = Now;
-  const double Carried = static_cast<double>(InFlight);
-  Limit =
-      std::max(LeastCalls, Cut * std::min(Limit.value_or(Carried), Carried));
-  return true;
 }
 
 void LocalCongestion::onReached(TimePoint Now) {
   forget(Now);
   Reached.push_back(Now);
-  if (Limit)
-    *Limit += Growth;
 }
 
 bool LocalCongestion::congested(TimePoint Now) const {
@@ -67,9 +44,4 @@
          Recent > static_cast<std::size_t>(Answers);
 }
 
-bool LocalCongestion::admits(std::size_t InFlight, TimePoint Now) const {
-  return !Limit || Now >= LastTimeout + Recovered ||
-         static_cast<double>(InFlight) < *Limit;
-}
-
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -20,6 +20,9 @@
 constexpr int PatienceMultiple = 3;
 /// Time for a connection to open; across failure domains it takes about 10 ms.
 constexpr Duration ConnectTimeout = 300ms;
+/// The same while this instance's own link is what connections wait for: the
+/// bytes that callers' windows hold before it, over 10 Mbit/s.
+constexpr Duration CongestedConnectTimeout = 2s;
 /// Time for which a repeatable call's bytes may stay unacknowledged before it
 /// is tried elsewhere.
 constexpr std::chrono::milliseconds UnackedTimeout{500};
@@ -116,10 +119,6 @@
     refuse(Ticket, &Call, Terms.error());
     return;
   }
-  if (!Congestion.admits(Active.size(), Now)) {
-    refuse(Ticket, &Call, Reason::Overloaded);
-    return;
-  }
   if (Terms.value().Metered && Budgets == nullptr) {
     refuse(Ticket, &Call, Reason::StoreUnavailable);
     return;
@@ -271,7 +270,9 @@
   Call.Body = Item.Call.Body;
   Call.Headers = Around.Codec.dispatchHeaders(Item.Call, Terms);
   Call.Match = Around.Codec.matchingHeader(Item.Call);
-  Call.ConnectTimeout = std::min(ConnectTimeout, Left);
+  Call.ConnectTimeout = std::min(
+      Congestion.congested(Now) ? CongestedConnectTimeout : ConnectTimeout,
+      Left);
   const bool MayReuse = Item.Terms.Repeatable ||
                         Pool.heardWithin(Item.Upstream, RecentlyHeard, Now);
   Call.MaxIdle = MayReuse ? MaxIdleConnection : Duration();
@@ -470,11 +471,13 @@
 }
 
 void RelayEngine::onConnectTimeout(ActiveCall &Item, TimePoint Now) {
-  if (Congestion.onConnectTimeout(Item.Upstream, Active.size(), Now))
-    Around.Log.onEvent("congested", "connections to several upstreams time "
-                                    "out, calls under way " +
-                                        std::to_string(Active.size()));
+  const bool Known = Congestion.congested(Now);
+  Congestion.onConnectTimeout(Item.Upstream, Now);
   if (Congestion.congested(Now)) {
+    if (!Known)
+      Around.Log.onEvent("congested", "connections to several upstreams time "
+                                      "out, calls under way " +
+                                          std::to_string(Active.size()));
     // The upstream is not to blame, and another would be reached no sooner.
     endTry(Item, TryEnd::Cancelled, Now);
     endWithout(Item, Reason::Overloaded, Now);
