Reach the store over a full link: try a longer connection after a short one

What callers saw: 503 store-unavailable for 30 s at the instance that most callers of a failure domain come to, with the store in reach of all (SHORT). Cause: its connections to the store were given 300 ms each, for a lost store to be noticed back sooner; behind the requests that fill its own link none opened. Now the longer time of a call, 0.9 s, is tried after each connection that did not open, and kept where it opens.

--- a/bronzeward/src/Net/HttpStore.h
+++ b/bronzeward/src/Net/HttpStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Store"
+#include "bronzeward/src/Net/ConnectPatience.h"
 #include "bronzeward/src/Net/DutyThread.h"
 #include "bronzeward/src/Net/HttpExchange.h"
 #include "bronzeward/src/Net/Mailbox.h"
@@ -61,6 +62,7 @@
   const StoreCodec &Codec;
   ReplyHandler Handler;
   ProgressHandler Progress;
+  ConnectPatience Patience;
   DutyThread Thread;
   std::shared_ptr<HttpConnections> Connections;
   Mailbox<Outgoing> Ring;
