Send long messages between instances over connections of their own

Cause: a configuration of 36 kB, compressed, takes more than the transport's second over a full link; the connection was dropped with it and all that waited behind, the peer counted as unreachable for budgets, and the text was begun anew. Long messages have a connection of their own now, and 5 s. The new case, over a loopback proxy at 20 kB/s, failed before: the peer was reported lost.

--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t MaxUnconfirmed = 1024;
 /// Time without a confirmation after which a peer counts as unreachable.
 constexpr std::chrono::milliseconds DeliveryTimeout{1000};
+/// The same for a long message: 100 kB over a link of which 20 kB a second are
+/// left to it.
+constexpr std::chrono::milliseconds LongDeliveryTimeout{5000};
 
 namespace {
 
@@ -93,6 +96,19 @@
   }
 
 private:
+  /// Long messages have a connection of their own, so that short ones neither
+  /// wait behind them nor cut them off with their timeout.
+  enum class Lane { Short, Long };
+  using Route = std::pair<InstanceId, Lane>;
+
+  static Lane laneOf(const PeerMessage &Message) {
+    const auto *List = std::get_if<UpstreamList>(&Message);
+    const bool Whole = List != nullptr && List->Whole;
+    return Whole || std::holds_alternative<ConfigurationText>(Message)
+               ? Lane::Long
+               : Lane::Short;
+  }
+
   /// One open connection to a peer.
   struct Connection {
     kj::Own<kj::AsyncIoStream> Stream;
@@ -148,7 +164,7 @@
     if (auto *Known = std::get_if<Addresses>(&Item)) {
       Places = std::move(Known->ByName);
       std::erase_if(Connections, [this](const auto &Entry) {
-        return !Places.contains(Entry.first);
+        return !Places.contains(Entry.first.first);
       });
     } else if (const auto *Out = std::get_if<Outgoing>(&Item)) {
       deliver(*Out);
@@ -156,39 +172,43 @@
   }
 
   void deliver(const Outgoing &Item) {
-    std::shared_ptr<Connection> Peer = connection(Item.To);
+    const Route To{Item.To, laneOf(Item.Message)};
+    const std::chrono::milliseconds Timeout =
+        To.second == Lane::Long ? LongDeliveryTimeout : DeliveryTimeout;
+    std::shared_ptr<Connection> Peer = connection(To);
     if (!Peer || Peer->Unconfirmed >= MaxUnconfirmed)
       return;
     try {
       auto Request = Peer->Remote.deliverRequest();
       internal::write(Request.initMessage(), Self, Item.Message);
       ++Peer->Unconfirmed;
-      Tasks->add(Io->provider->getTimer()
-                     .timeoutAfter(DeliveryTimeout.count() * kj::MILLISECONDS,
-                                   Request.send().ignoreResult())
-                     .then([Peer] { --Peer->Unconfirmed; },
-                           [this, To = Item.To, Peer](kj::Exception &&) {
-                             drop(To, Peer);
-                           }));
+      Tasks->add(
+          Io->provider->getTimer()
+              .timeoutAfter(Timeout.count() * kj::MILLISECONDS,
+                            Request.send().ignoreResult())
+              .then([Peer] { --Peer->Unconfirmed; },
+                    [this, To, Peer](kj::Exception &&) { drop(To, Peer); }));
     } catch (const kj::Exception &) {
-      drop(Item.To, Peer);
+      drop(To, Peer);
     }
   }
 
   /// Forgets a failed connection, unless a newer one took its place.
-  void drop(const InstanceId &To, const std::shared_ptr<Connection> &Failed) {
+  void drop(const Route &To, const std::shared_ptr<Connection> &Failed) {
     const auto Found = Connections.find(To);
     if (Found == Connections.end() || Found->second != Failed)
       return;
     Connections.erase(Found);
-    Lost(To);
+    // A long message that did not arrive says little of the peer.
+    if (To.second == Lane::Short)
+      Lost(To.first);
   }
 
-  std::shared_ptr<Connection> connection(const InstanceId &To) {
+  std::shared_ptr<Connection> connection(const Route &To) {
     const auto Known = Connections.find(To);
     if (Known != Connections.end())
       return Known->second;
-    const auto Place = Places.find(To);
+    const auto Place = Places.find(To.first);
     if (Place == Places.end())
       return nullptr;
     std::shared_ptr<Connection> Fresh = std::make_shared<Connection>();
@@ -224,7 +244,7 @@
   kj::AsyncIoContext *Io = nullptr;
   kj::TaskSet *Tasks = nullptr;
   std::map<InstanceId, std::string> Places;
-  std::map<InstanceId, std::shared_ptr<Connection>> Connections;
+  std::map<Route, std::shared_ptr<Connection>> Connections;
 };
 
 PeerTransport::PeerTransport(InstanceId Self, MessageHandler OnMessage,
--- /dev/null
+++ b/test/PeerTransportTest.cpp
@@ -0,0 +1,150 @@
+#include "bronzeward/Net"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <thread>
+
+namespace bronzeward {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// \brief Passes connections on to a port, each at the rate of one among many
+/// on a full link.
+class SlowLink {
+public:
+  explicit SlowLink(std::uint16_t Target)
+      : To(boost::asio::ip::make_address("127.0.0.1"), Target),
+        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+    Worker = std::thread([this] { Io.run(); });
+  }
+  ~SlowLink() {
+    Io.stop();
+    Worker.join();
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+private:
+  /// A kilobyte each 50 ms.
+  static constexpr Duration Step = 50ms;
+  struct Pump : std::enable_shared_from_this<Pump> {
+    Pump(boost::asio::io_context &Context, std::shared_ptr<Tcp::socket> Source,
+         std::shared_ptr<Tcp::socket> Sink, Duration Time)
+        : In(std::move(Source)), Out(std::move(Sink)), Pause(Time),
+          Timer(Context) {}
+    void run() {
+      In->async_read_some(
+          boost::asio::buffer(Bytes),
+          [Self = shared_from_this()](error_code Failure, std::size_t Length) {
+            error_code Ignored;
+            if (!Failure)
+              boost::asio::write(*Self->Out,
+                                 boost::asio::buffer(Self->Bytes, Length),
+                                 Failure);
+            if (Failure) {
+              Self->In->close(Ignored);
+              Self->Out->close(Ignored);
+              return;
+            }
+            Self->Timer.expires_after(Self->Pause);
+            Self->Timer.async_wait([Self](error_code) { Self->run(); });
+          });
+    }
+    std::shared_ptr<Tcp::socket> In;
+    std::shared_ptr<Tcp::socket> Out;
+    Duration Pause;
+    boost::asio::steady_timer Timer;
+    std::array<char, 1024> Bytes{};
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](error_code Failure, Tcp::socket Socket) {
+      if (Failure)
+        return;
+      const auto Near = std::make_shared<Tcp::socket>(std::move(Socket));
+      // Bytes wait at their sender, not here.
+      Near->set_option(boost::asio::socket_base::receive_buffer_size(4096));
+      const auto Far = std::make_shared<Tcp::socket>(Io);
+      Far->connect(To);
+      std::make_shared<Pump>(Io, Near, Far, Step)->run();
+      std::make_shared<Pump>(Io, Far, Near, Duration())->run();
+      accept();
+    });
+  }
+
+  Tcp::endpoint To;
+  boost::asio::io_context Io;
+  Tcp::acceptor Acceptor;
+  std::thread Worker;
+};
+
+/// \returns bytes that do not compress.
+std::string noise(std::size_t Length) {
+  Random Source(1);
+  std::string Text;
+  while (Text.size() < Length)
+    Text += static_cast<char>(Source.below(256));
+  return Text;
+}
+
+// Load pattern: a long configuration goes to an instance whose link callers
+// fill, beside the digests and notices of every second.
+TEST_CASE("A long message over a slow link arrives, and holds up no short one",
+          "[PeerTransport]") {
+  std::atomic<int> Texts = 0;
+  std::atomic<int> Digests = 0;
+  std::atomic<int> Lost = 0;
+  PeerTransport Receiver(
+      InstanceId{"b"},
+      [&](const InstanceId &, const PeerMessage &Message) {
+        Texts += std::holds_alternative<ConfigurationText>(Message) ? 1 : 0;
+        Digests += std::holds_alternative<PeerDigest>(Message) ? 1 : 0;
+      },
+      [](const InstanceId &) {});
+  // A free port, which the transport itself does not tell.
+  std::uint16_t Port = 0;
+  {
+    boost::asio::io_context Io;
+    Tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    Port = Free.local_endpoint().port();
+  }
+  REQUIRE(Receiver.listen("127.0.0.1", Port));
+  SlowLink Link(Port);
+  PeerTransport Sender(
+      InstanceId{"a"}, [](const InstanceId &, const PeerMessage &) {},
+      [&](const InstanceId &) { ++Lost; });
+  REQUIRE(Sender.listen("127.0.0.1", 0));
+  Member Peer;
+  Peer.Life.Instance = InstanceId{"b"};
+  Peer.PeerAddress = Link.address();
+  Sender.setMembers({Peer});
+  // Two seconds of the link.
+  const std::string Bytes = noise(40 * 1024);
+  Sender.send(Peer.Life.Instance,
+              ConfigurationText{{7}, {Bytes, Bytes.size()}});
+  for (int Step = 0; Step < 25; ++Step) {
+    std::this_thread::sleep_for(100ms);
+    Sender.send(Peer.Life.Instance, PeerDigest());
+  }
+  std::this_thread::sleep_for(500ms);
+  CHECK(Texts == 1);
+  CHECK(Digests >= 20);
+  CHECK(Lost == 0);
+  Sender.stop();
+  Receiver.stop();
+}
+
+} // namespace
+} // namespace bronzeward
