Read a long configuration from the store after two peers in vain, not one

Over a full link a text from a peer takes longer than a second; the store's reply has eighteen times its bytes and made it later still. The new case failed before.

--- a/bronzeward/src/Router/ConfigurationPull.cpp
+++ b/bronzeward/src/Router/ConfigurationPull.cpp
@@ -2,8 +2,12 @@
 
 namespace bronzeward {
 
-/// Time for a text to come: the transport gives up what takes longer.
+/// Time for a text to come before another peer is asked: a third of the time in
+/// which a change is to be in force.
 constexpr Duration AnswerTime = 1s;
+/// Peers that are asked in vain before the store is read, whose reply is many
+/// times as long.
+constexpr int PeersBeforeStore = 2;
 
 bool ConfigurationPull::mayAsk(const InstanceId &Peer, TimePoint Now) const {
   if (!Asked)
@@ -14,11 +18,12 @@
 }
 
 void ConfigurationPull::onAsked(const InstanceId &Peer, TimePoint Now) {
-  Asked = Request{Peer, Now};
+  Asked = Request{Peer, Now, Asked ? Asked->Tries + 1 : 1};
 }
 
 bool ConfigurationPull::unanswered(TimePoint Now) const {
-  return Asked && Now >= Asked->At + AnswerTime;
+  return Asked && Asked->Tries >= PeersBeforeStore &&
+         Now >= Asked->At + AnswerTime;
 }
 
 void ConfigurationPull::onArrived(const InstanceId &From) {
--- a/bronzeward/src/Router/ConfigurationPull.h
+++ b/bronzeward/src/Router/ConfigurationPull.h
@@ -18,7 +18,7 @@
   /// \returns whether a peer that offers a newer version is to be asked now.
   [[nodiscard]] bool mayAsk(const InstanceId &Peer, TimePoint Now) const;
   void onAsked(const InstanceId &Peer, TimePoint Now);
-  /// \returns whether the peer that was asked last has let the time pass.
+  /// \returns whether several peers in a row have let the time pass.
   [[nodiscard]] bool unanswered(TimePoint Now) const;
   /// \brief A text came from a peer.
   void onArrived(const InstanceId &From);
@@ -29,6 +29,8 @@
   struct Request {
     InstanceId Peer;
     TimePoint At;
+    /// Peers asked in a row, with this one.
+    int Tries = 1;
   };
   std::optional<Request> Asked;
 };
--- a/test/ConfigurationPullTest.cpp
+++ b/test/ConfigurationPullTest.cpp
@@ -31,11 +31,23 @@
   CHECK(Pull.mayAsk(Second, Start + 1s));
   CHECK_FALSE(Pull.mayAsk(First, Start + 1s));
   CHECK(Pull.mayAsk(First, Start + 2s));
+  CHECK_FALSE(Pull.unanswered(Start + 1s));
   Pull.onArrived(Second);
   CHECK_FALSE(Pull.mayAsk(First, Start + 1s));
   Pull.onArrived(First);
   CHECK(Pull.mayAsk(First, Start + 1s));
 }
 
+TEST_CASE("The store is read after two peers in vain", "[ConfigurationPull]") {
+  ConfigurationPull Pull;
+  Pull.onAsked(First, Start);
+  CHECK_FALSE(Pull.unanswered(Start + 1s));
+  Pull.onAsked(Second, Start + 1s);
+  CHECK_FALSE(Pull.unanswered(Start + 1900ms));
+  CHECK(Pull.unanswered(Start + 2s));
+  Pull.onAccepted();
+  CHECK_FALSE(Pull.unanswered(Start + 2s));
+}
+
 } // namespace
 } // namespace bronzeward
