--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -67,6 +67,25 @@
   }
 }
 
+// Load pattern: an instance with a full link hears no watcher for a moment, and
+// watches the store itself meanwhile.
+TEST_CASE("An instance that follows the store for want of a watcher still asks "
+          "its peers",
+          "[ConfigurationSpread]") {
+  fakes::FleetNetwork Fleet(Instances, 4, 0.05 * SmallLink, 2);
+  constexpr std::size_t Lonely = 20;
+  Fleet.configure(1, 20);
+  Fleet.runFor(10s);
+  REQUIRE(lagging(Fleet, 1).empty());
+  Fleet.setPeersAway(Lonely, true);
+  Fleet.runFor(4s);
+  Fleet.configure(2, 2000);
+  Fleet.runFor(1s);
+  Fleet.setPeersAway(Lonely, false);
+  Fleet.runFor(InForce);
+  CHECK(lagging(Fleet, 2) == std::vector<std::size_t>());
+}
+
 // Load pattern: a store that comes and goes, so that its keys are listed anew
 // each time.
 TEST_CASE("A configuration in force is not read again",
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -222,6 +222,13 @@
     Away.erase(Place);
 }
 
+void FleetNetwork::setPeersAway(std::size_t Place, bool IsAway) {
+  if (IsAway)
+    WithoutPeers.insert(Place);
+  else
+    WithoutPeers.erase(Place);
+}
+
 std::uint64_t FleetNetwork::version(std::size_t Place) const {
   return Nodes[Place]->Core->status(Now).Configuration.Number;
 }
@@ -237,6 +244,8 @@
 void FleetNetwork::sendToPeer(std::size_t From, const InstanceId &To,
                               const PeerMessage &Message) {
   const std::size_t Place = std::stoul(To.Value.substr(1));
+  if (WithoutPeers.contains(From) || WithoutPeers.contains(Place))
+    return;
   capnp::MallocMessageBuilder Built;
   internal::write(Built.initRoot<schema::PeerMessage>(),
                   InstanceId{"i" + std::to_string(From)}, Message);
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -81,6 +81,10 @@
   /// \brief Lets the store turn an instance away, or answer it again.
   void setStoreAway(std::size_t Place, bool IsAway);
 
+  /// \brief Loses the messages between an instance and its peers, or carries
+  /// them again.
+  void setPeersAway(std::size_t Place, bool IsAway);
+
   [[nodiscard]] std::uint64_t version(std::size_t Place) const;
   [[nodiscard]] std::size_t upstreams(std::size_t Place) const;
   /// \returns bytes that arrived at an instance from its peers.
@@ -130,6 +134,7 @@
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<Connections> Links;
   std::set<std::size_t> Away;
+  std::set<std::size_t> WithoutPeers;
   std::vector<Silent> Unanswered;
 };
 
