--- a/test/ConfigurationSpreadTest.cpp
+++ b/test/ConfigurationSpreadTest.cpp
@@ -32,7 +32,8 @@
   for (std::uint64_t Version = 2; Version < 5; ++Version) {
     Fleet.configure(Version, 2000);
     Fleet.runFor(InForce);
-    CHECK(lagging(Fleet, Version) == std::vector<std::size_t>());
+    CHECK_THAT(lagging(Fleet, Version),
+               Catch::Equals(std::vector<std::size_t>()));
   }
 }
 
@@ -49,7 +50,7 @@
     Fleet.runFor(330ms);
   }
   Fleet.runFor(InForce - 330ms);
-  CHECK(lagging(Fleet, 11) == std::vector<std::size_t>());
+  CHECK_THAT(lagging(Fleet, 11), Catch::Equals(std::vector<std::size_t>()));
 }
 
 // Load pattern: the links of all but the strongest instances are nearly full
@@ -63,7 +64,8 @@
   for (std::uint64_t Version = 2; Version < 5; ++Version) {
     Fleet.configure(Version, 2000);
     Fleet.runFor(InForce);
-    CHECK(lagging(Fleet, Version) == std::vector<std::size_t>());
+    CHECK_THAT(lagging(Fleet, Version),
+               Catch::Equals(std::vector<std::size_t>()));
   }
 }
 
@@ -83,7 +85,7 @@
   Fleet.runFor(1s);
   Fleet.setPeersAway(Lonely, false);
   Fleet.runFor(InForce);
-  CHECK(lagging(Fleet, 2) == std::vector<std::size_t>());
+  CHECK_THAT(lagging(Fleet, 2), Catch::Equals(std::vector<std::size_t>()));
 }
 
 // Load pattern: a store that comes and goes, so that its keys are listed anew
