--- a/test/PeerTransportTest.cpp
+++ b/test/PeerTransportTest.cpp
@@ -131,7 +131,7 @@
   Peer.PeerAddress = Link.address();
   Sender.setMembers({Peer});
   // Two seconds of the link.
-  const std::string Bytes = noise(40 * 1024);
+  const std::string Bytes = noise(std::size_t{40} * 1024);
   Sender.send(Peer.Life.Instance,
               ConfigurationText{{7}, {Bytes, Bytes.size()}});
   for (int Step = 0; Step < 25; ++Step) {
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -535,10 +535,12 @@
   CHECK(Refused == 0);
 }
 
+constexpr std::size_t Mebibyte = std::size_t{1024} * 1024;
+
 /// Feeds one answer without end until its call is cut, or a mebibyte is read.
 std::size_t readEndless(Relay &Item, const std::string &Part) {
   std::size_t Read = 0;
-  while (Read < 1024 * 1024 && Item.Cancelled.empty()) {
+  while (Read < Mebibyte && Item.Cancelled.empty()) {
     Item.bytes(Part.c_str());
     Read += Part.size();
   }
@@ -551,7 +553,7 @@
   Item.request("/stream/x");
   Item.head(200);
   Item.bytes("id: 1\ndata: a\n\n");
-  CHECK(readEndless(Item, std::string(1000, 'x')) < 1024 * 1024);
+  CHECK(readEndless(Item, std::string(1000, 'x')) < Mebibyte);
   CHECK(Item.Cancelled.size() == 1);
   CHECK(Item.Disconnected == 1);
   CHECK(Item.Text == "id: 1\ndata: a\n\n");
@@ -562,7 +564,7 @@
   Relay Item;
   Item.request("/post/x");
   Item.head(503, {{"Not-Run", "1"}});
-  CHECK(readEndless(Item, std::string(1000, 'x')) < 1024 * 1024);
+  CHECK(readEndless(Item, std::string(1000, 'x')) < Mebibyte);
   REQUIRE(Item.Cancelled.size() == 1);
   // It did not run, so another upstream is asked.
   REQUIRE(Item.Calls.size() == 2);
@@ -581,7 +583,7 @@
     Item.request("/post/x");
     Item.head(200);
   }
-  const std::string Part(64 * 1024, 'x');
+  const std::string Part(std::size_t{64} * 1024, 'x');
   std::size_t Held = 0;
   std::size_t Most = 0;
   std::map<AttemptId, std::size_t> Read;
@@ -600,7 +602,7 @@
       Most = std::max(Most, Held);
     }
   // The smallest instance has 88 MB.
-  CHECK(Most <= std::size_t{44} * 1024 * 1024);
+  CHECK(Most <= 44 * Mebibyte);
 }
 
 } // namespace
