--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -29,7 +29,7 @@
 DEFINE_int32(retry_window_ms, 10000, "length of that window");
 DEFINE_int32(outage_ms, 9000,
              "store outage that budget in hand bridges while there is plenty");
-DEFINE_double(joint_loss_part, 0.5,
+DEFINE_double(joint_loss_part, 0.35,
               "most of a workspace's remaining budget that is in hand at all "
               "instances together");
 DEFINE_int32(watch_wait_ms, 1500,
--- a/test/BudgetLendingTest.cpp
+++ b/test/BudgetLendingTest.cpp
@@ -421,7 +421,7 @@
   BudgetPolicy Policy = lendingPolicy();
   Policy.CommitInterval = 400ms;
   Policy.GrantHorizon = 9s;
-  Policy.JointLossPart = 0.5;
+  Policy.JointLossPart = 0.35;
   Policy.LeastDrawShares = 18;
   FakeFleet Fleet(7, Policy, 1);
   // 83 requests a second of 1,600 on average, for 34 seconds.
