--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -36,8 +36,6 @@
   }
   void onFailure(HttpFailure How, const std::string &) override {
     StoreReply Reply;
-    if (How == HttpFailure::ConnectTimedOut)
-      Owner.Patience.onTimedOut();
     const bool NotSent =
         How == HttpFailure::NotSent || How == HttpFailure::ConnectTimedOut;
     Reply.Status = NotSent ? StoreStatus::Unavailable : StoreStatus::Unknown;
@@ -57,9 +55,8 @@
                      const StoreCodec &Form, ReplyHandler OnReply,
                      ProgressHandler OnProgress)
     : Place(std::move(Where)), Codec(Form), Handler(std::move(OnReply)),
-      Progress(std::move(OnProgress)),
-      Patience(std::min(ConnectTimeout, Place.CallTimeout), Place.CallTimeout),
-      Thread(Shared), Connections(makeHttpConnections(Thread.context())),
+      Progress(std::move(OnProgress)), Thread(Shared),
+      Connections(makeHttpConnections(Thread.context())),
       Ring(Thread.context(), RingCapacity,
            [this](Outgoing &Item) { exchange(std::move(Item)); }) {}
 
@@ -81,7 +78,7 @@
   if (!Encoded->Body.empty())
     Request.ContentType = "application/json";
   Request.Body = std::move(Encoded->Body);
-  Request.ConnectTimeout = Patience.timeout();
+  Request.ConnectTimeout = std::min(ConnectTimeout, Place.CallTimeout);
   Request.IdleTimeout = Place.CallTimeout;
   if (const WatchKeys *Watch = std::get_if<WatchKeys>(&Item.Call))
     Request.IdleTimeout += Watch->Wait;
--- a/bronzeward/src/Net/HttpStore.h
+++ b/bronzeward/src/Net/HttpStore.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "bronzeward/Store"
-#include "bronzeward/src/Net/ConnectPatience.h"
 #include "bronzeward/src/Net/DutyThread.h"
 #include "bronzeward/src/Net/HttpExchange.h"
 #include "bronzeward/src/Net/Mailbox.h"
@@ -62,7 +61,6 @@
   const StoreCodec &Codec;
   ReplyHandler Handler;
   ProgressHandler Progress;
-  ConnectPatience Patience;
   DutyThread Thread;
   std::shared_ptr<HttpConnections> Connections;
   Mailbox<Outgoing> Ring;
