Handle an unreachable upstream in one place, and skip the congestion check without timeouts

Found on the last reading: onConnectTimeout repeated the three steps of its caller, and each call that was sent walked the second's answers to learn that nothing timed out.

--- a/bronzeward/src/Relay/LocalCongestion.cpp
+++ b/bronzeward/src/Relay/LocalCongestion.cpp
@@ -30,6 +30,9 @@
 }
 
 bool LocalCongestion::congested(TimePoint Now) const {
+  // Asked for each call that is sent; mostly there are no timeouts.
+  if (Timeouts.size() < ManyUpstreams)
+    return false;
   std::set<UpstreamName> Distinct;
   std::size_t Recent = 0;
   for (const Timeout &Item : Timeouts)
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -462,30 +462,26 @@
     return;
   }
   if (How == UpstreamFailure::ConnectTimedOut && Now < Item->ExpiresAt) {
-    onConnectTimeout(*Item, Now);
-    return;
+    noteConnectTimeout(*Item, Now);
+    if (Congestion.congested(Now)) {
+      // The upstream is not to blame, and another would be reached no sooner.
+      endTry(*Item, TryEnd::Cancelled, Now);
+      endWithout(*Item, Reason::Overloaded, Now);
+      return;
+    }
   }
   endTry(*Item, TryEnd::Unreachable, Now);
   noteDown(Item->Upstream, Now);
   tryAgain(*Item, Now);
 }
 
-void RelayEngine::onConnectTimeout(ActiveCall &Item, TimePoint Now) {
+void RelayEngine::noteConnectTimeout(const ActiveCall &Item, TimePoint Now) {
   const bool Known = Congestion.congested(Now);
   Congestion.onConnectTimeout(Item.Upstream, Now);
-  if (Congestion.congested(Now)) {
-    if (!Known)
-      Around.Log.onEvent("congested", "connections to several upstreams time "
-                                      "out, calls under way " +
-                                          std::to_string(Active.size()));
-    // The upstream is not to blame, and another would be reached no sooner.
-    endTry(Item, TryEnd::Cancelled, Now);
-    endWithout(Item, Reason::Overloaded, Now);
-    return;
-  }
-  endTry(Item, TryEnd::Unreachable, Now);
-  noteDown(Item.Upstream, Now);
-  tryAgain(Item, Now);
+  if (!Known && Congestion.congested(Now))
+    Around.Log.onEvent("congested", "connections to several upstreams time "
+                                    "out, calls under way " +
+                                        std::to_string(Active.size()));
 }
 
 void RelayEngine::onBroken(ActiveCall &Item, TimePoint Now) {
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -138,7 +138,7 @@
   void endTry(ActiveCall &Item, TryEnd How, TimePoint Now);
   void onTurnedAway(ActiveCall &Item, TimePoint Now);
   /// A connection did not open in time.
-  void onConnectTimeout(ActiveCall &Item, TimePoint Now);
+  void noteConnectTimeout(const ActiveCall &Item, TimePoint Now);
   void onBroken(ActiveCall &Item, TimePoint Now);
   [[nodiscard]] bool mayRunAgain(ActiveCall &Item, TimePoint Now);
   void tryAgain(ActiveCall &Item, TimePoint Now);
