Log and count the rate limits that upstreams state

An incident's logs could not tell a limit that no instance reads from one that each instance keeps by itself: no line and no metric shows that an answer stated a limit, nor which limits an instance knows.

The platform's codec decodes the header into a typed field; a malformed value is logged and changes nothing. RateLimitTable keeps the latest statement of each run of an upstream. An upstream-limit line is written when it changes, rate_limited_upstreams and sent_to_rate_limited_total show what an instance knows and what it sends all the same. No decision reads the table yet.

--- a/bronzeward/src/Relay/RelayCall.h
+++ b/bronzeward/src/Relay/RelayCall.h
@@ -80,6 +80,11 @@
   bool Leaving = false;
   /// Time during which the upstream accepts no calls from this instance.
   std::optional<Duration> BackOff;
+  /// Limit of the calls from all instances together; empty if the answer states
+  /// none.
+  std::optional<CallRate> RateLimit;
+  /// Whether the answer states a rate limit that cannot be read.
+  bool UnreadableRateLimit = false;
   /// Headers that are forwarded to the caller unchanged.
   std::vector<HeaderField> Forwarded;
 };
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -242,6 +242,8 @@
                        TimePoint Now) {
   Item.Upstream = Upstream;
   Item.Attempt = AttemptId{++LastAttempt};
+  Item.UpstreamStarted = Pool.find(Upstream)->Started;
+  Item.SentAt = Now;
   Item.Dispatched = Deps.Wall.wallNow();
   Item.Head.reset();
   Item.Body.clear();
@@ -249,6 +251,8 @@
   Item.Lifecycle.process(RequestEvent::Dispatch);
   ByAttempt.emplace(Item.Attempt, Item.Id);
   Pool.onDispatched(Item.Attempt, Upstream, Item.Query, Now);
+  if (Limits.limitOf({Upstream, Item.UpstreamStarted}))
+    ++Counters.SentToRateLimited;
   Item.Query.Excluded.push_back(Upstream);
   Deps.Upstreams.dispatch(upstreamCall(Item, Now));
 }
@@ -324,6 +328,7 @@
   if (Item->Head->Load)
     Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
   recordUpstreamRequests(*Item, Now);
+  recordRateLimit(*Item, Now);
   if (Item->Admitted.Route->Kind != CallKind::Stream || Item->Head->NotRun) {
     Pool.onFirstByte(Attempt, Now);
     Item->Lifecycle.process(RequestEvent::FirstByte);
@@ -343,6 +348,25 @@
             " announced it in answer to request " + Item.Call.CallerAttemptId);
 }
 
+void RelayEngine::recordRateLimit(const ActiveCall &Item, TimePoint Now) {
+  const RelayAnswerHead &Head = *Item.Head;
+  const std::string Source = "upstream " + Item.Upstream.Value +
+                             " in answer to request " +
+                             Item.Call.CallerAttemptId;
+  if (Head.UnreadableRateLimit)
+    Deps.Log.onEvent("upstream-limit-unreadable", Source);
+  // Another upstream answered, or the limit is not known.
+  if (Head.Misdirected || Head.UnreadableRateLimit)
+    return;
+  if (!Limits.onAnswer({Item.Upstream, Item.UpstreamStarted}, Head.RateLimit,
+                       Item.SentAt, Now))
+    return;
+  const std::string Limit =
+      Head.RateLimit ? std::to_string(Head.RateLimit->PerSecond) + " calls/s"
+                     : "none";
+  Deps.Log.onEvent("upstream-limit", Source + ": " + Limit);
+}
+
 void RelayEngine::onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
                                   TimePoint Now) {
   ActiveCall *Item = find(Attempt);
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Relay/CrashEvidence.h"
 #include "bronzeward/src/Relay/EventStream.h"
 #include "bronzeward/src/Relay/LocalCongestion.h"
+#include "bronzeward/src/Relay/RateLimitTable.h"
 #include "bronzeward/src/Relay/RelayAdmission.h"
 #include "bronzeward/src/Relay/SharedRetryBudget.h"
 #include "bronzeward/src/Relay/UpstreamPool.h"
@@ -91,6 +92,7 @@
   /// \returns the active routes; null before the first configuration.
   [[nodiscard]] const RouteTable *routes() const { return Routes.get(); }
   [[nodiscard]] const UpstreamPool &upstreams() const { return Pool; }
+  [[nodiscard]] const RateLimitTable &rateLimits() const { return Limits; }
   UpstreamPool &upstreams() { return Pool; }
   Quarantine &quarantine() { return CrashQuarantine; }
 
@@ -112,6 +114,9 @@
     PlacementQuery Query;
     AttemptId Attempt;
     UpstreamName Upstream;
+    /// Start time of the upstream when the attempt was sent to it.
+    WallTime UpstreamStarted;
+    TimePoint SentAt;
     /// Attempts that may have run at an upstream.
     int PossibleRuns = 0;
     /// Attempts that upstreams rejected for lack of capacity.
@@ -148,6 +153,8 @@
   // Answers.
   /// Records a shutdown or back-off that the upstream announced.
   void recordUpstreamRequests(const ActiveCall &Item, TimePoint Now);
+  /// Records the rate limit that the upstream states, or that it states none.
+  void recordRateLimit(const ActiveCall &Item, TimePoint Now);
   void forwardEvents(ActiveCall &Item, std::string_view Bytes, TimePoint Now);
   /// Discards the body of an answer that reports that the call did not run.
   void skipRejection(ActiveCall &Item, std::size_t Length, TimePoint Now);
@@ -187,6 +194,7 @@
   Incarnation OwnIncarnation;
   std::shared_ptr<const RouteTable> Routes;
   UpstreamPool Pool;
+  RateLimitTable Limits;
   LocalCongestion Congestion;
   Quarantine CrashQuarantine;
   CrashEvidence Evidence;
--- a/bronzeward/src/Request/RequestCounters.h
+++ b/bronzeward/src/Request/RequestCounters.h
@@ -16,6 +16,8 @@
   /// Executed, but ended without a complete answer.
   std::uint64_t EndedRan = 0;
   std::uint64_t Retries = 0;
+  /// Attempts sent to upstreams while they were known to limit their rate.
+  std::uint64_t SentToRateLimited = 0;
   /// Callers that disconnected before their answer was complete.
   std::uint64_t CallersGone = 0;
   /// Answers whose reported usage exceeded the reservation.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -638,6 +638,7 @@
   Status.Texts = Texts;
   Status.StoreFailing = storeUnreachable();
   Status.Upstreams = Engine.upstreams().size();
+  Status.RateLimitedUpstreams = Engine.rateLimits().limited();
   Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
   Status.Requests = Engine.counters();
   Status.FirstByte = Engine.firstByteLatency();
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -90,6 +90,8 @@
             static_cast<std::int64_t>(Status.Configuration.Number));
   Out.gauge("upstreams", "Upstreams that may get new requests.",
             static_cast<std::int64_t>(Status.Upstreams));
+  Out.gauge("rate_limited_upstreams", "Upstreams that state a rate limit.",
+            static_cast<std::int64_t>(Status.RateLimitedUpstreams));
   Out.gauge("store_failing", "Whether the store does not answer.",
             Status.StoreFailing ? 1 : 0);
   Out.gauge("ready", "Whether the instance takes requests.",
@@ -116,6 +118,9 @@
               "Requests that ended with an unknown outcome.",
               Requests.EndedUnknown);
   Out.counter("retries_total", "Attempts after the first.", Requests.Retries);
+  Out.counter("sent_to_rate_limited_total",
+              "Attempts sent to upstreams that stated a rate limit.",
+              Requests.SentToRateLimited);
   Out.counter("callers_gone_total", "Callers that disconnected early.",
               Requests.CallersGone);
   Out.counter("over_reported_total",
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -36,6 +36,8 @@
   bool Draining = false;
   ConfigurationVersion Configuration;
   std::size_t Upstreams = 0;
+  /// Upstreams that state a rate limit in their answers.
+  std::size_t RateLimitedUpstreams = 0;
   std::int64_t InFlight = 0;
   std::size_t PendingOperations = 0;
   std::size_t CarriedBills = 0;
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -121,6 +121,28 @@
         Duration(1h));
 }
 
+TEST_CASE("The rate limit that an upstream states is read", "[PlatformCodec]") {
+  const PlatformCallCodec Codec;
+  const auto Limit = [&](std::vector<HeaderField> Headers) {
+    return Codec.parseAnswerHead({200, std::move(Headers)});
+  };
+  CHECK(Limit({{"Server-Limit", "1"}}).RateLimit == CallRate{1.0});
+  CHECK(Limit({{"server-limit", "0.25"}}).RateLimit == CallRate{0.25});
+  CHECK(Limit({{"Server-Limit", "0"}}).RateLimit == CallRate{0.0});
+  // Of several limits the lowest is safe.
+  CHECK(Limit({{"Server-Limit", "3"}, {"Server-Limit", "2"}}).RateLimit ==
+        CallRate{2.0});
+  CHECK(Limit({{"Server-Limit", "2, 3"}}).RateLimit == CallRate{2.0});
+  CHECK(Limit({{"Server-Limit", "x"}, {"Server-Limit", "2"}}).RateLimit ==
+        CallRate{2.0});
+  for (const char *Bad : {"", "soon", "-1", "1x", "nan", "inf", "1e3"}) {
+    CHECK_FALSE(Limit({{"Server-Limit", Bad}}).RateLimit);
+    CHECK(Limit({{"Server-Limit", Bad}}).UnreadableRateLimit);
+  }
+  CHECK_FALSE(Limit({}).RateLimit);
+  CHECK_FALSE(Limit({}).UnreadableRateLimit);
+}
+
 TEST_CASE("Store calls are encoded in the platform's format",
           "[PlatformCodec]") {
   const PlatformStoreCodec Codec;
