Show that a fleet exceeds the rate limit that an upstream states

Placement goes by load alone, so that an upstream that answers quickly because it is spared gets more calls still.

The simulated network gains upstreams that answer and callers; instances can be killed and started again.

--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -25,6 +25,8 @@
 /// Time after which a store call without a reply fails; equal to the instances'
 /// call timeout.
 constexpr Duration StoreCallTimeout = 900ms;
+/// Time from the dispatch of a call to its answer.
+constexpr Duration UpstreamAnswerTime = 60ms;
 /// Bytes between two progress reports of a long reply.
 constexpr double ProgressBytes = 65536;
 /// Bytes of one reply of the store without its values.
@@ -89,6 +91,13 @@
   endWatches(Now);
 }
 
+void InMemoryStore::forget(std::size_t Caller) {
+  std::erase_if(Waiting,
+                [&](const Watch &Item) { return Item.Caller == Caller; });
+  std::erase_if(
+      Replies, [&](const PendingReply &Item) { return Item.Caller == Caller; });
+}
+
 std::vector<StoreEntry> InMemoryStore::changes(const WatchKeys &Call) const {
   std::vector<StoreEntry> Changed;
   for (const auto &[Key, Entry] : Entries)
@@ -124,22 +133,20 @@
 
 // One instance.
 
-struct FleetNetwork::Node : StorePort, PeerPort {
-  Node(FleetNetwork &Owner, std::size_t OwnIndex, std::size_t Domains,
-       double Capacity)
+struct FleetNetwork::Node : StorePort, PeerPort, CallerPort, UpstreamPort {
+  Node(FleetNetwork &Owner, std::size_t OwnIndex)
       : Network(Owner), Index(OwnIndex) {
     RouterIdentity Who;
     Who.Instance.Value = "i" + std::to_string(OwnIndex);
-    Who.Domain.Value = "d" + std::to_string(OwnIndex % Domains);
+    Who.Domain.Value = "d" + std::to_string(OwnIndex % Owner.Domains);
     Who.PeerAddress = Who.Instance.Value;
-    Who.Seed = OwnIndex + 1;
-    Who.Capacity = Capacity;
+    Who.Seed = OwnIndex + 1 + 1000 * Owner.Starts[OwnIndex];
+    Who.Capacity = Owner.Capacity[OwnIndex];
     Who.Store.CallTimeout = 900ms;
     Who.Store.MaxOpen = 600ms;
     Core = std::make_unique<FleetCore>(
         Who, FleetPolicy(),
-        RouterDependencies{*this, *this, Owner.Callers, Owner.Upstreams,
-                           Owner.Log, Owner.Wall},
+        RouterDependencies{*this, *this, *this, *this, Owner.Log, Owner.Wall},
         FleetCodecs{Owner.Deployment, Owner.Calls});
   }
 
@@ -149,6 +156,28 @@
   void send(const InstanceId &To, const PeerMessage &Message) override {
     Network.sendToPeer(Index, To, Message);
   }
+  void dispatch(const UpstreamCall &Call) override {
+    Network.callUpstream(Index, Call);
+  }
+  void cancel(AttemptId Attempt) override {
+    std::erase_if(Network.PendingAnswers, [&](const PendingAnswer &Item) {
+      return Item.Instance == Index && Item.Attempt == Attempt;
+    });
+  }
+  void answer(CallerTicket, const Answer &Response) override {
+    CallerAnswer Given{Index, Network.Now, Response.Status, std::nullopt};
+    if (const std::string *After = findHeader(Response.Headers, "Retry-After"))
+      Given.RetryAfter = std::stod(*After);
+    Network.Answers.push_back(Given);
+  }
+  void beginStream(CallerTicket, const Answer &) override {}
+  void sendPart(CallerTicket, const std::string &) override {}
+  void endStream(CallerTicket, const std::string &) override {
+    Network.Answers.push_back({Index, Network.Now, 200, std::nullopt});
+  }
+  void disconnect(CallerTicket) override {
+    Network.Answers.push_back({Index, Network.Now, 0, std::nullopt});
+  }
 
   FleetNetwork &Network;
   std::size_t Index;
@@ -158,27 +187,32 @@
 
 // The network.
 
-FleetNetwork::FleetNetwork(std::size_t Size, std::size_t Domains,
+FleetNetwork::FleetNetwork(std::size_t Size, std::size_t DomainCount,
                            double LinkBytesPerSecond, std::size_t Strong)
-    : Bandwidth(Size, LinkBytesPerSecond), Links(Size) {
-  for (std::size_t Index = 0; Index < Size; ++Index) {
-    const bool IsStrong = Index < Strong * Domains;
-    if (IsStrong)
-      Bandwidth[Index] = StrongLink;
-    Nodes.push_back(std::make_unique<Node>(
-        *this, Index, Domains, IsStrong ? StrongCapacity : WeakCapacity));
+    : Domains(DomainCount), Bandwidth(Size, LinkBytesPerSecond),
+      Capacity(Size, WeakCapacity), Starts(Size), Links(Size) {
+  for (std::size_t Index = 0; Index < std::min(Size, Strong * Domains);
+       ++Index) {
+    Bandwidth[Index] = StrongLink;
+    Capacity[Index] = StrongCapacity;
   }
+  for (std::size_t Index = 0; Index < Size; ++Index)
+    Nodes.push_back(std::make_unique<Node>(*this, Index));
   for (const std::unique_ptr<Node> &Item : Nodes)
     Item->Core->start(Now);
 }
 
 FleetNetwork::~FleetNetwork() = default;
 
+/// \returns the part of a route's name, host and prefix that differs.
+static std::string routeName(std::size_t Number) {
+  return std::to_string(hash64(std::to_string(Number)) % 1000000);
+}
+
 void FleetNetwork::configure(std::uint64_t Version, std::size_t Routes) {
   json::array Listed;
   for (std::size_t Number = 0; Number < Routes; ++Number) {
-    const std::string Name =
-        std::to_string(hash64(std::to_string(Number)) % 1000000);
+    const std::string Name = routeName(Number);
     Listed.push_back(json::object{{"name", "r" + Name},
                                   {"host", "h" + Name + ".example"},
                                   {"prefix", "/p" + Name + "/"},
@@ -232,6 +266,70 @@
     WithoutPeers.erase(Index);
 }
 
+void FleetNetwork::kill(std::size_t Index) {
+  ++Starts[Index];
+  Nodes[Index]->Core.reset();
+  Links[Index].clear();
+  std::erase_if(Unanswered, [Index](const UnansweredCall &Item) {
+    return Item.Caller == Index;
+  });
+  Store.forget(Index);
+}
+
+void FleetNetwork::expireEntry(std::size_t Index) {
+  Store.remove(InstancePrefix + ("i" + std::to_string(Index)), Now);
+}
+
+void FleetNetwork::restart(std::size_t Index) {
+  kill(Index);
+  Nodes[Index] = std::make_unique<Node>(*this, Index);
+  Nodes[Index]->Core->start(Now);
+}
+
+void FleetNetwork::request(std::size_t Index) {
+  const std::string Name = routeName(0);
+  CallerRequest In;
+  In.Ticket = CallerTicket{++LastTicket};
+  In.Method = "POST";
+  In.Target = "/p" + Name + "/";
+  In.Host = "h" + Name + ".example";
+  In.Headers = {{"X-Attempt-Id", std::to_string(LastTicket)}};
+  Nodes[Index]->Core->onCallerRequest(std::move(In), Now);
+}
+
+void FleetNetwork::stateRateLimit(const std::string &Upstream,
+                                  const std::string &Limit) {
+  StatedLimits[UpstreamName{Upstream}] = Limit;
+}
+
+void FleetNetwork::callUpstream(std::size_t From, const UpstreamCall &Call) {
+  Arrivals.push_back({Call.Upstream, From, Now});
+  PendingAnswers.push_back({Now + UpstreamAnswerTime, From, Starts[From],
+                            Call.Attempt, Call.Upstream});
+}
+
+void FleetNetwork::answerCalls() {
+  std::vector<PendingAnswer> Due;
+  std::erase_if(PendingAnswers, [&](const PendingAnswer &Item) {
+    if (Now < Item.Due)
+      return false;
+    Due.push_back(Item);
+    return true;
+  });
+  for (const PendingAnswer &Item : Due) {
+    if (Starts[Item.Instance] != Item.Start)
+      continue;
+    HttpHead Head{200, {{"Content-Type", "text/event-stream"}}};
+    const std::string &Limit = StatedLimits[Item.Upstream];
+    if (!Limit.empty())
+      Head.Headers.push_back({"Server-Limit", Limit});
+    FleetCore &Core = *Nodes[Item.Instance]->Core;
+    Core.onUpstreamHead(Item.Attempt, Head, Now);
+    Core.onUpstreamBytes(Item.Attempt, "id: 1\ndata: a\n\n", Now);
+    Core.onUpstreamEnd(Item.Attempt, Now);
+  }
+}
+
 std::uint64_t FleetNetwork::version(std::size_t Index) const {
   return Nodes[Index]->Core->status(Now).Configuration.Number;
 }
@@ -247,6 +345,10 @@
 void FleetNetwork::sendToPeer(std::size_t From, const InstanceId &To,
                               const PeerMessage &Message) {
   const std::size_t Index = std::stoul(To.Value.substr(1));
+  if (!Nodes[Index]->Core) {
+    Refused.emplace_back(From, Index);
+    return;
+  }
   if (WithoutPeers.contains(From) || WithoutPeers.contains(Index))
     return;
   capnp::MallocMessageBuilder Built;
@@ -272,6 +374,8 @@
 
 void FleetNetwork::deliver(std::size_t From, std::size_t To,
                            const Transfer &Item) {
+  if (!Nodes[To]->Core)
+    return;
   FleetCore &Core = *Nodes[To]->Core;
   if (Item.Reply)
     Core.onStoreReply(Item.Reply->Id, Item.Reply->Reply, Now);
@@ -311,8 +415,16 @@
   for (const auto &[From, Item] : Done)
     deliver(From, To, Item);
   for (const std::size_t From : Lost)
-    Nodes[From]->Core->onPeerUnreachable(InstanceId{"i" + std::to_string(To)},
-                                         Now);
+    Refused.emplace_back(From, To);
+}
+
+void FleetNetwork::reportUnreachable() {
+  std::vector<std::pair<std::size_t, std::size_t>> Reports;
+  Reports.swap(Refused);
+  for (const auto &[From, To] : Reports)
+    if (Nodes[From]->Core)
+      Nodes[From]->Core->onPeerUnreachable(InstanceId{"i" + std::to_string(To)},
+                                           Now);
 }
 
 void FleetNetwork::reportProgress(std::size_t To, Transfer &Item,
@@ -353,8 +465,11 @@
   }
   for (std::size_t To = 0; To < size(); ++To)
     moveBytes(To);
+  reportUnreachable();
+  answerCalls();
   for (const std::unique_ptr<Node> &Item : Nodes)
-    Item->Core->runTimers(Now);
+    if (Item->Core)
+      Item->Core->runTimers(Now);
 }
 
 void FleetNetwork::runFor(Duration Time) {
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -29,6 +29,8 @@
                TimePoint Now);
   void write(const std::string &Key, const std::string &Value, TimePoint Now);
   void remove(const std::string &Key, TimePoint Now);
+  /// \brief Drops the watches and replies of a caller.
+  void forget(std::size_t Caller);
   /// \returns the replies since the last call, after ending watches that are
   /// due.
   std::vector<PendingReply> takeReplies(TimePoint Now);
@@ -63,6 +65,22 @@
   mutable std::size_t Parsed = 0;
 };
 
+/// \brief A call that reached a simulated upstream.
+struct UpstreamArrival {
+  UpstreamName Upstream;
+  std::size_t Instance = 0;
+  TimePoint At;
+};
+
+/// \brief The final answer that an instance gave to a caller.
+struct CallerAnswer {
+  std::size_t Instance = 0;
+  TimePoint At;
+  std::uint16_t Status = 0;
+  /// Seconds in the Retry-After header; empty if there is none.
+  std::optional<double> RetryAfter;
+};
+
 /// \brief Simulates several fleet instances, the store and the link into each
 /// instance in virtual time. Connections share a link equally. When a message
 /// is not delivered within the peers' timeout, it and all messages that wait on
@@ -88,6 +106,25 @@
   /// them again.
   void setPeersUnreachable(std::size_t Index, bool IsUnreachable);
 
+  /// \brief Replaces an instance by one that has just started.
+  void restart(std::size_t Index);
+  /// \brief Stops an instance without notice. Its entry in the store stays.
+  void kill(std::size_t Index);
+  /// \brief Removes an instance's entry, as when its lease expires.
+  void expireEntry(std::size_t Index);
+  /// \brief Sends a caller's request for the first route to an instance.
+  void request(std::size_t Index);
+  /// \brief Sets the rate limit that an upstream states in its answers from
+  /// now on; empty if it states none.
+  void stateRateLimit(const std::string &Upstream, const std::string &Limit);
+  [[nodiscard]] const std::vector<UpstreamArrival> &arrivals() const {
+    return Arrivals;
+  }
+  [[nodiscard]] const std::vector<CallerAnswer> &answers() const {
+    return Answers;
+  }
+  [[nodiscard]] TimePoint now() const { return Now; }
+
   [[nodiscard]] std::uint64_t version(std::size_t Index) const;
   [[nodiscard]] std::size_t upstreams(std::size_t Index) const;
   /// \returns the number of bytes that an instance received from its peers.
@@ -113,33 +150,54 @@
     StoreCallId Id;
     TimePoint Until;
   };
+  /// An upstream's answer that is on its way to an instance.
+  struct PendingAnswer {
+    TimePoint Due;
+    std::size_t Instance = 0;
+    /// Count of starts of the instance when it sent the call.
+    std::size_t Start = 0;
+    AttemptId Attempt;
+    UpstreamName Upstream;
+  };
   /// Transfers to one instance by the sender's index; the index of the store is
   /// \ref size.
   using Connections = std::map<std::size_t, std::deque<Transfer>>;
 
+  void callUpstream(std::size_t From, const UpstreamCall &Call);
+  void answerCalls();
   void sendToPeer(std::size_t From, const InstanceId &To,
                   const PeerMessage &Message);
   void callStore(std::size_t From, StoreCallId Id, const StoreCall &Call);
   void moveBytes(std::size_t To);
   void reportProgress(std::size_t To, Transfer &Item, double Moved);
+  /// Tells senders which messages were lost.
+  void reportUnreachable();
   void failUnansweredCalls();
   void deliver(std::size_t From, std::size_t To, const Transfer &Item);
   void step();
 
   CountingCodec Deployment;
   platform::PlatformCallCodec Calls;
-  MockCallers Callers;
-  MockUpstreams Upstreams;
   SilentLog Log;
   FixedClock Wall;
   InMemoryStore Store;
+  std::size_t Domains = 0;
   std::vector<double> Bandwidth;
+  std::vector<double> Capacity;
+  std::vector<std::size_t> Starts;
   TimePoint Now{1h};
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<Connections> Links;
   std::set<std::size_t> WithoutStore;
   std::set<std::size_t> WithoutPeers;
   std::vector<UnansweredCall> Unanswered;
+  /// Sender and receiver of messages to instances that do not run.
+  std::vector<std::pair<std::size_t, std::size_t>> Refused;
+  std::map<UpstreamName, std::string> StatedLimits;
+  std::vector<PendingAnswer> PendingAnswers;
+  std::vector<UpstreamArrival> Arrivals;
+  std::vector<CallerAnswer> Answers;
+  std::uint64_t LastTicket = 0;
 };
 
 } // namespace bronzeward::fakes
