--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -39,6 +39,7 @@
       storeAway @20 :Bool;
       peerAddress @21 :Text;
       watchesStore @34 :Bool;
+      rateLimits @39 :List(RateLimitNotice);
     }
     configuration :group {
       version @16 :UInt64;
@@ -74,6 +75,19 @@
       operations @32 :List(SlotOperation);
     }
     configurationOffer @36 :UInt64;
+    permitRequest :group {
+      number @40 :UInt64;
+      known @41 :RateLimitNotice;
+      wanted @42 :UInt32;
+    }
+    permitReply :group {
+      number @43 :UInt64;
+      known @44 :RateLimitNotice;
+      issuing @45 :Bool;
+      # Time in ms until each permit may be used.
+      delays @46 :List(UInt32);
+      untilNextFreeMs @47 :UInt32;
+    }
   }
 }
 
@@ -95,6 +109,15 @@
   promptTokens @2 :Int64;
 }
 
+struct RateLimitNotice {
+  name @0 :Text;
+  # Start of the upstream in ms since 1970.
+  startedMs @1 :Int64;
+  limited @2 :Bool;
+  callsPerSecond @3 :Float64;
+  ageMs @4 :Int64;
+}
+
 interface Peer {
   deliver @0 (message :PeerMessage) -> ();
 }
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -33,9 +33,12 @@
 CAPNP_DECLARE_SCHEMA(8189728c91666ea5);
 CAPNP_DECLARE_SCHEMA(94735e12910626a6);
 CAPNP_DECLARE_SCHEMA(f2ce49b5c678cb68);
+CAPNP_DECLARE_SCHEMA(b843d455b333d498);
+CAPNP_DECLARE_SCHEMA(9f6b067c67c5c9cb);
 CAPNP_DECLARE_SCHEMA(9d060d71e7b95fd9);
 CAPNP_DECLARE_SCHEMA(898b99c3e9530d15);
 CAPNP_DECLARE_SCHEMA(bc099fee27c4c59b);
+CAPNP_DECLARE_SCHEMA(bc2f790bbc8e6211);
 CAPNP_DECLARE_SCHEMA(aeb0e4be9a88795a);
 CAPNP_DECLARE_SCHEMA(b815e66954940e26);
 CAPNP_DECLARE_SCHEMA(e4374e7f84e9ff83);
@@ -68,6 +71,8 @@
     LOAD,
     HANDOVER,
     CONFIGURATION_OFFER,
+    PERMIT_REQUEST,
+    PERMIT_REPLY,
   };
   struct Submit;
   struct Results;
@@ -81,9 +86,11 @@
   struct Loan;
   struct Load;
   struct Handover;
+  struct PermitRequest;
+  struct PermitReply;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -98,7 +105,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5f3482ee0253bc7, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5f3482ee0253bc7, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -113,7 +120,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(98d675a7d77d631d, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(98d675a7d77d631d, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -128,7 +135,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d0313e9fd4b2a478, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d0313e9fd4b2a478, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -143,7 +150,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfc3a9d7eaba38a0, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cfc3a9d7eaba38a0, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -158,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6c998045f785de1, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d6c998045f785de1, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -173,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea15aedcded37e1c, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ea15aedcded37e1c, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -188,7 +195,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4cf3feee73780e4, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(e4cf3feee73780e4, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -203,7 +210,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5d2d9a927b4db2d, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b5d2d9a927b4db2d, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -218,7 +225,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f54c7e4a675e9cd7, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f54c7e4a675e9cd7, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -233,7 +240,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8189728c91666ea5, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(8189728c91666ea5, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -248,7 +255,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94735e12910626a6, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(94735e12910626a6, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -263,7 +270,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f2ce49b5c678cb68, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f2ce49b5c678cb68, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerMessage::PermitRequest {
+  PermitRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b843d455b333d498, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PeerMessage::PermitReply {
+  PermitReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f6b067c67c5c9cb, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -315,6 +352,21 @@
   };
 };
 
+struct RateLimitNotice {
+  RateLimitNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc2f790bbc8e6211, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -432,6 +484,12 @@
   inline bool isConfigurationOffer() const;
   inline  ::uint64_t getConfigurationOffer() const;
 
+  inline bool isPermitRequest() const;
+  inline typename PermitRequest::Reader getPermitRequest() const;
+
+  inline bool isPermitReply() const;
+  inline typename PermitReply::Reader getPermitReply() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -528,6 +586,14 @@
   inline  ::uint64_t getConfigurationOffer();
   inline void setConfigurationOffer( ::uint64_t value);
 
+  inline bool isPermitRequest();
+  inline typename PermitRequest::Builder getPermitRequest();
+  inline typename PermitRequest::Builder initPermitRequest();
+
+  inline bool isPermitReply();
+  inline typename PermitReply::Builder getPermitReply();
+  inline typename PermitReply::Builder initPermitReply();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1030,6 +1096,9 @@
 
   inline bool getWatchesStore() const;
 
+  inline bool hasRateLimits() const;
+  inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1088,6 +1157,13 @@
   inline bool getWatchesStore();
   inline void setWatchesStore(bool value);
 
+  inline bool hasRateLimits();
+  inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Builder getRateLimits();
+  inline void setRateLimits( ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Builder initRateLimits(unsigned int size);
+  inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>> disownRateLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1666,6 +1742,206 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerMessage::PermitRequest::Reader {
+public:
+  typedef PermitRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasKnown() const;
+  inline  ::bronzeward::schema::RateLimitNotice::Reader getKnown() const;
+
+  inline  ::uint32_t getWanted() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::PermitRequest::Builder {
+public:
+  typedef PermitRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasKnown();
+  inline  ::bronzeward::schema::RateLimitNotice::Builder getKnown();
+  inline void setKnown( ::bronzeward::schema::RateLimitNotice::Reader value);
+  inline  ::bronzeward::schema::RateLimitNotice::Builder initKnown();
+  inline void adoptKnown(::capnp::Orphan< ::bronzeward::schema::RateLimitNotice>&& value);
+  inline ::capnp::Orphan< ::bronzeward::schema::RateLimitNotice> disownKnown();
+
+  inline  ::uint32_t getWanted();
+  inline void setWanted( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::PermitRequest::Pipeline {
+public:
+  typedef PermitRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bronzeward::schema::RateLimitNotice::Pipeline getKnown();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PeerMessage::PermitReply::Reader {
+public:
+  typedef PermitReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasKnown() const;
+  inline  ::bronzeward::schema::RateLimitNotice::Reader getKnown() const;
+
+  inline bool getIssuing() const;
+
+  inline bool hasDelays() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDelays() const;
+
+  inline  ::uint32_t getUntilNextFreeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::PermitReply::Builder {
+public:
+  typedef PermitReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasKnown();
+  inline  ::bronzeward::schema::RateLimitNotice::Builder getKnown();
+  inline void setKnown( ::bronzeward::schema::RateLimitNotice::Reader value);
+  inline  ::bronzeward::schema::RateLimitNotice::Builder initKnown();
+  inline void adoptKnown(::capnp::Orphan< ::bronzeward::schema::RateLimitNotice>&& value);
+  inline ::capnp::Orphan< ::bronzeward::schema::RateLimitNotice> disownKnown();
+
+  inline bool getIssuing();
+  inline void setIssuing(bool value);
+
+  inline bool hasDelays();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDelays();
+  inline void setDelays( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDelays(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDelays(unsigned int size);
+  inline void adoptDelays(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDelays();
+
+  inline  ::uint32_t getUntilNextFreeMs();
+  inline void setUntilNextFreeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::PermitReply::Pipeline {
+public:
+  typedef PermitReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::bronzeward::schema::RateLimitNotice::Pipeline getKnown();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SlotOperation::Reader {
 public:
   typedef SlotOperation Reads;
@@ -1945,6 +2221,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class RateLimitNotice::Reader {
+public:
+  typedef RateLimitNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::int64_t getStartedMs() const;
+
+  inline bool getLimited() const;
+
+  inline double getCallsPerSecond() const;
+
+  inline  ::int64_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RateLimitNotice::Builder {
+public:
+  typedef RateLimitNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline bool getLimited();
+  inline void setLimited(bool value);
+
+  inline double getCallsPerSecond();
+  inline void setCallsPerSecond(double value);
+
+  inline  ::int64_t getAgeMs();
+  inline void setAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RateLimitNotice::Pipeline {
+public:
+  typedef RateLimitNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -2364,6 +2741,7 @@
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Digest::Builder(_builder);
 }
 inline bool PeerMessage::Reader::isConfiguration() const {
@@ -2561,6 +2939,56 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::Reader::isPermitRequest() const {
+  return which() == PeerMessage::PERMIT_REQUEST;
+}
+inline bool PeerMessage::Builder::isPermitRequest() {
+  return which() == PeerMessage::PERMIT_REQUEST;
+}
+inline typename PeerMessage::PermitRequest::Reader PeerMessage::Reader::getPermitRequest() const {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::PermitRequest::Reader(_reader);
+}
+inline typename PeerMessage::PermitRequest::Builder PeerMessage::Builder::getPermitRequest() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REQUEST),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::PermitRequest::Builder(_builder);
+}
+inline typename PeerMessage::PermitRequest::Builder PeerMessage::Builder::initPermitRequest() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REQUEST);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::PermitRequest::Builder(_builder);
+}
+inline bool PeerMessage::Reader::isPermitReply() const {
+  return which() == PeerMessage::PERMIT_REPLY;
+}
+inline bool PeerMessage::Builder::isPermitReply() {
+  return which() == PeerMessage::PERMIT_REPLY;
+}
+inline typename PeerMessage::PermitReply::Reader PeerMessage::Reader::getPermitReply() const {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::PermitReply::Reader(_reader);
+}
+inline typename PeerMessage::PermitReply::Builder PeerMessage::Builder::getPermitReply() {
+  KJ_IREQUIRE((which() == PeerMessage::PERMIT_REPLY),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::PermitReply::Builder(_builder);
+}
+inline typename PeerMessage::PermitReply::Builder PeerMessage::Builder::initPermitReply() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::PERMIT_REPLY);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<4>() * ::capnp::ELEMENTS, 0);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::PermitReply::Builder(_builder);
+}
 inline  ::uint64_t PeerMessage::Submit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2991,6 +3419,40 @@
       ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::Digest::Reader::hasRateLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Digest::Builder::hasRateLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Reader PeerMessage::Digest::Reader::getRateLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Digest::Builder::getRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Digest::Builder::setRateLimits( ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::Digest::Builder::initRateLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Digest::Builder::adoptRateLimits(
+    ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>> PeerMessage::Digest::Builder::disownRateLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerMessage::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3394,6 +3856,192 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerMessage::PermitRequest::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::PermitRequest::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::PermitRequest::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::PermitRequest::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PermitRequest::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeward::schema::RateLimitNotice::Reader PeerMessage::PermitRequest::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bronzeward::schema::RateLimitNotice::Builder PeerMessage::PermitRequest::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeward::schema::RateLimitNotice::Pipeline PeerMessage::PermitRequest::Pipeline::getKnown() {
+  return  ::bronzeward::schema::RateLimitNotice::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PeerMessage::PermitRequest::Builder::setKnown( ::bronzeward::schema::RateLimitNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeward::schema::RateLimitNotice::Builder PeerMessage::PermitRequest::Builder::initKnown() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PermitRequest::Builder::adoptKnown(
+    ::capnp::Orphan< ::bronzeward::schema::RateLimitNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeward::schema::RateLimitNotice> PeerMessage::PermitRequest::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PeerMessage::PermitRequest::Reader::getWanted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerMessage::PermitRequest::Builder::getWanted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::PermitRequest::Builder::setWanted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerMessage::PermitReply::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::PermitReply::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::PermitReply::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::PermitReply::Reader::hasKnown() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PermitReply::Builder::hasKnown() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::bronzeward::schema::RateLimitNotice::Reader PeerMessage::PermitReply::Reader::getKnown() const {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::bronzeward::schema::RateLimitNotice::Builder PeerMessage::PermitReply::Builder::getKnown() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::bronzeward::schema::RateLimitNotice::Pipeline PeerMessage::PermitReply::Pipeline::getKnown() {
+  return  ::bronzeward::schema::RateLimitNotice::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void PeerMessage::PermitReply::Builder::setKnown( ::bronzeward::schema::RateLimitNotice::Reader value) {
+  ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::bronzeward::schema::RateLimitNotice::Builder PeerMessage::PermitReply::Builder::initKnown() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PermitReply::Builder::adoptKnown(
+    ::capnp::Orphan< ::bronzeward::schema::RateLimitNotice>&& value) {
+  ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::bronzeward::schema::RateLimitNotice> PeerMessage::PermitReply::Builder::disownKnown() {
+  return ::capnp::_::PointerHelpers< ::bronzeward::schema::RateLimitNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::PermitReply::Reader::getIssuing() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerMessage::PermitReply::Builder::getIssuing() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::PermitReply::Builder::setIssuing(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::PermitReply::Reader::hasDelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PermitReply::Builder::hasDelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerMessage::PermitReply::Reader::getDelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerMessage::PermitReply::Builder::getDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PermitReply::Builder::setDelays( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void PeerMessage::PermitReply::Builder::setDelays(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerMessage::PermitReply::Builder::initDelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::PermitReply::Builder::adoptDelays(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> PeerMessage::PermitReply::Builder::disownDelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PeerMessage::PermitReply::Reader::getUntilNextFreeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerMessage::PermitReply::Builder::getUntilNextFreeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::PermitReply::Builder::setUntilNextFreeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t SlotOperation::Reader::getSlot() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3605,6 +4253,96 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RateLimitNotice::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RateLimitNotice::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RateLimitNotice::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RateLimitNotice::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RateLimitNotice::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RateLimitNotice::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RateLimitNotice::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RateLimitNotice::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t RateLimitNotice::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateLimitNotice::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RateLimitNotice::Reader::getLimited() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool RateLimitNotice::Builder::getLimited() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setLimited(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline double RateLimitNotice::Reader::getCallsPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double RateLimitNotice::Builder::getCallsPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setCallsPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t RateLimitNotice::Reader::getAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t RateLimitNotice::Builder::getAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RateLimitNotice::Builder::setAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -4,6 +4,7 @@
 #include "bronzeward/src/Store/StorePort.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -51,6 +52,35 @@
   std::vector<std::uint64_t> Numbers;
 };
 
+/// \brief What an instance knows about the rate limit of an upstream.
+struct RateLimitNotice {
+  UpstreamRun Upstream;
+  /// Empty if the upstream no longer states a limit.
+  std::optional<CallRate> Limit;
+  /// Time since which it is not known whether Limit is still in force.
+  std::chrono::milliseconds Age{0};
+};
+
+/// \brief Asks the instance that issues an upstream's permits for some. A
+/// permit allows to send one call to the upstream.
+struct PermitRequest {
+  std::uint64_t Number = 0;
+  RateLimitNotice Known;
+  std::uint32_t Wanted = 0;
+};
+
+/// \brief Reply to \ref PermitRequest.
+struct PermitReply {
+  std::uint64_t Number = 0;
+  RateLimitNotice Known;
+  /// False if the sender does not issue the upstream's permits now.
+  bool Issuing = false;
+  /// For each permit, the time from the reply until it may be used.
+  std::vector<std::chrono::milliseconds> Delays;
+  /// Time from the reply until the earliest time that no permit covers yet.
+  std::chrono::milliseconds UntilNextFree{0};
+};
+
 /// \brief State that peers send each other periodically.
 struct PeerDigest {
   ConfigurationVersion Configuration;
@@ -68,6 +98,8 @@
   /// Whether the sender watches the store and is up to date, so that peers may
   /// rely on its updates.
   bool WatchesStore = false;
+  /// Rate limits that changed recently.
+  std::vector<RateLimitNotice> RateLimits;
 };
 
 /// \brief An accepted configuration, for a peer that has an older version.
@@ -148,7 +180,8 @@
     std::variant<SubmitOperations, OperationResults, RecallGrant, CarryBill,
                  BillCarried, ForgetBills, PeerDigest, ConfigurationText,
                  ConfigurationOffer, ConfigurationRequest, UpstreamList,
-                 LoanRequest, Loan, LoadNotice, OperationsHandover>;
+                 LoanRequest, Loan, LoadNotice, OperationsHandover,
+                 PermitRequest, PermitReply>;
 
 /// \brief Sends messages to other instances, without a delivery guarantee.
 class PeerPort {
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -46,6 +46,15 @@
     List.set(Index, In.Numbers[Index]);
 }
 
+static void write(schema::RateLimitNotice::Builder Out,
+                  const RateLimitNotice &In) {
+  Out.setName(In.Upstream.Name.Value);
+  Out.setStartedMs(In.Upstream.Started.time_since_epoch().count());
+  Out.setLimited(In.Limit.has_value());
+  Out.setCallsPerSecond(In.Limit.value_or(CallRate()).PerSecond);
+  Out.setAgeMs(In.Age.count());
+}
+
 static void writeOne(Builder Out, const PeerDigest &In) {
   schema::PeerMessage::Digest::Builder Group = Out.initDigest();
   Group.setConfiguration(In.Configuration.Number);
@@ -57,6 +66,9 @@
   auto List = Group.initSuspects(In.Suspects.size());
   for (unsigned Index = 0; Index < In.Suspects.size(); ++Index)
     List.set(Index, In.Suspects[Index].Value);
+  auto Limits = Group.initRateLimits(In.RateLimits.size());
+  for (unsigned Index = 0; Index < In.RateLimits.size(); ++Index)
+    write(Limits[Index], In.RateLimits[Index]);
 }
 
 static void writeOne(Builder Out, const ConfigurationText &In) {
@@ -125,6 +137,25 @@
   }
 }
 
+static void writeOne(Builder Out, const PermitRequest &In) {
+  schema::PeerMessage::PermitRequest::Builder Group = Out.initPermitRequest();
+  Group.setNumber(In.Number);
+  write(Group.initKnown(), In.Known);
+  Group.setWanted(In.Wanted);
+}
+
+static void writeOne(Builder Out, const PermitReply &In) {
+  schema::PeerMessage::PermitReply::Builder Group = Out.initPermitReply();
+  Group.setNumber(In.Number);
+  write(Group.initKnown(), In.Known);
+  Group.setIssuing(In.Issuing);
+  auto List = Group.initDelays(In.Delays.size());
+  for (unsigned Index = 0; Index < In.Delays.size(); ++Index)
+    List.set(Index, static_cast<std::uint32_t>(In.Delays[Index].count()));
+  Group.setUntilNextFreeMs(
+      static_cast<std::uint32_t>(In.UntilNextFree.count()));
+}
+
 void write(Builder Out, const InstanceId &Sender, const PeerMessage &In) {
   Out.setSender(Sender.Value);
   std::visit([&](const auto &Item) { writeOne(Out, Item); }, In);
@@ -155,6 +186,16 @@
   return Out;
 }
 
+static RateLimitNotice readRateLimit(schema::RateLimitNotice::Reader In) {
+  RateLimitNotice Out;
+  Out.Upstream.Name.Value = In.getName().cStr();
+  Out.Upstream.Started = WallTime(std::chrono::milliseconds(In.getStartedMs()));
+  if (In.getLimited())
+    Out.Limit = CallRate{In.getCallsPerSecond()};
+  Out.Age = std::chrono::milliseconds(In.getAgeMs());
+  return Out;
+}
+
 static PeerMessage readDigest(schema::PeerMessage::Digest::Reader In) {
   PeerDigest Out;
   Out.Configuration.Number = In.getConfiguration();
@@ -165,6 +206,8 @@
   Out.StoreUnreachable = In.getStoreAway();
   Out.PeerAddress = In.getPeerAddress().cStr();
   Out.WatchesStore = In.getWatchesStore();
+  for (schema::RateLimitNotice::Reader Item : In.getRateLimits())
+    Out.RateLimits.push_back(readRateLimit(Item));
   return Out;
 }
 
@@ -215,6 +258,24 @@
   return Out;
 }
 
+static PeerMessage
+readPermitRequest(schema::PeerMessage::PermitRequest::Reader In) {
+  return PermitRequest{In.getNumber(), readRateLimit(In.getKnown()),
+                       In.getWanted()};
+}
+
+static PeerMessage
+readPermitReply(schema::PeerMessage::PermitReply::Reader In) {
+  PermitReply Out;
+  Out.Number = In.getNumber();
+  Out.Known = readRateLimit(In.getKnown());
+  Out.Issuing = In.getIssuing();
+  for (const std::uint32_t Delay : In.getDelays())
+    Out.Delays.emplace_back(Delay);
+  Out.UntilNextFree = std::chrono::milliseconds(In.getUntilNextFreeMs());
+  return Out;
+}
+
 PeerMessage read(schema::PeerMessage::Reader In) {
   switch (In.which()) {
   case schema::PeerMessage::SUBMIT:
@@ -252,6 +313,10 @@
     return readLoad(In.getLoad());
   case schema::PeerMessage::HANDOVER:
     return readHandover(In.getHandover());
+  case schema::PeerMessage::PERMIT_REQUEST:
+    return readPermitRequest(In.getPermitRequest());
+  case schema::PeerMessage::PERMIT_REPLY:
+    return readPermitReply(In.getPermitReply());
   }
   // A message of a later version is unknown to this one; an empty list of bills
   // has no effect.
--- a/bronzeward/src/Relay/RateLimitTable.h
+++ b/bronzeward/src/Relay/RateLimitTable.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "bronzeward/Base"
+#include "bronzeward/src/Budget/PeerPort.h"
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace bronzeward {
 
@@ -23,6 +24,15 @@
   bool onAnswer(const UpstreamRun &Run, std::optional<CallRate> Stated,
                 TimePoint SentAt, TimePoint Now);
 
+  /// \brief Merges what a peer knows.
+  /// \returns whether the upstream's limit changed.
+  bool onNotice(const RateLimitNotice &Notice, TimePoint Now);
+
+  /// \returns what is known about the upstream, for a peer.
+  [[nodiscard]] RateLimitNotice noticeOf(const UpstreamRun &Run,
+                                         TimePoint Now) const;
+  /// \returns the limits that changed recently, latest first.
+  [[nodiscard]] std::vector<RateLimitNotice> recentChanges(TimePoint Now) const;
   /// \returns the limit of the upstream; empty if it has none.
   [[nodiscard]] std::optional<CallRate> limitOf(const UpstreamRun &Run) const;
   /// \returns the number of upstreams with a limit.
@@ -32,11 +42,14 @@
   /// What the latest answer showed.
   struct Observation {
     std::optional<CallRate> Limit;
-    /// Time at which Limit was in force at the latest.
+    /// Latest time at which Limit is known to have been in force.
     TimePoint InForceAt;
+    /// When this instance learned of the limit.
+    TimePoint ChangedAt;
   };
 
-  bool update(const UpstreamRun &Run, const Observation &Latest);
+  bool update(const UpstreamRun &Run, std::optional<CallRate> Limit,
+              TimePoint InForceAt, TimePoint Now);
   void prune(TimePoint Now);
 
   std::map<UpstreamRun, Observation> Observations;
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -3,6 +3,7 @@
 #include "bronzeward/src/Relay/RelayAnswers.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bronzeward {
 
@@ -22,6 +23,10 @@
 /// Connect timeout while this instance's own link is congested: the time to
 /// send the bytes queued in the callers' TCP windows over 10 Mbit/s.
 constexpr Duration CongestedConnectTimeout = 2s;
+/// A call waits for a permit of a rate-limited upstream for at most this
+/// fraction of its latency objective, and at least this time between two tries.
+constexpr double PermitWaitFraction = 0.25;
+constexpr Duration MinPermitWait = 5ms;
 /// Time for which sent bytes of a repeatable call may stay unacknowledged
 /// before the call is retried at another upstream.
 constexpr std::chrono::milliseconds UnackedTimeout{500};
@@ -46,7 +51,9 @@
 
 RelayEngine::RelayEngine(FailureDomain OwnDomain, RetryAllowance FleetRetries,
                          RelayDependencies Dependencies)
-    : Allowance(FleetRetries), Deps(Dependencies), Pool(std::move(OwnDomain)) {}
+    : Allowance(FleetRetries), Deps(Dependencies), Pool(std::move(OwnDomain)) {
+  Deps.Limits.notify(*this);
+}
 
 void RelayEngine::attach(BudgetAgent &Agent, const Incarnation &OwnId,
                          TimePoint Now) {
@@ -208,36 +215,124 @@
       1, Service->MaxConnections / std::max<std::int64_t>(1, Instances));
 }
 
+UpstreamRun RelayEngine::runOf(const UpstreamName &Upstream) const {
+  return {Upstream, Pool.find(Upstream)->Started};
+}
+
+TimePoint RelayEngine::acceptsFrom(const ServiceName &Service,
+                                   TimePoint Now) const {
+  TimePoint First = TimePoint::max();
+  for (const UpstreamName &Name : Pool.upstreamsOf(Service))
+    First =
+        std::min(First, std::max(Pool.blockedUntil(Name),
+                                 Deps.Limits.acceptsFrom(runOf(Name), Now)));
+  return First == TimePoint::max() ? Now : std::max(First, Now);
+}
+
 void RelayEngine::onNoCandidate(ActiveCall &Item, TimePoint Now) {
-  Item.MinRetryAfter = Pool.backOffRemaining(Item.Admitted.Service, Now);
+  Item.MinRetryAfter = acceptsFrom(Item.Admitted.Service, Now) - Now;
   refuseOrAbort(Item, Reason::NoUpstream, Now);
 }
 
+void RelayEngine::requestPermit(ActiveCall &Item, const UpstreamRun &Run,
+                                TimePoint Now) {
+  if (Item.PermitRequested && Deps.Limits.expectsPermit(*Item.PermitRequested))
+    return;
+  Item.PermitRequested.reset();
+  if (Deps.Limits.onWanted(Run, Now))
+    Item.PermitRequested = Run;
+}
+
+std::optional<Choice> RelayEngine::choose(ActiveCall &Item,
+                                          std::vector<Candidate> &Candidates,
+                                          TimePoint Now) {
+  const ChoiceInput Input{Item.Query.PromptTokens,
+                          sharedPrefixHash(Item.Query.Prefixes)};
+  while (!Candidates.empty()) {
+    const Choice Best =
+        placeCall(Input, Candidates, Item.Admitted.Route->Objective);
+    const UpstreamRun Run = runOf(Candidates[Best.Index].Name);
+    if (Deps.Limits.acceptsFrom(Run, Now) <= Now)
+      return Best;
+    requestPermit(Item, Run, Now);
+    Candidates.erase(Candidates.begin() +
+                     static_cast<std::ptrdiff_t>(Best.Index));
+  }
+  return std::nullopt;
+}
+
 void RelayEngine::dispatch(ActiveCall &Item, TimePoint Now) {
   limitConnections(Item);
-  const std::vector<Candidate> Candidates =
+  std::vector<Candidate> Candidates =
       Pool.candidates(Item.Query, Deps.Source, Now);
   if (Candidates.empty() || Item.Query.Excluded.size() >= MaxDispatches) {
     onNoCandidate(Item, Now);
     return;
   }
+  const std::optional<Choice> Chosen = choose(Item, Candidates, Now);
+  if (!Chosen) {
+    awaitPermit(Item, Now);
+    return;
+  }
+  stopAwaiting(Item);
   const ChoiceInput Input{Item.Query.PromptTokens,
                           sharedPrefixHash(Item.Query.Prefixes)};
-  const Choice Chosen =
-      placeCall(Input, Candidates, Item.Admitted.Route->Objective);
-  const Candidate &Best = Candidates[Chosen.Index];
+  const Candidate &Best = Candidates[Chosen->Index];
   const Duration Expected = expectedDelay(Input, Best);
   if (Now + Expected >= Item.ExpiresAt) {
     refuseOrAbort(Item, Reason::Overloaded, Now);
     return;
   }
   Deps.Log.onChoice({RequestId{Item.Call.CallerAttemptId},
-                     Item.Admitted.Service, Candidates, Chosen,
+                     Item.Admitted.Service, Candidates, *Chosen,
                      static_cast<int>(Item.Query.Excluded.size()) + 1});
   send(Item, Best.Name, Now);
   armSilenceTimer(Item, Expected, Now);
 }
 
+void RelayEngine::awaitPermit(ActiveCall &Item, TimePoint Now) {
+  stopAwaiting(Item);
+  const TimePoint Until =
+      std::min(Item.ExpiresAt,
+               Item.AcceptedAt +
+                   std::chrono::duration_cast<Duration>(
+                       Item.Admitted.Route->Objective * PermitWaitFraction));
+  const TimePoint First = acceptsFrom(Item.Admitted.Service, Now);
+  if (Now >= Until || (!Item.PermitRequested && First > Until)) {
+    Item.MinRetryAfter = First - Now;
+    refuseOrAbort(Item, Reason::Overloaded, Now);
+    return;
+  }
+  AwaitingPermit.insert(Item.Id);
+  const TimePoint Again = std::clamp(First, Now + MinPermitWait, Until);
+  Item.PermitTimer = Deps.Timers.schedule(
+      Again, [this, Id = Item.Id](TimePoint At) { onPermitTimer(Id, At); });
+}
+
+void RelayEngine::stopAwaiting(ActiveCall &Item) {
+  if (!Item.PermitTimer)
+    return;
+  Deps.Timers.cancel(*Item.PermitTimer);
+  Item.PermitTimer.reset();
+  AwaitingPermit.erase(Item.Id);
+}
+
+void RelayEngine::onPermitTimer(const RequestId &Id, TimePoint Now) {
+  if (ActiveCall *Item = find(Id))
+    dispatch(*Item, Now);
+}
+
+void RelayEngine::onPermitsChanged(TimePoint Now) {
+  std::vector<std::tuple<int, TimePoint, RequestId>> Waiting;
+  for (const RequestId &Id : AwaitingPermit) {
+    const ActiveCall &Item = Active.at(Id);
+    Waiting.emplace_back(Item.Admitted.Priority, Item.AcceptedAt, Id);
+  }
+  std::sort(Waiting.begin(), Waiting.end());
+  for (const auto &[Priority, AcceptedAt, Id] : Waiting)
+    onPermitTimer(Id, Now);
+}
+
 void RelayEngine::send(ActiveCall &Item, const UpstreamName &Upstream,
                        TimePoint Now) {
   Item.Upstream = Upstream;
@@ -251,8 +346,10 @@
   Item.Lifecycle.process(RequestEvent::Dispatch);
   ByAttempt.emplace(Item.Attempt, Item.Id);
   Pool.onDispatched(Item.Attempt, Upstream, Item.Query, Now);
-  if (Limits.limitOf({Upstream, Item.UpstreamStarted}))
+  const UpstreamRun Run{Upstream, Item.UpstreamStarted};
+  if (Deps.Limits.isLimited(Run))
     ++Counters.SentToRateLimited;
+  Deps.Limits.onDispatched(Run, Now);
   Item.Query.Excluded.push_back(Upstream);
   Deps.Upstreams.dispatch(upstreamCall(Item, Now));
 }
@@ -350,21 +447,15 @@
 
 void RelayEngine::recordRateLimit(const ActiveCall &Item, TimePoint Now) {
   const RelayAnswerHead &Head = *Item.Head;
-  const std::string Source = "upstream " + Item.Upstream.Value +
-                             " in answer to request " +
-                             Item.Call.CallerAttemptId;
   if (Head.UnreadableRateLimit)
-    Deps.Log.onEvent("upstream-limit-unreadable", Source);
+    Deps.Log.onEvent("upstream-limit-unreadable",
+                     "upstream " + Item.Upstream.Value +
+                         " in answer to request " + Item.Call.CallerAttemptId);
   // Another upstream answered, or the limit is not known.
   if (Head.Misdirected || Head.UnreadableRateLimit)
     return;
-  if (!Limits.onAnswer({Item.Upstream, Item.UpstreamStarted}, Head.RateLimit,
-                       Item.SentAt, Now))
-    return;
-  const std::string Limit =
-      Head.RateLimit ? std::to_string(Head.RateLimit->PerSecond) + " calls/s"
-                     : "none";
-  Deps.Log.onEvent("upstream-limit", Source + ": " + Limit);
+  Deps.Limits.onAnswer({Item.Upstream, Item.UpstreamStarted}, Head.RateLimit,
+                       Item.SentAt, Item.Call.CallerAttemptId, Now);
 }
 
 void RelayEngine::onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
@@ -660,6 +751,7 @@
   Deps.Timers.cancel(Item.Expiry);
   if (Item.SilenceTimer)
     Deps.Timers.cancel(*Item.SilenceTimer);
+  stopAwaiting(Item);
   ByTicket.erase(Item.Call.Ticket);
   ByAttempt.erase(Item.Attempt);
   Active.erase(Found);
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -5,7 +5,7 @@
 #include "bronzeward/src/Relay/CrashEvidence.h"
 #include "bronzeward/src/Relay/EventStream.h"
 #include "bronzeward/src/Relay/LocalCongestion.h"
-#include "bronzeward/src/Relay/RateLimitTable.h"
+#include "bronzeward/src/Relay/RateLimitAgent.h"
 #include "bronzeward/src/Relay/RelayAdmission.h"
 #include "bronzeward/src/Relay/SharedRetryBudget.h"
 #include "bronzeward/src/Relay/UpstreamPool.h"
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace bronzeward {
@@ -32,6 +33,7 @@
   Random &Source;
   const CallCodec &Codec;
   const Membership &Members;
+  RateLimitAgent &Limits;
 };
 
 /// \brief Forwards routed calls to upstreams unchanged and tells each caller
@@ -40,7 +42,7 @@
 /// A call runs at most once unless its route allows repetition. A refusal
 /// states that the call has not run only if no upstream can have begun it.
 /// docs/RELAY.md describes the decisions and the load patterns behind them.
-class RelayEngine : public BudgetListener {
+class RelayEngine : public BudgetListener, public PermitListener {
 public:
   /// \param FleetRetries limit of the retries of all instances together.
   RelayEngine(FailureDomain OwnDomain, RetryAllowance FleetRetries,
@@ -76,6 +78,7 @@
   void onClaimed(const RequestId &, ClaimOutcome,
                  const std::optional<RecordedAnswer> &, TimePoint) override {}
   void onSettled(const RequestId &, const Settlement &, TimePoint) override {}
+  void onPermitsChanged(TimePoint Now) override;
 
   /// \brief Refuses new calls from now on. Calls in flight are completed.
   void stopAdmitting() { Admitting = false; }
@@ -92,7 +95,6 @@
   /// \returns the active routes; null before the first configuration.
   [[nodiscard]] const RouteTable *routes() const { return Routes.get(); }
   [[nodiscard]] const UpstreamPool &upstreams() const { return Pool; }
-  [[nodiscard]] const RateLimitTable &rateLimits() const { return Limits; }
   UpstreamPool &upstreams() { return Pool; }
   Quarantine &quarantine() { return CrashQuarantine; }
 
@@ -111,6 +113,10 @@
     TimerQueue::Handle Expiry;
     /// Set while the call would be retried if the upstream stays silent.
     std::optional<TimerQueue::Handle> SilenceTimer;
+    /// Set while the call waits for an upstream that limits its rate.
+    std::optional<TimerQueue::Handle> PermitTimer;
+    /// Upstream for which a permit was requested for this call.
+    std::optional<UpstreamRun> PermitRequested;
     PlacementQuery Query;
     AttemptId Attempt;
     UpstreamName Upstream;
@@ -142,7 +148,24 @@
   void dispatch(ActiveCall &Item, TimePoint Now);
   /// Sets the limits of connections to one upstream from the call's service.
   void limitConnections(ActiveCall &Item) const;
+  /// Chooses an upstream to which a call may be sent now.
+  /// \param Candidates upstreams without a permit are removed.
+  [[nodiscard]] std::optional<Choice>
+  choose(ActiveCall &Item, std::vector<Candidate> &Candidates, TimePoint Now);
+  /// Requests a permit for a call, unless one is already expected for it.
+  void requestPermit(ActiveCall &Item, const UpstreamRun &Run, TimePoint Now);
+  /// Refuses a call for which no upstream is left.
   void onNoCandidate(ActiveCall &Item, TimePoint Now);
+  /// Holds a call until a rate-limited upstream accepts it, or refuses it if
+  /// that is too late.
+  void awaitPermit(ActiveCall &Item, TimePoint Now);
+  void stopAwaiting(ActiveCall &Item);
+  /// Tries again to send a call that waits for a permit.
+  void onPermitTimer(const RequestId &Id, TimePoint Now);
+  /// \returns when the first upstream of a service accepts calls.
+  [[nodiscard]] TimePoint acceptsFrom(const ServiceName &Service,
+                                      TimePoint Now) const;
+  [[nodiscard]] UpstreamRun runOf(const UpstreamName &Upstream) const;
   void send(ActiveCall &Item, const UpstreamName &Upstream, TimePoint Now);
   [[nodiscard]] UpstreamCall upstreamCall(const ActiveCall &Item,
                                           TimePoint Now) const;
@@ -194,7 +217,6 @@
   Incarnation OwnIncarnation;
   std::shared_ptr<const RouteTable> Routes;
   UpstreamPool Pool;
-  RateLimitTable Limits;
   LocalCongestion Congestion;
   Quarantine CrashQuarantine;
   CrashEvidence Evidence;
@@ -202,6 +224,8 @@
   std::map<RequestId, ActiveCall> Active;
   std::map<CallerTicket, RequestId> ByTicket;
   std::map<AttemptId, RequestId> ByAttempt;
+  /// Calls that wait for a permit.
+  std::set<RequestId> AwaitingPermit;
   /// Bytes of all unfinished answers that are buffered, which are those of all
   /// calls but successful streams.
   std::size_t BufferedBytes = 0;
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -268,15 +268,16 @@
     Gate.onBackOff(Item->Entry, Time, Now);
 }
 
-Duration UpstreamPool::backOffRemaining(const ServiceName &Service,
-                                        TimePoint Now) const {
+std::vector<UpstreamName>
+UpstreamPool::upstreamsOf(const ServiceName &Service) const {
   const auto Found = Services.find(Service);
-  if (Found == Services.end())
-    return {};
-  TimePoint First = TimePoint::max();
-  for (const UpstreamName &Name : Found->second.Names)
-    First = std::min(First, Gate.blockedUntil(States.at(Name).Entry));
-  return First == TimePoint::max() || First <= Now ? Duration() : First - Now;
+  return Found == Services.end() ? std::vector<UpstreamName>()
+                                 : Found->second.Names;
+}
+
+TimePoint UpstreamPool::blockedUntil(const UpstreamName &Name) const {
+  const UpstreamEntry *Entry = find(Name);
+  return Entry == nullptr ? TimePoint::max() : Gate.blockedUntil(*Entry);
 }
 
 void UpstreamPool::onPeerLoad(const InstanceId &Peer, const LoadNotice &Load,
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -92,10 +92,12 @@
   [[nodiscard]] std::vector<Candidate>
   candidates(const PlacementQuery &Query, Random &Source, TimePoint Now) const;
   [[nodiscard]] const UpstreamEntry *find(const UpstreamName &Name) const;
-  /// \returns the time until the first upstream of a service accepts calls
-  /// again; zero if one accepts calls now, or if all are shutting down.
-  [[nodiscard]] Duration backOffRemaining(const ServiceName &Service,
-                                          TimePoint Now) const;
+  /// \returns the names of a service's upstreams.
+  [[nodiscard]] std::vector<UpstreamName>
+  upstreamsOf(const ServiceName &Service) const;
+  /// \returns the time from which an upstream accepts calls again after a
+  /// back-off; `TimePoint::max()` if it is shutting down or unknown.
+  [[nodiscard]] TimePoint blockedUntil(const UpstreamName &Name) const;
   /// \returns whether the service has a usable upstream.
   [[nodiscard]] bool serves(const ServiceName &Service) const;
   /// \returns whether an upstream sent bytes, or became usable, within the
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -24,6 +24,8 @@
 /// A peer stays a member for this long after its last message, even if its
 /// entry in the store lapsed.
 constexpr Duration PeerTimeout = 2s;
+/// Longest time by which a list of instances lags behind the store.
+constexpr Duration StaleListAge = 3s;
 /// Time between two digests of a watcher to its followers.
 constexpr Duration FollowerDigestPeriod = 1s;
 /// Time for which changes are collected before they are sent in one batch.
@@ -64,10 +66,13 @@
       UpstreamKeys(PlatformCodecs.Deployment.upstreamPrefix(), Policy.WatchWait,
                    Store, Timers, RandomSource, UpstreamChanges),
       Election(Identity.Instance, Identity.Domain),
+      Limits(Identity.Instance,
+             {Dependencies.Peers, Timers, RandomSource, Dependencies.Log}),
       Engine(Identity.Domain, Policy.Retries,
              RelayDependencies{Dependencies.Callers, Dependencies.Upstreams,
                                Dependencies.Log, Dependencies.Wall, Timers,
-                               RandomSource, PlatformCodecs.Calls, Members}) {
+                               RandomSource, PlatformCodecs.Calls, Members,
+                               Limits}) {
   for (const std::string &Address : Policy.PeerSeeds)
     if (Address != Identity.PeerAddress)
       UnlistedPeers[InstanceId{"seed-" + Address}] = Member{
@@ -76,6 +81,7 @@
 
 void FleetCore::start(TimePoint Now) {
   StartedAt = Now;
+  updatePermitIssuers(Now);
   Registry.start(
       Now,
       [this](const Incarnation &Registered, TimePoint At) {
@@ -120,10 +126,52 @@
     UnlistedPeers.erase(Item.Identity.Instance);
   Members.update(Listed);
   Election.onMembers(Listed);
+  updatePermitIssuers(Now);
+  if (Latest.find(Identity.Instance) != nullptr)
+    confirmMembership(Now + InstanceRegistry::listPeriod(Listed.size()) +
+                      PeerTimeout);
   if (Budgets)
     Budgets->onMembers(std::move(Listed), Now);
 }
 
+void FleetCore::updatePermitIssuers(TimePoint Now) {
+  std::vector<Member> Candidates = Members.members();
+  if (Members.find(Identity.Instance) == nullptr)
+    Candidates.push_back(ownMember(Identity));
+  for (const auto &[Name, Item] : UnlistedPeers) {
+    const auto Heard = LastHeardAt.find(Name);
+    if (Heard != LastHeardAt.end() && Now < Heard->second + PeerTimeout)
+      Candidates.push_back(Item);
+  }
+  // Instances read the list at different times, it may be stale, and an
+  // instance that is not in it any more issues permits for a short time.
+  const Duration Settling = InstanceRegistry::listPeriod(Candidates.size()) +
+                            StaleListAge + PeerTimeout;
+  Limits.onMembers(Candidates, Settling, Now);
+}
+
+void FleetCore::confirmMembership(TimePoint Until) {
+  MemberUntil = std::max(MemberUntil, Until);
+  if (!DrainingSince)
+    Limits.stopIssuingAt(MemberUntil);
+}
+
+void FleetCore::confirmMembershipByPeers(TimePoint Now) {
+  const std::vector<Member> &All = Members.members();
+  // Instances of a large fleet hear few others.
+  if (All.size() > SmallFleet)
+    return;
+  const auto Heard =
+      std::count_if(All.begin(), All.end(), [&](const Member &Item) {
+        const auto Found = LastHeardAt.find(Item.Identity.Instance);
+        return Found != LastHeardAt.end() && Now < Found->second + PeerTimeout;
+      });
+  const auto Others = static_cast<std::ptrdiff_t>(
+      All.size() - (Members.find(Identity.Instance) == nullptr ? 0 : 1));
+  if (2 * Heard >= Others)
+    confirmMembership(Now + PeerTimeout);
+}
+
 std::vector<Member> FleetCore::peers() const {
   std::vector<Member> All = Members.members();
   for (const auto &[Name, Item] : UnlistedPeers)
@@ -398,6 +446,7 @@
   PeerDigest Digest = digest();
   Digest.Suspects = Engine.quarantine().quarantinedContents(Now);
   Digest.Suspects.resize(std::min(Digest.Suspects.size(), MaxDigestSuspects));
+  Digest.RateLimits = Limits.news(Now);
   std::vector<InstanceId> Others = gossipPeers();
   const std::size_t Fanout =
       Digest.StoreUnreachable ? UrgentGossipFanout : GossipFanout;
@@ -433,9 +482,13 @@
 
 void FleetCore::onDigest(const InstanceId &From, const PeerDigest &Message,
                          TimePoint Now) {
-  if (Members.find(From) == nullptr && !Message.PeerAddress.empty())
+  if (Members.find(From) == nullptr && !Message.PeerAddress.empty()) {
+    const bool New = !UnlistedPeers.contains(From);
     UnlistedPeers[From] =
         Member{Incarnation{From, 0}, {}, Message.PeerAddress, Message.Draining};
+    if (New)
+      updatePermitIssuers(Now);
+  }
   if (Message.StoreUnreachable)
     PeersWithoutStore[From] = Now;
   else
@@ -508,11 +561,13 @@
     onUpstreamList(*List, Now);
   else if (const auto *Load = std::get_if<LoadNotice>(&Message))
     Engine.upstreams().onPeerLoad(From, *Load, Now);
+  Limits.onPeerMessage(From, Message, Now);
   if (Budgets)
     Budgets->onPeerMessage(From, Message, Now);
 }
 
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
+  Limits.onPeerUnreachable(Peer, Now);
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
@@ -565,6 +620,7 @@
 void FleetCore::housekeeping(TimePoint Now) {
   reportStoreCalls(Now);
   checkStore(Now);
+  confirmMembershipByPeers(Now);
   updateWatchRole(Now);
   if (NextLapse && Now >= *NextLapse)
     updateUsableUpstreams(Now);
@@ -587,6 +643,7 @@
   if (DrainingSince)
     return;
   DrainingSince = Now;
+  Limits.stopIssuingAt(Now);
   Registry.leave(Now);
   Timers.schedule(Now + Policy.UnreadyNotice, [this](TimePoint At) {
     Closing = true;
@@ -638,7 +695,7 @@
   Status.Texts = Texts;
   Status.StoreFailing = storeUnreachable();
   Status.Upstreams = Engine.upstreams().size();
-  Status.RateLimitedUpstreams = Engine.rateLimits().limited();
+  Status.RateLimitedUpstreams = Limits.limited();
   Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
   Status.Requests = Engine.counters();
   Status.FirstByte = Engine.firstByteLatency();
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -127,6 +127,14 @@
 
   void onRegistered(const Incarnation &Registered, TimePoint Now);
   void onMembersListed(std::vector<Member> Listed, TimePoint Now);
+  /// Updates the instances among which issuers of permits are selected.
+  void updatePermitIssuers(TimePoint Now);
+  /// Records that other instances list this one until a time at least. Only
+  /// then does it issue permits, since others may do so afterwards.
+  void confirmMembership(TimePoint Until);
+  /// Confirms the membership while most instances of a small fleet are heard:
+  /// they do not drop an instance that they hear.
+  void confirmMembershipByPeers(TimePoint Now);
   void onConfigurationText(const std::string &Text, const std::string &From,
                            TimePoint Now);
   void applyUpstreamList(const std::vector<StoreEntry> &Entries,
@@ -200,6 +208,7 @@
   StoreFollower UpstreamKeys;
   UpstreamDirectory Directory;
   WatcherElection Election;
+  RateLimitAgent Limits;
   RelayEngine Engine;
   std::unique_ptr<BudgetAgent> Budgets;
   std::optional<Incarnation> OwnIncarnation;
@@ -229,6 +238,7 @@
   std::map<InstanceId, Member> UnlistedPeers;
   /// When the next entry of an upstream lapses.
   std::optional<TimePoint> NextLapse;
+  TimePoint MemberUntil;
   TimePoint NextExcessReturn;
   TimePoint NextStoreReport;
   LoadNotice SentLoad;
--- a/bronzeward/src/Router/InstanceRegistry.cpp
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -149,11 +149,15 @@
              });
 }
 
+Duration InstanceRegistry::listPeriod(std::size_t Members) {
+  return ListPeriod + static_cast<int>(Members) * ListPeriodPerMember;
+}
+
 void InstanceRegistry::list(TimePoint Now) {
   readList(true, Now);
-  const Duration SteadyPeriod = ListPeriod + MemberCount * ListPeriodPerMember;
-  Timers.schedule(Now + (HasIncarnation ? SteadyPeriod : MaxRetryDelay),
-                  [this](TimePoint Due) { list(Due); });
+  Timers.schedule(
+      Now + (HasIncarnation ? listPeriod(MemberCount) : MaxRetryDelay),
+      [this](TimePoint Due) { list(Due); });
 }
 
 void InstanceRegistry::readList(bool MayBeStale, TimePoint Now) {
@@ -172,7 +176,7 @@
     if (Item)
       Members.push_back(std::move(Item).value());
   }
-  MemberCount = static_cast<int>(Members.size());
+  MemberCount = Members.size();
   ListedCallback(std::move(Members), Now);
 }
 
--- a/bronzeward/src/Router/InstanceRegistry.h
+++ b/bronzeward/src/Router/InstanceRegistry.h
@@ -42,6 +42,9 @@
   /// \brief Deletes this instance's entry.
   void remove(TimePoint Now);
 
+  /// \returns the time between two reads of the list.
+  [[nodiscard]] static Duration listPeriod(std::size_t Members);
+
 private:
   void obtainLease(TimePoint Now);
   void readOwnEntry(TimePoint Now);
@@ -63,7 +66,7 @@
   StoreLeaseId Lease;
   /// Revision of the entry that this incarnation wrote; zero before.
   std::uint64_t OwnRevision = 0;
-  int MemberCount = 0;
+  std::size_t MemberCount = 0;
   /// Whether the incarnation is known.
   bool HasIncarnation = false;
   bool Removed = false;
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -14,8 +14,9 @@
 using fakes::SilentLog;
 using trompeloeil::_;
 
-/// Minimal codec: "Id" identifies the attempt, and "Not-Run", "Leaving" and
-/// "Back-Off" in an answer set the field of that name.
+/// Minimal codec: "Id" identifies the attempt, and "Not-Run", "Leaving",
+/// "Back-Off", "Misdirected" and "Rate-Limit" in an answer set the field of
+/// that name.
 class MinimalCodec : public CallCodec {
 public:
   [[nodiscard]] Result<RelayCall> parseCall(CallerRequest In) const override {
@@ -46,6 +47,9 @@
     Response.Leaving = findHeader(Head.Headers, "Leaving") != nullptr;
     if (findHeader(Head.Headers, "Back-Off") != nullptr)
       Response.BackOff = 2s;
+    Response.Misdirected = findHeader(Head.Headers, "Misdirected") != nullptr;
+    if (const std::string *Limit = findHeader(Head.Headers, "Rate-Limit"))
+      Response.RateLimit = CallRate{std::stod(*Limit)};
     Response.Forwarded = Head.Headers;
     return Response;
   }
@@ -173,10 +177,12 @@
   Random Source{1};
   MinimalCodec Codec;
   Membership Members;
+  fakes::SilentPeers Peers;
+  RateLimitAgent Limits{InstanceId{"i0"}, {Peers, Timers, Source, Log}};
   RelayEngine Engine{
       FailureDomain{"a"},
       {0.2, 54.0, 10s},
-      {Callers, Upstreams, Log, Wall, Timers, Source, Codec, Members}};
+      {Callers, Upstreams, Log, Wall, Timers, Source, Codec, Members, Limits}};
   std::uint64_t LastTicket = 0;
 };
 
@@ -300,6 +306,63 @@
   CHECK(std::stod(*After) >= 2.0);
 }
 
+// Load pattern: the only upstream of a service limits its rate.
+TEST_CASE("A call waits briefly for a rate-limited upstream, or is refused "
+          "with the time until it accepts calls",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.addUpstreams(1);
+  Fixture.request("/get/x");
+  Fixture.head(200, {{"Rate-Limit", "10"}});
+  Fixture.end();
+  Fixture.request("/get/x");
+  CHECK(Fixture.Calls.size() == 1);
+  Fixture.wait(0ms);
+  Fixture.wait(100ms);
+  CHECK(Fixture.Calls.size() == 2);
+  Fixture.head(200, {{"Rate-Limit", "0.5"}});
+  Fixture.end();
+  Fixture.wait(500ms);
+  const std::size_t Before = Fixture.Answers.size();
+  Fixture.request("/get/x");
+  Fixture.wait(0ms);
+  REQUIRE(Fixture.Answers.size() == Before + 1);
+  CHECK(Fixture.Answers.back().Status == 503);
+  CHECK(std::stod(*findHeader(Fixture.Answers.back().Headers, "Retry-After")) >=
+        1.0);
+  CHECK(Fixture.Calls.size() == 2);
+}
+
+TEST_CASE("Retries count against an upstream's rate limit", "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.addUpstreams(2);
+  for (int Count = 0; Count < 2; ++Count) {
+    Fixture.request("/post/x");
+    Fixture.head(200, {{"Rate-Limit", "0"}});
+    Fixture.end();
+  }
+  REQUIRE(Fixture.Calls.size() == 2);
+  REQUIRE(Fixture.Calls[0].Upstream != Fixture.Calls[1].Upstream);
+  Fixture.wait(10s);
+  Fixture.request("/get/x");
+  Fixture.wait(10s);
+  Fixture.request("/get/x");
+  Fixture.wait(0ms);
+  REQUIRE(Fixture.Calls.size() == 3);
+  Fixture.head(500, {{"Rate-Limit", "0"}});
+  Fixture.end();
+  CHECK(Fixture.Calls.size() == 3);
+}
+
+TEST_CASE("An answer of another upstream sets no rate limit", "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.addUpstreams(1);
+  Fixture.request("/post/x");
+  Fixture.head(421,
+               {{"Not-Run", "1"}, {"Misdirected", "1"}, {"Rate-Limit", "0"}});
+  CHECK(Fixture.Limits.limited() == 0);
+}
+
 // Load pattern: a burst of calls at one of several instances, with upstreams
 // that accept few connections from all instances together.
 TEST_CASE("An instance stays within its share of an upstream's connections",
--- a/test/support/EngineMocks.h
+++ b/test/support/EngineMocks.h
@@ -33,6 +33,12 @@
   void onEvent(const std::string &, const std::string &) override {}
 };
 
+/// Discards all messages to peers.
+class SilentPeers : public PeerPort {
+public:
+  void send(const InstanceId &, const PeerMessage &) override {}
+};
+
 /// Clock that stands still.
 class FixedClock : public Clock {
 public:
