--- a/test/UpstreamRateLimitTest.cpp
+++ b/test/UpstreamRateLimitTest.cpp
@@ -1,6 +1,7 @@
 #include "test/support/FleetNetwork.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
 
 namespace bronzeward {
@@ -24,8 +25,9 @@
 /// \brief A fleet with a number of upstreams and uneven callers.
 class RateLimitFixture {
 public:
-  RateLimitFixture(std::size_t Instances, std::size_t Upstreams)
-      : Fleet(Instances, 3, LinkBytesPerSecond) {
+  RateLimitFixture(std::size_t Instances, std::size_t Upstreams,
+                   std::uint64_t Seed = 7)
+      : Fleet(Instances, 3, LinkBytesPerSecond), Source(Seed) {
     Fleet.configure(1, 4);
     for (std::size_t Number = 0; Number < Upstreams; ++Number)
       Fleet.writeUpstream("u" + std::to_string(Number));
@@ -52,9 +54,14 @@
   /// window that begins at or after a time.
   [[nodiscard]] std::size_t mostInWindow(const std::string &Upstream,
                                          TimePoint From) const {
+    return mostInWindow(Fleet.arrivals(), Upstream, From);
+  }
+  [[nodiscard]] static std::size_t
+  mostInWindow(const std::vector<fakes::UpstreamArrival> &Arrivals,
+               const std::string &Upstream, TimePoint From) {
     std::deque<TimePoint> Recent;
     std::size_t Most = 0;
-    for (const fakes::UpstreamArrival &Item : Fleet.arrivals()) {
+    for (const fakes::UpstreamArrival &Item : Arrivals) {
       if (Item.Upstream.Value != Upstream || Item.At < From)
         continue;
       Recent.push_back(Item.At);
@@ -76,7 +83,7 @@
   }
 
   fakes::FleetNetwork Fleet;
-  Random Source{7};
+  Random Source;
   std::set<std::size_t> Stopped;
   double Due = 0.0;
 };
@@ -218,6 +225,106 @@
         allowedCalls(1.0));
 }
 
+/// \brief Random restarts, stops and cuts that overlap, under load.
+class DisturbedRun {
+public:
+  explicit DisturbedRun(std::uint64_t Seed)
+      : Random(Seed), Rate(0.5 + 15.0 * Random.unit()),
+        Fixture(4 + Random.below(30), 6 + Random.below(10), Seed),
+        DisturbedUntil(Fixture.Fleet.size()) {}
+
+  void run() {
+    Fixture.load(100, 2s);
+    for (const char *Upstream : Limited)
+      Fixture.Fleet.stateRateLimit(Upstream, std::to_string(Rate));
+    Binding = Fixture.Fleet.now() + NoticeTime;
+    for (int Step = 0; Step < 60; ++Step) {
+      disturb(Random.below(Fixture.Fleet.size()));
+      Fixture.load(40 * Rate, 500ms, Random.below(Fixture.Fleet.size()));
+      markDisturbed();
+    }
+  }
+
+  void check() const {
+    for (const char *Upstream : Limited) {
+      CAPTURE(Upstream, Rate);
+      CHECK(static_cast<double>(mostUndisturbed(Upstream)) <=
+            allowedCalls(Rate));
+    }
+  }
+
+private:
+  static constexpr const char *Limited[] = {"u0", "u3", "u4"};
+
+  void disturb(std::size_t Index) {
+    fakes::FleetNetwork &Fleet = Fixture.Fleet;
+    switch (Random.below(5)) {
+    case 0:
+      Fleet.kill(Index);
+      Fixture.Stopped.insert(Index);
+      break;
+    case 1:
+      if (Fixture.Stopped.contains(Index))
+        Fleet.expireEntry(Index);
+      break;
+    case 2:
+      Fleet.restart(Index);
+      Fixture.Stopped.erase(Index);
+      DisturbedUntil[Index] = Fleet.now() + NoticeTime;
+      break;
+    case 3:
+      if (!StoreCut.erase(Index))
+        StoreCut.insert(Index);
+      Fleet.setStoreUnreachable(Index, StoreCut.contains(Index));
+      break;
+    default:
+      if (!PeersCut.erase(Index))
+        PeersCut.insert(Index);
+      Fleet.setPeersUnreachable(Index, PeersCut.contains(Index));
+    }
+  }
+
+  /// A cut excuses an instance until its end and for a time after it.
+  void markDisturbed() {
+    for (const std::size_t Index : PeersCut)
+      DisturbedUntil[Index] = Fixture.Fleet.now() + NoticeTime;
+    for (; Counted < Fixture.Fleet.arrivals().size(); ++Counted) {
+      const fakes::UpstreamArrival &Item = Fixture.Fleet.arrivals()[Counted];
+      if (Item.At >= DisturbedUntil[Item.Instance])
+        Undisturbed.push_back(Item);
+    }
+  }
+
+  [[nodiscard]] std::size_t mostUndisturbed(const char *Upstream) const {
+    return Fixture.mostInWindow(Undisturbed, Upstream, Binding);
+  }
+
+  bronzeward::Random Random;
+  double Rate;
+  RateLimitFixture Fixture;
+  TimePoint Binding;
+  std::set<std::size_t> StoreCut;
+  std::set<std::size_t> PeersCut;
+  std::vector<TimePoint> DisturbedUntil;
+  std::size_t Counted = 0;
+  std::vector<fakes::UpstreamArrival> Undisturbed;
+};
+
+// BRONZEWARD_SEED=N runs only that seed.
+TEST_CASE("Disturbed instances do not raise an upstream's rate",
+          "[UpstreamRateLimit]") {
+  std::uint64_t First = 1;
+  std::uint64_t Last = 12;
+  if (const char *SeedText = std::getenv("BRONZEWARD_SEED"))
+    First = Last = std::stoull(SeedText);
+  for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
+    CAPTURE(Seed);
+    DisturbedRun Run(Seed);
+    Run.run();
+    Run.check();
+  }
+}
+
 const UpstreamRun First{UpstreamName{"u"}, WallTime(1ms)};
 const UpstreamRun Restarted{UpstreamName{"u"}, WallTime(2ms)};
 
