Refuse request fields that the HTTP parser cannot hold

One request could end an instance with all its calls: a trailer of 70,000 bytes, with any settings, or a header field or target of that length where more than 65,535 bytes of head are allowed. Beast's parser stores lengths in 16 bits and throws length_error otherwise; nothing above the event loop catches it. Trailers count towards no limit of the parser.

Lines of a head above 65,000 bytes are refused with 431, and the buffer that must hold all trailers is bounded to as much.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -27,10 +27,16 @@
 /// Size of one read of a request's headers.
 constexpr std::size_t HeadReadBytes = 4096;
 
+/// Maximum length of a line of a head, and of all trailers. The parser throws
+/// an exception for a field whose length does not fit into 16 bits.
+constexpr std::size_t MaxLineBytes = 65000;
+
 /// \brief Result of checking the raw bytes of a request's head.
 struct HeadScan {
   bool Complete = false;
   bool Invalid = false;
+  /// Whether a line is longer than the parser accepts.
+  bool LongLine = false;
   /// Bytes of the head received so far.
   std::size_t Length = 0;
 };
@@ -43,6 +49,7 @@
   Scan.Complete = End != std::string_view::npos;
   Scan.Length = Scan.Complete ? End + 4 : Bytes.size();
   const std::string_view Head = Bytes.substr(0, Scan.Length);
+  std::size_t LineBegin = 0;
   for (std::size_t At = 0; At < Head.size(); ++At) {
     const char Following = At + 1 < Head.size() ? Head[At + 1] : '\n';
     const bool BareLf = Head[At] == '\n' && (At == 0 || Head[At - 1] != '\r');
@@ -51,6 +58,10 @@
                         (Following == ' ' || Following == '\t');
     if (BareLf || BareCr || Folded || Head[At] == '\0')
       Scan.Invalid = true;
+    if (At - LineBegin >= MaxLineBytes)
+      Scan.LongLine = true;
+    if (Head[At] == '\n')
+      LineBegin = At + 1;
   }
   return Scan;
 }
@@ -105,9 +116,9 @@
 private:
   void awaitRequest() {
     Parser.emplace();
-    Parser->header_limit(
-        static_cast<std::uint32_t>(Owner.Limits.MaxHeaderBytes));
     Parser->body_limit(Owner.Limits.MaxBodyBytes);
+    Buffer.max_size(Owner.Limits.MaxHeaderBytes + Owner.Limits.MaxBodyBytes +
+                    2 * HeadReadBytes);
     if (Buffer.size() > 0) {
       beginRequest();
       return;
@@ -154,7 +165,7 @@
     const HeadScan Scan = scanHead(received());
     if (Scan.Invalid) {
       refuseRequest(Reason::InvalidRequest);
-    } else if (Scan.Length > Owner.Limits.MaxHeaderBytes ||
+    } else if (Scan.LongLine || Scan.Length > Owner.Limits.MaxHeaderBytes ||
                received().size() >
                    Owner.Limits.MaxHeaderBytes + Owner.Limits.MaxBodyBytes) {
       refuseRequest(Reason::HeadersTooLarge);
@@ -181,20 +192,46 @@
     sendRefusal(Cause);
   }
 
+  /// Parses the head, which is in the buffer.
   void readRequest() {
+    Parser->header_limit(static_cast<std::uint32_t>(received().size()));
+    error_code Failure;
+    Buffer.consume(Parser->put(Buffer.data(), Failure));
+    if (Failure && Failure != http::error::need_more) {
+      ReadTimer.cancel();
+      failRead(Failure);
+      return;
+    }
+    readBody();
+  }
+
+  void readBody() {
+    if (Parser->is_done()) {
+      onRequestRead();
+      return;
+    }
+    // Trailers are parsed once all of them are in the buffer.
+    Buffer.max_size(std::max(Buffer.size(), MaxLineBytes));
     http::async_read(
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
-          Self->ReadTimer.cancel();
-          if (Failure)
+          if (Failure) {
+            Self->ReadTimer.cancel();
             Self->failRead(Failure);
-          else if (!Self->wellFramed())
-            Self->refuseRequest(Reason::InvalidRequest);
-          else
-            Self->forward();
+          } else {
+            Self->onRequestRead();
+          }
         });
   }
 
+  void onRequestRead() {
+    ReadTimer.cancel();
+    if (wellFramed())
+      forward();
+    else
+      refuseRequest(Reason::InvalidRequest);
+  }
+
   /// \returns whether every HTTP implementation reads the request alike: it has
   /// one host, one length and no bytes after its end.
   [[nodiscard]] bool wellFramed() const {
@@ -216,7 +253,8 @@
     Closing = true;
     if (TimedOut)
       sendRefusal(Reason::SlowRequest);
-    else if (Failure == http::error::header_limit)
+    else if (Failure == http::error::header_limit ||
+             Failure == http::error::buffer_overflow)
       sendRefusal(Reason::HeadersTooLarge);
     else if (Failure == http::error::body_limit)
       sendRefusal(Reason::TooLarge);
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -18,8 +18,8 @@
 /// requests.
 class Echo {
 public:
-  Echo()
-      : Server(limits(), [this](CallerEvent Event) {
+  explicit Echo(CallerLimits Limits = limits())
+      : Server(Limits, [this](CallerEvent Event) {
           if (const auto *Request = std::get_if<CallerRequest>(&Event)) {
             ++Accepted;
             Answer Reply;
@@ -113,5 +113,33 @@
   CHECK(Item.Accepted == 0);
 }
 
+// Guards against an exception that ends the process: the HTTP library stores
+// the length of a field in 16 bits.
+TEST_CASE("A header field that the parser cannot hold is refused",
+          "[CallerServer]") {
+  CallerLimits Limits = Echo::limits();
+  Limits.MaxHeaderBytes = std::size_t{1024} * 1024;
+  Limits.MaxBodyBytes = std::size_t{1024} * 1024;
+  Limits.ReadTimeout = 5s;
+  Echo Item(Limits);
+  const std::string Start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string Long(70000, 'a');
+  for (const std::string &Bytes :
+       {Start + "X: " + Long + "\r\n\r\n", Start + Long + ": x\r\n\r\n",
+        "POST /" + Long + " HTTP/1.1\r\nHost: h\r\n\r\n",
+        Start + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + Long +
+            "\r\n\r\n"})
+    CHECK(hasStatus(Item.exchange(Bytes), "431"));
+  CHECK(Item.Accepted == 0);
+  // Trailers do not count towards the length of the head.
+  Echo WithShortHeads;
+  CHECK(hasStatus(
+      WithShortHeads.exchange(Start +
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+                              "X: " +
+                              Long + "\r\n\r\n"),
+      "431"));
+}
+
 } // namespace
 } // namespace bronzeward
