Answer requests that arrive as a stop closes idle connections

At a planned stop an instance closed every connection on which it had read nothing, also those whose next request was already received: the caller got a reset, and may not repeat a call that is not idempotent. A connection with unread bytes is left to its pending read now; its request is answered with Connection: close.

The test, a request sent just before drain(), got no answer before.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -86,6 +86,14 @@
 
   void start() { awaitRequest(); }
 
+  /// \brief Closes the connection if no request is arriving. One that is here
+  /// already would be lost, and its caller could not tell whether it ran.
+  void closeIfIdle() {
+    error_code Failure;
+    if (Stream.socket().available(Failure) == 0)
+      close();
+  }
+
   void refuseConnection() {
     Closing = true;
     sendRefusal(Reason::TooManyConnections);
@@ -504,7 +512,7 @@
     Draining = true;
     const std::set<Session *> Closing = IdleSessions;
     for (Session *Item : Closing)
-      Item->close();
+      Item->closeIfIdle();
   });
 }
 
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <catch2/catch.hpp>
@@ -141,5 +142,41 @@
       "431"));
 }
 
+// Guards against requests that are lost at a planned stop: a caller sends on an
+// open connection when the server begins to drain.
+TEST_CASE("A request that arrives as the server drains is answered",
+          "[CallerServer]") {
+  boost::asio::io_context Io;
+  std::unique_ptr<CallerServer> Server;
+  Server = std::make_unique<CallerServer>(
+      Echo::limits(),
+      [&](CallerEvent Event) {
+        if (const auto *Request = std::get_if<CallerRequest>(&Event))
+          Server->answer(Request->Ticket, Answer());
+        return true;
+      },
+      &Io);
+  Tcp::socket Caller(Io);
+  Caller.connect({boost::asio::ip::make_address("127.0.0.1"),
+                  Server->listen("127.0.0.1", 0).value()});
+  const auto Exchange = [&](bool Drain) {
+    boost::asio::write(Caller, boost::asio::buffer(std::string(
+                                   "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+    if (Drain)
+      Server->drain();
+    std::string Reply;
+    boost::asio::async_read_until(
+        Caller, boost::asio::dynamic_buffer(Reply), "\r\n\r\n",
+        [](boost::system::error_code, std::size_t) {});
+    Io.restart();
+    Io.run_for(200ms);
+    return Reply;
+  };
+  REQUIRE(hasStatus(Exchange(false), "200"));
+  const std::string Last = Exchange(true);
+  CHECK(hasStatus(Last, "200"));
+  CHECK(Last.find("Connection: close") != std::string::npos);
+}
+
 } // namespace
 } // namespace bronzeward
