Do not cut off callers that read an answer slowly but steadily

An answer had 30 s in all to be written, whatever its length, so that a caller of 1 Mbit/s lost an answer of 4 MB and more. The timeout now counts progress: 64 KiB in 30 s. A caller that accepts a few bytes now and then is still disconnected. The kernel's unsent bytes are bounded, else a slow caller seems to accept nothing until a third of some megabytes are sent.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -6,7 +6,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <deque>
+#include <algorithm>
+#include <netinet/tcp.h>
 #include <optional>
 
 namespace bronzeward {
@@ -20,8 +21,6 @@
 /// Maximum number of answers, or parts of them, that wait for the server's
 /// thread.
 constexpr std::size_t RingCapacity = 65536;
-/// Maximum time for one write to a caller.
-constexpr Duration WriteTimeout = 30s;
 /// Maximum number of connections that wait to be accepted.
 constexpr int ListenBacklog = 1024;
 /// Size of one read of a request's headers.
@@ -353,11 +352,25 @@
     fillHead(Whole, Content);
     Whole.body() = Content.Body;
     Whole.prepare_payload();
-    Stream.expires_after(WriteTimeout);
-    http::async_write(
-        Stream, Whole,
-        [Self = shared_from_this()](error_code Failure, std::size_t) {
-          Self->onAnswerWritten(Failure);
+    WholeSerializer.emplace(Whole);
+    Unaccepted = 0;
+    writeWhole();
+  }
+
+  void writeWhole() {
+    if (Unaccepted == 0) {
+      Unaccepted = MinProgressBytes;
+      Stream.expires_after(Owner.Limits.WriteTimeout);
+    }
+    WholeSerializer->limit(Unaccepted);
+    http::async_write_some(
+        Stream, *WholeSerializer,
+        [Self = shared_from_this()](error_code Failure, std::size_t Written) {
+          Self->Unaccepted -= std::min(Self->Unaccepted, Written);
+          if (Failure || Self->WholeSerializer->is_done())
+            Self->onAnswerWritten(Failure);
+          else
+            Self->writeWhole();
         });
   }
 
@@ -368,7 +381,7 @@
     Head.set(http::field::cache_control, "no-cache");
     Serializer.emplace(Head);
     Writing = true;
-    Stream.expires_after(WriteTimeout);
+    Stream.expires_after(Owner.Limits.WriteTimeout);
     http::async_write_header(
         Stream, *Serializer,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
@@ -387,9 +400,9 @@
     if (PendingParts.empty() && !Ending)
       return;
     Writing = true;
-    PartsBeingWritten.swap(PendingParts);
-    PendingParts.clear();
-    Stream.expires_after(WriteTimeout);
+    PartsBeingWritten = PendingParts.substr(0, MinProgressBytes);
+    PendingParts.erase(0, PartsBeingWritten.size());
+    Stream.expires_after(Owner.Limits.WriteTimeout);
     const auto Done = [Self = shared_from_this()](error_code Failure,
                                                   std::size_t) {
       Self->onPartWritten(Failure);
@@ -441,6 +454,9 @@
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   http::response<http::string_body> Whole;
+  std::optional<http::response_serializer<http::string_body>> WholeSerializer;
+  /// Bytes that the caller still has to accept before the write timeout.
+  std::size_t Unaccepted = 0;
   http::response<http::empty_body> Head;
   std::optional<http::response_serializer<http::empty_body>> Serializer;
   CallerTicket Ticket;
@@ -492,6 +508,12 @@
     if (!Failure) {
       error_code Ignored;
       Socket.set_option(Tcp::no_delay(true), Ignored);
+      // Otherwise megabytes of an answer may wait in the kernel, and a slow
+      // caller seems to accept nothing until a third of them are sent.
+      using UnsentLimit =
+          asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+      Socket.set_option(UnsentLimit(static_cast<int>(MinProgressBytes)),
+                        Ignored);
       const std::shared_ptr<Session> NewSession =
           std::make_shared<Session>(*this, std::move(Socket));
       if (Connections > Limits.MaxConnections)
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -18,6 +18,11 @@
 /// \addtogroup Net
 /// @{
 
+/// Bytes of an answer that a caller has to accept within the write timeout. A
+/// slow caller gets a long answer in full; one that accepts a few bytes now and
+/// then is disconnected.
+inline constexpr std::size_t MinProgressBytes = 65536;
+
 /// \brief Limits on callers' connections and requests.
 struct CallerLimits {
   std::size_t MaxConnections = 10000;
@@ -27,6 +32,8 @@
   Duration ReadTimeout = 10s;
   /// Time after which an idle connection is closed.
   Duration IdleTimeout = 60s;
+  /// Maximum time in which a caller accepts \ref MinProgressBytes of an answer.
+  Duration WriteTimeout = 30s;
 };
 
 /// \brief A caller disconnected before its answer was complete.
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -9,6 +9,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <optional>
+#include <thread>
 
 namespace bronzeward {
 namespace {
@@ -178,5 +180,60 @@
   CHECK(Last.find("Connection: close") != std::string::npos);
 }
 
+/// \brief Result of reading an answer slowly.
+struct SlowRead {
+  std::size_t Bytes = 0;
+  /// Time after which the server had sent the answer or given up.
+  std::optional<Duration> Ended;
+};
+
+constexpr std::size_t LongAnswer = std::size_t{16} * 1024 * 1024;
+
+/// Reads a long answer that is sent to a caller with a small window.
+/// \param BytesPerRead read at most every 20 ms.
+SlowRead readSlowly(std::size_t BytesPerRead, Duration Longest) {
+  CallerLimits Limits = Echo::limits();
+  Limits.WriteTimeout = 300ms;
+  std::unique_ptr<CallerServer> Server;
+  Server = std::make_unique<CallerServer>(Limits, [&](CallerEvent Event) {
+    Answer Reply;
+    Reply.Body.assign(LongAnswer, 'a');
+    if (const auto *Request = std::get_if<CallerRequest>(&Event))
+      Server->answer(Request->Ticket, Reply);
+    return true;
+  });
+  boost::asio::io_context Io;
+  Tcp::socket Caller(Io, Tcp::v4());
+  Caller.set_option(boost::asio::socket_base::receive_buffer_size(65536));
+  Caller.connect({boost::asio::ip::make_address("127.0.0.1"),
+                  Server->listen("127.0.0.1", 0).value()});
+  boost::asio::write(Caller, boost::asio::buffer(std::string(
+                                 "GET /x HTTP/1.1\r\nHost: h\r\n\r\n")));
+  std::string Part(BytesPerRead, '\0');
+  SlowRead Result;
+  boost::system::error_code Failure;
+  const TimePoint Begin = std::chrono::steady_clock::now();
+  Duration Elapsed{};
+  while (!Failure && Result.Bytes < LongAnswer && Elapsed < Longest) {
+    Result.Bytes += Caller.read_some(boost::asio::buffer(Part), Failure);
+    std::this_thread::sleep_for(20ms);
+    Elapsed = std::chrono::steady_clock::now() - Begin;
+    if (!Result.Ended && Server->answering() == 0)
+      Result.Ended = Elapsed;
+  }
+  Server->stop();
+  return Result;
+}
+
+TEST_CASE("A caller that reads slowly but steadily gets the whole answer",
+          "[CallerServer]") {
+  CHECK(readSlowly(std::size_t{256} * 1024, 20s).Bytes >= LongAnswer);
+}
+
+TEST_CASE("A caller that reads a few bytes now and then is disconnected",
+          "[CallerServer]") {
+  CHECK(readSlowly(16, 3s).Ended);
+}
+
 } // namespace
 } // namespace bronzeward
