Do not take a late second answer for that of the next request

A server may send another copy of an answer when its connection is in use again. Copies that name their request were skipped; one that names none was passed on to the next caller. Once an answer on a connection has repeated the matching header, every later one must, else the exchange fails. The product's own interface sent X-Request-Id without matching it.

The test, two requests on one connection, delivered the first body twice before. Servers that name no requests are read as before.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -39,38 +39,45 @@
 /// which may be less than a second.
 constexpr Duration DefaultKeepTime = 500ms;
 
+/// \brief An open connection between two exchanges.
+struct PooledConnection {
+  std::unique_ptr<beast::tcp_stream> Stream;
+  /// Whether an answer on it repeated the header that matches it with its
+  /// request.
+  bool RepeatsMatch = false;
+};
+
 class HttpConnectionPool {
 public:
-  using Stream = std::unique_ptr<beast::tcp_stream>;
-
   explicit HttpConnectionPool(asio::io_context &Context) : Io(Context) {}
 
   asio::io_context &context() { return Io; }
 
-  /// \returns the idle connection that was used last, or null if none is open
+  /// \returns the idle connection that was used last, or none if none is open
   /// or all have been idle for longer than MaxIdle. In the latter case closes
   /// the oldest, which the caller replaces by a new connection: a peer has no
   /// more connections than requests were in progress at once.
-  Stream acquire(const Tcp::endpoint &Peer, Duration MaxIdle) {
+  PooledConnection acquire(const Tcp::endpoint &Peer, Duration MaxIdle) {
     const TimePoint Now = std::chrono::steady_clock::now();
     std::vector<IdleConnection> &Idle = ByPeer[Peer];
     std::erase_if(Idle, [Now](const IdleConnection &Item) {
-      return Now >= Item.Expiry || !isReusable(*Item.Connection);
+      return Now >= Item.Expiry || !isReusable(*Item.Connection.Stream);
     });
     if (Idle.empty())
-      return nullptr;
+      return {};
     if (MaxIdle <= Duration() || Now - Idle.back().IdleSince > MaxIdle) {
       Idle.erase(Idle.begin());
-      return nullptr;
+      return {};
     }
-    Stream Newest = std::move(Idle.back().Connection);
+    PooledConnection Newest = std::move(Idle.back().Connection);
     Idle.pop_back();
     return Newest;
   }
 
   /// \brief Keeps a connection for reuse.
   /// \param Lifetime how long the peer keeps the idle connection open.
-  void keep(const Tcp::endpoint &Peer, Stream Connection, Duration Lifetime) {
+  void keep(const Tcp::endpoint &Peer, PooledConnection Connection,
+            Duration Lifetime) {
     std::vector<IdleConnection> &Idle = ByPeer[Peer];
     if (Idle.size() >= MaxIdlePerPeer || Lifetime <= Duration())
       return;
@@ -84,7 +91,7 @@
 
 private:
   struct IdleConnection {
-    Stream Connection;
+    PooledConnection Connection;
     TimePoint IdleSince;
     TimePoint Expiry;
   };
@@ -127,7 +134,9 @@
       fail(HttpFailure::NotSent, ParseFailure.message());
       return;
     }
-    Stream = Connections->acquire(Peer, Request.MaxIdle);
+    PooledConnection Reused = Connections->acquire(Peer, Request.MaxIdle);
+    Stream = std::move(Reused.Stream);
+    RepeatsMatch = Reused.RepeatsMatch;
     if (Stream) {
       write();
       return;
@@ -223,6 +232,16 @@
             ? nullptr
             : findHeader(Head.Headers, Request.Match.Name);
     const bool Interim = Head.Status < 200;
+    // It may be another copy of an earlier answer.
+    const bool Unmatched =
+        !Request.Match.Name.empty() && MatchValue == nullptr && RepeatsMatch;
+    if (Unmatched && !Interim) {
+      fail(HttpFailure::Invalid,
+           "answer without " + Request.Match.Name +
+               " on a connection whose earlier answers had it");
+      return;
+    }
+    RepeatsMatch = RepeatsMatch || MatchValue != nullptr;
     const bool OtherRequest =
         MatchValue != nullptr && *MatchValue != Request.Match.Value;
     Skipping = Interim || OtherRequest;
@@ -300,7 +319,7 @@
     // Bytes after the answer belong to no request.
     if (Parser->get().keep_alive() && Buffer.size() == 0) {
       Stream->expires_never();
-      Connections->keep(Peer, std::move(Stream), reuseTime());
+      Connections->keep(Peer, {std::move(Stream), RepeatsMatch}, reuseTime());
     }
     const std::shared_ptr<HttpListener> Sink = std::move(Listener);
     Cancelled = true;
@@ -340,6 +359,8 @@
   /// Whether the answer being read is an interim one or belongs to another
   /// request.
   bool Skipping = false;
+  /// Whether an answer on this connection repeated the matching header.
+  bool RepeatsMatch = false;
   int SkippedHeads = 0;
   std::size_t SkippedBytes = 0;
   bool Cancelled = false;
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -280,8 +280,8 @@
   Call.Target = Item.Target;
   Call.ContentType = Item.ContentType;
   Call.Body = Item.Parsed.Body;
-  Call.Headers = {{"X-Request-Id", Item.Id.Value},
-                  {"Idempotency-Key", Item.Parsed.Key.Value}};
+  Call.Match = {"X-Request-Id", Item.Id.Value};
+  Call.Headers = {Call.Match, {"Idempotency-Key", Item.Parsed.Key.Value}};
   // If a reused connection turns out closed, it is unknown whether the upstream
   // read the request.
   if (!Item.Parsed.Repeatable)
