Bound the times in a peer's messages about rate limits

A peer's notice whose age does not fit into nanoseconds counted as the latest observation: the conversion overflowed. Ages are bounded before they are converted, and so are the delays of permits.

The test, a notice of the greatest age, set a limit before.

--- a/bronzeward/src/Relay/PermitStock.cpp
+++ b/bronzeward/src/Relay/PermitStock.cpp
@@ -64,8 +64,10 @@
 bool PermitStock::onReply(const PermitReply &Reply, TimePoint Now) {
   if (!Open || Open->Number != Reply.Number)
     return false;
-  for (const std::chrono::milliseconds Delay : Reply.Delays)
+  for (const std::chrono::milliseconds Stated : Reply.Delays) {
+    const std::chrono::milliseconds Delay = std::min(Stated, MaxStatedTime);
     Permits.push_back({Now + Delay, Open->SentAt + Delay + PermitLifetime});
+  }
   std::sort(Permits.begin(), Permits.end(),
             [](const Permit &Left, const Permit &Right) {
               return Left.UsableFrom < Right.UsableFrom;
--- a/bronzeward/src/Relay/RateLimitTable.cpp
+++ b/bronzeward/src/Relay/RateLimitTable.cpp
@@ -24,7 +24,8 @@
                                        Notice.Limit->PerSecond >= 0.0);
   if (!Valid)
     return false;
-  const Duration Age = std::clamp<Duration>(Notice.Age, Duration(), Retention);
+  const std::chrono::milliseconds Age =
+      std::clamp(Notice.Age, std::chrono::milliseconds(0), Retention);
   return update(Notice.Upstream, Notice.Limit, Now - Age, Now);
 }
 
--- a/test/UpstreamRateLimitTest.cpp
+++ b/test/UpstreamRateLimitTest.cpp
@@ -353,6 +353,8 @@
   CHECK_FALSE(Table.limitOf(First));
   for (const double Invalid : {-1.0, std::numeric_limits<double>::quiet_NaN()})
     CHECK_FALSE(Table.onNotice({First, CallRate{Invalid}, 0ms}, Now));
+  CHECK_FALSE(Table.onNotice(
+      {First, CallRate{1.0}, std::chrono::milliseconds::max()}, Now));
   CHECK(Table.recentChanges(Now).size() == 1);
   CHECK(Table.recentChanges(Now + 1min).empty());
 }
