Ignore what another upstream's answer says about its own state

An address may be given to another upstream, which answers 421. Its load, its shutdown and its back-off were recorded for the upstream that the call was meant for; a shutdown keeps that one out for good. The rate limit was the only header checked.

The test, a 421 with an announced shutdown, ended all calls before.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -422,10 +422,13 @@
     return;
   Congestion.onAnswerBegun(Now);
   Item->Head = Deps.Codec.parseAnswerHead(Head);
-  if (Item->Head->Load)
-    Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
-  recordUpstreamRequests(*Item, Now);
-  recordRateLimit(*Item, Now);
+  // What another upstream at the address says does not concern this one.
+  if (!Item->Head->Misdirected) {
+    if (Item->Head->Load)
+      Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
+    recordUpstreamRequests(*Item, Now);
+    recordRateLimit(*Item, Now);
+  }
   if (Item->Admitted.Route->Kind != CallKind::Stream || Item->Head->NotRun) {
     Pool.onFirstByte(Attempt, Now);
     Item->Lifecycle.process(RequestEvent::FirstByte);
@@ -451,11 +454,9 @@
     Deps.Log.onEvent("upstream-limit-unreadable",
                      "upstream " + Item.Upstream.Value +
                          " in answer to request " + Item.Call.CallerAttemptId);
-  // Another upstream answered, or the limit is not known.
-  if (Head.Misdirected || Head.UnreadableRateLimit)
-    return;
-  Deps.Limits.onAnswer({Item.Upstream, Item.UpstreamStarted}, Head.RateLimit,
-                       Item.SentAt, Item.Call.CallerAttemptId, Now);
+  else
+    Deps.Limits.onAnswer({Item.Upstream, Item.UpstreamStarted}, Head.RateLimit,
+                         Item.SentAt, Item.Call.CallerAttemptId, Now);
 }
 
 void RelayEngine::onUpstreamBytes(AttemptId Attempt, std::string_view Bytes,
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -354,13 +354,20 @@
   CHECK(Fixture.Calls.size() == 3);
 }
 
-TEST_CASE("An answer of another upstream sets no rate limit", "[RelayEngine]") {
+TEST_CASE("An answer of another upstream neither limits nor stops the calls",
+          "[RelayEngine]") {
   RelayFixture Fixture;
   Fixture.addUpstreams(1);
   Fixture.request("/post/x");
-  Fixture.head(421,
-               {{"Not-Run", "1"}, {"Misdirected", "1"}, {"Rate-Limit", "0"}});
+  Fixture.head(421, {{"Not-Run", "1"},
+                     {"Misdirected", "1"},
+                     {"Rate-Limit", "0"},
+                     {"Leaving", "1"}});
   CHECK(Fixture.Limits.limited() == 0);
+  Fixture.end();
+  Fixture.wait(5s);
+  Fixture.request("/post/x");
+  CHECK(Fixture.Calls.size() == 2);
 }
 
 // Load pattern: a burst of calls at one of several instances, with upstreams
