Wait before accepting again when no descriptor is free

A server without free descriptors used up its processor: the connection that could not be accepted stays in the queue, so that the next attempt fails at once. It tries again every 50 ms now.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -21,6 +21,8 @@
 /// Maximum number of answers, or parts of them, that wait for the server's
 /// thread.
 constexpr std::size_t RingCapacity = 65536;
+/// Time after a failure to accept a connection until the next attempt.
+constexpr Duration AcceptRetryDelay = 50ms;
 /// Maximum number of connections that wait to be accepted.
 constexpr int ListenBacklog = 1024;
 /// Size of one read of a request's headers.
@@ -473,7 +475,7 @@
 CallerServer::CallerServer(CallerLimits InitialLimits, EventHandler OnEvent,
                            asio::io_context *Shared)
     : Limits(InitialLimits), Handler(std::move(OnEvent)), Thread(Shared),
-      Acceptor(Thread.context()),
+      Acceptor(Thread.context()), AcceptTimer(Thread.context()),
       Ring(Thread.context(), RingCapacity,
            [this](Outgoing &Item) { perform(Item); }) {}
 
@@ -505,26 +507,41 @@
   Acceptor.async_accept([this](error_code Failure, Tcp::socket Socket) {
     if (Failure == asio::error::operation_aborted)
       return;
-    if (!Failure) {
-      error_code Ignored;
-      Socket.set_option(Tcp::no_delay(true), Ignored);
-      // Otherwise megabytes of an answer may wait in the kernel, and a slow
-      // caller seems to accept nothing until a third of them are sent.
-      using UnsentLimit =
-          asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
-      Socket.set_option(UnsentLimit(static_cast<int>(MinProgressBytes)),
-                        Ignored);
-      const std::shared_ptr<Session> NewSession =
-          std::make_shared<Session>(*this, std::move(Socket));
-      if (Connections > Limits.MaxConnections)
-        NewSession->refuseConnection();
-      else
-        NewSession->start();
+    if (Failure) {
+      acceptLater();
+      return;
     }
+    serve(std::move(Socket));
     accept();
   });
 }
 
+void CallerServer::acceptLater() {
+  // Without free descriptors the connection stays in the queue, and the next
+  // attempt would fail at once.
+  AcceptTimer.expires_after(AcceptRetryDelay);
+  AcceptTimer.async_wait([this](error_code Cancelled) {
+    if (!Cancelled)
+      accept();
+  });
+}
+
+void CallerServer::serve(Tcp::socket Socket) {
+  error_code Ignored;
+  Socket.set_option(Tcp::no_delay(true), Ignored);
+  // Otherwise megabytes of an answer may wait in the kernel, and a slow caller
+  // seems to accept nothing until a third of them are sent.
+  using UnsentLimit =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+  Socket.set_option(UnsentLimit(static_cast<int>(MinProgressBytes)), Ignored);
+  const std::shared_ptr<Session> NewSession =
+      std::make_shared<Session>(*this, std::move(Socket));
+  if (Connections > Limits.MaxConnections)
+    NewSession->refuseConnection();
+  else
+    NewSession->start();
+}
+
 void CallerServer::setLimits(CallerLimits NewLimits) {
   asio::post(Thread.context(), [this, NewLimits] { Limits = NewLimits; });
 }
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Net/Mailbox.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <functional>
@@ -89,6 +90,8 @@
   };
 
   void accept();
+  void acceptLater();
+  void serve(boost::asio::ip::tcp::socket Socket);
   void perform(Outgoing &Item);
   void push(Outgoing Item);
 
@@ -96,6 +99,7 @@
   EventHandler Handler;
   EventLoopThread Thread;
   boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer AcceptTimer;
   /// Sessions whose request is being answered.
   std::map<CallerTicket, std::weak_ptr<Session>> AwaitingAnswer;
   /// Sessions without a request in progress.
