Accept peers again after a lack of descriptors

One failure to accept a connection ended the loop that accepts peers, for the life of the process and without a word: no other instance reached it any more. The loop begins again after 50 ms. An accept that throws before it returns a promise counts as a failure like others.

--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -24,6 +24,8 @@
 /// The same for a long message: 100 kB take 5 s at 20 kB/s, the rate that a
 /// busy link leaves to it.
 constexpr std::chrono::milliseconds LongDeliveryTimeout{5000};
+/// Time after a failure to accept connections until the next attempt.
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 
 namespace {
 
@@ -148,7 +150,7 @@
     kj::TaskSet Running(Ignored);
     Tasks = &Running;
     capnp::TwoPartyServer Server(kj::heap<PeerService>(MessageCallback));
-    Running.add(Server.listen(*Receiver));
+    Running.add(acceptPeers(Server, *Receiver));
     kj::Own<kj::AsyncInputStream> WakeStream =
         Context.lowLevelProvider->wrapInputFd(
             WakeFd, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
@@ -164,6 +166,20 @@
     Tasks = nullptr;
   }
 
+  /// Accepts connections, also after a failure such as a lack of descriptors.
+  kj::Promise<void> acceptPeers(capnp::TwoPartyServer &Server,
+                                kj::ConnectionReceiver &Receiver) {
+    // The call may throw before it returns a promise.
+    return kj::evalNow([&] { return Server.listen(Receiver); })
+        .catch_([this](kj::Exception &&) {
+          return Io->provider->getTimer().afterDelay(AcceptRetryDelay.count() *
+                                                     kj::MILLISECONDS);
+        })
+        .then([this, &Server, &Receiver] {
+          return acceptPeers(Server, Receiver);
+        });
+  }
+
   void execute(Command &Item) {
     if (auto *NewAddresses = std::get_if<Addresses>(&Item)) {
       PeerAddresses = std::move(NewAddresses->ByName);
