Bound the permit requests of all instances together

Every instance that wants a limited upstream asked its issuer again as soon as a permit might be free: at 1,600 instances and one call a second, some 1,600 requests a second at one instance. A reply without permits pauses the requests now for 20 ms an instance of the fleet, so that about 50 a second arrive, whatever its size. The share without an issuer keeps its phase when the issuer comes and goes.

--- a/bronzeward/src/Relay/PermitStock.cpp
+++ b/bronzeward/src/Relay/PermitStock.cpp
@@ -11,6 +11,9 @@
 constexpr Duration RequestTimeout = 500ms;
 /// Time before the earliest free permit at which it can be requested.
 constexpr Duration RequestAhead = 200ms;
+/// Pause after a reply without permits, for each instance of the fleet. It
+/// bounds the requests that all instances together send to an issuer.
+constexpr Duration PausePerInstance = 20ms;
 /// Longest time between two calls of a steady flow.
 constexpr Duration SteadyGap = 250ms;
 /// Upper bound of the time that a reply states.
@@ -45,13 +48,13 @@
   dropExpired(Now);
   if (!Permits.empty() && Permits.front().UsableFrom <= Now)
     Permits.erase(Permits.begin());
-  else if (UnservedSince)
-    Share.take(shareOf(Rate, Instances), Now);
+  else if (Unserved && Share)
+    Share->take(shareOf(Rate, Instances), Now);
 }
 
 std::uint32_t PermitStock::dueRequest(TimePoint Now) {
   if (Open && Now >= Open->SentAt + RequestTimeout)
-    onUnreachable(Now);
+    onUnreachable();
   return Open || Now < NextRequestAt ? 0 : Wanted;
 }
 
@@ -61,7 +64,8 @@
   Wanted = 0;
 }
 
-bool PermitStock::onReply(const PermitReply &Reply, TimePoint Now) {
+bool PermitStock::onReply(const PermitReply &Reply, std::size_t Instances,
+                          TimePoint Now) {
   if (!Open || Open->Number != Reply.Number)
     return false;
   for (const std::chrono::milliseconds Stated : Reply.Delays) {
@@ -75,25 +79,18 @@
   Open.reset();
   NextFree = Now + std::min(Reply.UntilNextFree, MaxStatedTime);
   NextRequestAt = std::max(NextRequestAt, NextFree - RequestAhead);
-  if (Reply.Issuing)
-    UnservedSince.reset();
-  else
-    useShare(Now);
+  if (Reply.Delays.empty())
+    NextRequestAt = std::max(NextRequestAt, Now + static_cast<int>(Instances) *
+                                                      PausePerInstance);
+  Unserved = !Reply.Issuing;
   return true;
 }
 
-void PermitStock::onUnreachable(TimePoint Now) {
+void PermitStock::onUnreachable() {
   if (!Open)
     return;
   Open.reset();
-  useShare(Now);
-}
-
-void PermitStock::useShare(TimePoint Now) {
-  if (UnservedSince)
-    return;
-  UnservedSince = Now;
-  ShareStarted = false;
+  Unserved = true;
 }
 
 CallRate PermitStock::shareOf(CallRate Rate, std::size_t Instances) {
@@ -107,17 +104,15 @@
   TimePoint First = Permits.empty() ? NextFree : Permits.front().UsableFrom;
   if (Permits.empty() && First <= Now)
     First = std::max(NextRequestAt, Now + Duration(1));
-  if (!UnservedSince)
+  if (!Unserved)
     return First;
   const CallRate OwnRate = shareOf(Rate, Instances);
   const Duration Interval = PermitSchedule::interval(OwnRate);
-  if (!ShareStarted) {
-    ShareStarted = true;
-    Share = PermitSchedule(
-        Now - std::chrono::duration_cast<Duration>(Interval * SharePhase));
-  }
-  Share.skipTo(OwnRate, Now - PermitLifetime);
-  return std::min(First, Share.next(OwnRate));
+  if (!Share)
+    Share.emplace(Now -
+                  std::chrono::duration_cast<Duration>(Interval * SharePhase));
+  Share->skipTo(OwnRate, Now - PermitLifetime);
+  return std::min(First, Share->next(OwnRate));
 }
 
 std::optional<TimePoint> PermitStock::nextRequest() const {
--- a/bronzeward/src/Relay/PermitStock.h
+++ b/bronzeward/src/Relay/PermitStock.h
@@ -20,7 +20,7 @@
 public:
   /// \param Phase random fraction, 0 to 1; spreads the shares of instances
   /// whose issuer stops replying at the same time.
-  explicit PermitStock(double Phase) : SharePhase(Phase), Share(TimePoint()) {}
+  explicit PermitStock(double Phase) : SharePhase(Phase) {}
 
   /// \brief Records a call that placement would send to the upstream.
   /// \returns whether a permit may arrive soon.
@@ -37,9 +37,9 @@
   [[nodiscard]] std::uint32_t dueRequest(TimePoint Now);
   void onRequested(std::uint64_t Number, TimePoint Now);
   /// \returns whether the reply is that to the latest request.
-  bool onReply(const PermitReply &Reply, TimePoint Now);
+  bool onReply(const PermitReply &Reply, std::size_t Instances, TimePoint Now);
   /// \brief Ends the request under way, which gets no reply.
-  void onUnreachable(TimePoint Now);
+  void onUnreachable();
 
   /// \returns the earliest time at which a call may be sent; in the past or
   /// now if one may be sent now.
@@ -60,7 +60,6 @@
   };
 
   void dropExpired(TimePoint Now);
-  void useShare(TimePoint Now);
   [[nodiscard]] static CallRate shareOf(CallRate Rate, std::size_t Instances);
 
   double SharePhase;
@@ -73,10 +72,10 @@
   TimePoint NextRequestAt;
   /// Earliest time for which the issuer had no permit issued yet.
   TimePoint NextFree;
-  /// Set while the issuer does not reply or does not issue permits.
-  std::optional<TimePoint> UnservedSince;
-  bool ShareStarted = false;
-  PermitSchedule Share;
+  /// Whether the issuer does not reply or does not issue permits.
+  bool Unserved = false;
+  /// Empty until the share is first used.
+  std::optional<PermitSchedule> Share;
 };
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RateLimitAgent.cpp
+++ b/bronzeward/src/Relay/RateLimitAgent.cpp
@@ -142,7 +142,7 @@
                                 const PermitReply &Reply, TimePoint Now) {
   onNotice(Reply.Known, From, Now);
   const auto Found = Stocks.find(Reply.Known.Upstream);
-  if (Found != Stocks.end() && Found->second.onReply(Reply, Now))
+  if (Found != Stocks.end() && Found->second.onReply(Reply, Instances, Now))
     scheduleRequests(Found->second);
 }
 
@@ -167,10 +167,10 @@
   }
 }
 
-void RateLimitAgent::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
+void RateLimitAgent::onPeerUnreachable(const InstanceId &Peer) {
   for (auto &[Run, Stock] : Stocks)
     if (Issuer.issuerOf(Run) == Peer)
-      Stock.onUnreachable(Now);
+      Stock.onUnreachable();
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RateLimitAgent.h
+++ b/bronzeward/src/Relay/RateLimitAgent.h
@@ -63,7 +63,7 @@
 
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now);
-  void onPeerUnreachable(const InstanceId &Peer, TimePoint Now);
+  void onPeerUnreachable(const InstanceId &Peer);
 
   /// \returns the earliest time at which a call may be sent to the upstream;
   /// not after Now if one may be sent now.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -567,7 +567,7 @@
 }
 
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
-  Limits.onPeerUnreachable(Peer, Now);
+  Limits.onPeerUnreachable(Peer);
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -129,22 +129,23 @@
   Limits.ReadTimeout = 5s;
   Echo Item(Limits);
   const std::string Start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string Chunked = Start + "Transfer-Encoding: chunked\r\n\r\n0\r\n";
   const std::string Long(70000, 'a');
+  const auto WithField = [](std::string Bytes, const std::string &Name,
+                            const std::string &Value) {
+    return Bytes.append(Name).append(": ").append(Value).append("\r\n\r\n");
+  };
+  std::string LongTarget = "POST /";
+  LongTarget.append(Long).append(" HTTP/1.1\r\nHost: h\r\n\r\n");
   for (const std::string &Bytes :
-       {Start + "X: " + Long + "\r\n\r\n", Start + Long + ": x\r\n\r\n",
-        "POST /" + Long + " HTTP/1.1\r\nHost: h\r\n\r\n",
-        Start + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: " + Long +
-            "\r\n\r\n"})
+       {WithField(Start, "X", Long), WithField(Start, Long, "x"),
+        WithField(Chunked, "X", Long), LongTarget})
     CHECK(hasStatus(Item.exchange(Bytes), "431"));
   CHECK(Item.Accepted == 0);
   // Trailers do not count towards the length of the head.
   Echo WithShortHeads;
-  CHECK(hasStatus(
-      WithShortHeads.exchange(Start +
-                              "Transfer-Encoding: chunked\r\n\r\n0\r\n"
-                              "X: " +
-                              Long + "\r\n\r\n"),
-      "431"));
+  CHECK(
+      hasStatus(WithShortHeads.exchange(WithField(Chunked, "X", Long)), "431"));
 }
 
 // Guards against requests that are lost at a planned stop: a caller sends on an
--- a/test/UpstreamRateLimitTest.cpp
+++ b/test/UpstreamRateLimitTest.cpp
@@ -372,9 +372,9 @@
   Reply.Number = 6;
   Reply.Issuing = true;
   Reply.Delays = {0ms};
-  CHECK_FALSE(Stock.onReply(Reply, Now + 10ms));
+  CHECK_FALSE(Stock.onReply(Reply, 8, Now + 10ms));
   Reply.Number = 7;
-  CHECK(Stock.onReply(Reply, Now + 400ms));
+  CHECK(Stock.onReply(Reply, 8, Now + 400ms));
   CHECK(Stock.acceptsFrom(Rate, 8, Now + 400ms) <= Now + 400ms);
   CHECK(Stock.acceptsFrom(Rate, 8, Now + 1s) > Now + 1s);
 }
