--- a/bronzeward/src/Relay/DispatchGate.h
+++ b/bronzeward/src/Relay/DispatchGate.h
@@ -3,8 +3,6 @@
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
 
 #include <map>
-#include <optional>
-#include <utility>
 
 namespace bronzeward {
 
@@ -30,8 +28,6 @@
   [[nodiscard]] TimePoint blockedUntil(const UpstreamEntry &Upstream) const;
 
 private:
-  /// Name and start time of an upstream.
-  using UpstreamRun = std::pair<UpstreamName, WallTime>;
   struct Block {
     TimePoint BlockedUntil;
     TimePoint RequestedAt;
