State a true time to callers that are refused for want of a permit

The Retry-After of a refusal ended with the earliest free permit, also where the pause between requests ends later. Both count now. The time of the next try of a waiting call is bounded without std::clamp, whose bounds could cross for the last 5 ms of its wait.

--- a/bronzeward/src/Relay/PermitStock.cpp
+++ b/bronzeward/src/Relay/PermitStock.cpp
@@ -101,9 +101,10 @@
 TimePoint PermitStock::acceptsFrom(CallRate Rate, std::size_t Instances,
                                    TimePoint Now) {
   dropExpired(Now);
-  TimePoint First = Permits.empty() ? NextFree : Permits.front().UsableFrom;
-  if (Permits.empty() && First <= Now)
-    First = std::max(NextRequestAt, Now + Duration(1));
+  // A new permit needs a request first.
+  const TimePoint First =
+      Permits.empty() ? std::max({NextFree, NextRequestAt, Now + Duration(1)})
+                      : Permits.front().UsableFrom;
   if (!Unserved)
     return First;
   const CallRate OwnRate = shareOf(Rate, Instances);
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -304,7 +304,7 @@
     return;
   }
   AwaitingPermit.insert(Item.Id);
-  const TimePoint Again = std::clamp(First, Now + MinPermitWait, Until);
+  const TimePoint Again = std::min(std::max(First, Now + MinPermitWait), Until);
   Item.PermitTimer = Deps.Timers.schedule(
       Again, [this, Id = Item.Id](TimePoint At) { onPermitTimer(Id, At); });
 }
--- a/test/UpstreamRateLimitTest.cpp
+++ b/test/UpstreamRateLimitTest.cpp
@@ -379,6 +379,23 @@
   CHECK(Stock.acceptsFrom(Rate, 8, Now + 1s) > Now + 1s);
 }
 
+// A caller that is refused returns when a permit may be had.
+TEST_CASE("The time until a permit covers the pause between requests",
+          "[UpstreamRateLimit]") {
+  constexpr std::size_t Instances = 100;
+  PermitStock Stock(0.5);
+  const TimePoint Now(1h);
+  REQUIRE(Stock.onWanted(Now));
+  Stock.onRequested(1, Now);
+  PermitReply Reply;
+  Reply.Number = 1;
+  Reply.Issuing = true;
+  Reply.UntilNextFree = 300ms;
+  REQUIRE(Stock.onReply(Reply, Instances, Now));
+  CHECK(Stock.dueRequest(Now + 1s) == 0);
+  CHECK(Stock.acceptsFrom({1.0}, Instances, Now) >= Now + 2s);
+}
+
 TEST_CASE("Without an issuer instances use a small share of the rate",
           "[UpstreamRateLimit]") {
   constexpr std::size_t Instances = 8;
