Log and count callers that leave before their request is read or sent

Added, without a change of what is sent: the presence of a caller (CallerPresence) is passed along with its request and asked where the request is read and where it is sent; counters callers_left_before_read_total, callers_left_before_send_total and cancelled_unacknowledged_total, the gauge longest_loop_delay_ms, and the log line loop-late.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -7,8 +7,12 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <cerrno>
+#include <mutex>
 #include <netinet/tcp.h>
 #include <optional>
+#include <poll.h>
+#include <sys/socket.h>
 
 namespace bronzeward {
 
@@ -67,19 +71,64 @@
   return Scan;
 }
 
+/// \returns whether the peer of a socket has closed the connection.
+static bool closedByPeer(int Descriptor) {
+  char Byte = 0;
+  const ssize_t Length = ::recv(Descriptor, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Length == 0)
+    return true;
+  if (Length < 0)
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  // The end is behind bytes that are not read yet.
+  pollfd State{Descriptor, POLLRDHUP, 0};
+  return ::poll(&State, 1, 0) > 0;
+}
+
+namespace {
+
+/// \brief Presence of the caller on one connection. It outlives the connection
+/// where a request is still being processed.
+class ConnectionPresence : public CallerPresence {
+public:
+  explicit ConnectionPresence(int Socket) : Descriptor(Socket) {}
+
+  [[nodiscard]] bool hasLeft() const override {
+    std::lock_guard<std::mutex> Guard(Lock);
+    return !Descriptor || closedByPeer(*Descriptor);
+  }
+  /// \brief Must be called before the socket is closed, since its descriptor
+  /// may then belong to another connection.
+  void onClosing() {
+    std::lock_guard<std::mutex> Guard(Lock);
+    Descriptor.reset();
+  }
+
+private:
+  mutable std::mutex Lock;
+  std::optional<int> Descriptor;
+};
+
+} // namespace
+
 /// \brief One caller's connection, which serves one request at a time.
 class CallerServer::Session
     : public std::enable_shared_from_this<CallerServer::Session> {
 public:
   Session(CallerServer &Server, Tcp::socket Socket)
       : Owner(Server), Stream(std::move(Socket)),
+        Presence(std::make_shared<ConnectionPresence>(
+            Stream.socket().native_handle())),
         ReadTimer(Stream.get_executor()) {
     ++Owner.Connections;
   }
-  ~Session() { --Owner.Connections; }
+  ~Session() {
+    Presence->onClosing();
+    --Owner.Connections;
+  }
 
   void close() {
     markAnswering(false);
+    Presence->onClosing();
     error_code Ignored;
     Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
     Stream.close();
@@ -291,6 +340,9 @@
     Request.Key = std::string(Message["Idempotency-Key"]);
     Request.ContentType = std::string(Message[http::field::content_type]);
     Request.Body = std::move(Message.body());
+    Request.Presence = Presence;
+    if (Presence->hasLeft())
+      ++Owner.LeftBeforeRead;
     Owner.AwaitingAnswer.emplace(Ticket, weak_from_this());
     markAnswering(true);
     Stream.expires_never();
@@ -452,6 +504,7 @@
 
   CallerServer &Owner;
   beast::tcp_stream Stream;
+  std::shared_ptr<ConnectionPresence> Presence;
   asio::steady_timer ReadTimer;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -77,6 +77,10 @@
   /// \returns the number of callers whose answer is not yet written completely.
   [[nodiscard]] std::size_t answering() const { return Answering; }
 
+  /// \returns the number of requests whose caller had already left when they
+  /// were read.
+  [[nodiscard]] std::uint64_t leftBeforeRead() const { return LeftBeforeRead; }
+
   /// \returns the number of items dropped because the thread's ring was full.
   [[nodiscard]] std::uint64_t refused() const { return Ring.refused(); }
 
@@ -107,6 +111,7 @@
   bool Draining = false;
   std::size_t Connections = 0;
   std::atomic<std::size_t> Answering = 0;
+  std::atomic<std::uint64_t> LeftBeforeRead = 0;
   std::uint64_t LastTicket = 0;
   Mailbox<Outgoing> Ring;
 };
--- a/bronzeward/src/Net/CoreThread.cpp
+++ b/bronzeward/src/Net/CoreThread.cpp
@@ -109,10 +109,14 @@
 }
 
 void CoreThread::housekeeping() {
+  const TimePoint Now = Time.now();
+  LongestDelay = std::max(LongestDelay, Now - HousekeepingDue.value_or(Now));
+  HousekeepingDue = Now + HousekeepingPeriod;
   std::shared_ptr<RouterStatus> Fresh =
-      std::make_shared<RouterStatus>(Core->status(Time.now()));
-  Fresh->Rings = Notify.Rings();
-  Fresh->Rings.push_back({"core", Ring.refused()});
+      std::make_shared<RouterStatus>(Core->status(Now));
+  Fresh->Connections = Notify.Connections();
+  Fresh->Connections.Rings.push_back({"core", Ring.refused()});
+  Fresh->LongestLoopDelay = LongestDelay;
   if (Fresh->Configuration != SeenVersion) {
     SeenVersion = Fresh->Configuration;
     Notify.OnUpstreams(Core->polledUpstreams());
--- a/bronzeward/src/Net/CoreThread.h
+++ b/bronzeward/src/Net/CoreThread.h
@@ -57,8 +57,8 @@
     /// Callers' connections must be closed after the answers in progress.
     std::function<void()> OnClosing;
     std::function<void(const CallerBounds &)> OnCallerBounds;
-    /// Returns the number of dropped items of each ring into another thread.
-    std::function<std::vector<RingCount>()> Rings;
+    /// Returns the counts of the other threads.
+    std::function<ConnectionCounters()> Connections;
   };
 
   /// \param Shared loop to run in; null to start a thread.
@@ -93,6 +93,8 @@
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer Housekeeping;
   std::optional<TimePoint> Armed;
+  std::optional<TimePoint> HousekeepingDue;
+  Duration LongestDelay{};
   ConfigurationVersion SeenVersion;
   std::vector<Member> SeenMembers;
   std::optional<CallerBounds> SeenBounds;
--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -6,9 +6,11 @@
 
 #include <array>
 #include <charconv>
+#include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 
 namespace bronzeward {
 
@@ -166,6 +168,15 @@
       Stream->close();
   }
 
+  [[nodiscard]] std::size_t unacknowledgedBytes() const override {
+    int Count = 0;
+    const bool Open = Stream && Stream->socket().is_open();
+    if (!Open ||
+        ::ioctl(Stream->socket().native_handle(), SIOCOUTQ, &Count) != 0)
+      return 0;
+    return static_cast<std::size_t>(Count);
+  }
+
 private:
   void setOptions() {
     error_code Ignored;
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -74,6 +74,9 @@
   virtual ~HttpExchange() = default;
   /// \brief Ends the exchange; its listener is not called again.
   virtual void cancel() = 0;
+  /// \returns the number of bytes that were written to the connection and that
+  /// the server has not acknowledged; zero if the system cannot tell.
+  [[nodiscard]] virtual std::size_t unacknowledgedBytes() const = 0;
 };
 
 /// \returns an empty set of idle connections for the thread that runs Io.
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -119,6 +119,8 @@
     const auto Found = Running.find(Cancelled->Attempt);
     if (Found == Running.end())
       return;
+    if (Found->second->unacknowledgedBytes() > 0)
+      ++CancelledUnacknowledged;
     Found->second->cancel();
     Running.erase(Found);
   } else if (auto *NewSet = std::get_if<SetPolled>(&Item)) {
@@ -130,6 +132,8 @@
 }
 
 void UpstreamClient::startCall(const UpstreamCall &Call) {
+  if (Call.Presence && Call.Presence->hasLeft())
+    ++LeftBeforeSend;
   HttpRequest Request;
   Request.Host = Call.Host;
   Request.Port = Call.Port;
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <map>
 #include <variant>
 #include <vector>
@@ -59,6 +60,15 @@
   /// \brief Sets the upstreams whose load reports are polled periodically.
   void setPolledUpstreams(std::vector<UpstreamSpec> Upstreams);
 
+  /// \returns the number of calls whose caller had already left when they were
+  /// to be sent.
+  [[nodiscard]] std::uint64_t leftBeforeSend() const { return LeftBeforeSend; }
+  /// \returns the number of calls that were cancelled while their upstream had
+  /// not acknowledged all of their bytes.
+  [[nodiscard]] std::uint64_t cancelledUnacknowledged() const {
+    return CancelledUnacknowledged;
+  }
+
   /// \returns the number of items dropped because the thread's ring was full.
   [[nodiscard]] std::uint64_t refused() const { return Ring.refused(); }
 
@@ -81,6 +91,8 @@
   EventLoopThread Thread;
   std::shared_ptr<HttpConnectionPool> Connections;
   std::map<AttemptId, std::shared_ptr<HttpExchange>> Running;
+  std::atomic<std::uint64_t> LeftBeforeSend = 0;
+  std::atomic<std::uint64_t> CancelledUnacknowledged = 0;
   std::vector<UpstreamSpec> PolledUpstreams;
   std::unique_ptr<boost::asio::steady_timer> PollTimer;
   Mailbox<Command> Ring;
--- a/bronzeward/src/Relay/RelayCall.h
+++ b/bronzeward/src/Relay/RelayCall.h
@@ -44,6 +44,8 @@
   std::string LastEventId;
   /// Headers that are forwarded to the upstream unchanged.
   std::vector<HeaderField> Forwarded;
+  /// Null if unknown.
+  std::shared_ptr<const CallerPresence> Presence;
 };
 
 /// \brief Values that the relay adds to a call when it sends it to an upstream.
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -112,6 +112,7 @@
 void RelayEngine::onCallerRequest(CallerRequest In, TimePoint Now) {
   ++Counters.Accepted;
   const CallerTicket Ticket = In.Ticket;
+  std::shared_ptr<const CallerPresence> Presence = In.Presence;
   if (!Routes || !Admitting) {
     refuse(Ticket, nullptr, Admitting ? Reason::NotReady : Reason::Draining);
     return;
@@ -122,6 +123,7 @@
     return;
   }
   RelayCall Call = std::move(Parsed).value();
+  Call.Presence = std::move(Presence);
   auto Admitted = admitCall(Routes, Call, Deps.Source);
   if (!Admitted) {
     refuse(Ticket, &Call, Admitted.error());
@@ -375,6 +377,7 @@
   Call.Body = Item.Call.Body;
   Call.Headers = Deps.Codec.dispatchHeaders(Item.Call, Dispatch);
   Call.Match = Deps.Codec.matchingHeader(Item.Call);
+  Call.Presence = Item.Call.Presence;
   Call.ConnectTimeout = std::min(
       Congestion.congested(Now) ? CongestedConnectTimeout : ConnectTimeout,
       Left);
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "bronzeward/Base"
+#include "bronzeward/src/Request/CallerPresence.h"
 #include "bronzeward/src/Routing/ChoicePolicy.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,8 @@
   std::string Key;
   std::string ContentType;
   std::string Body;
+  /// Null if unknown.
+  std::shared_ptr<const CallerPresence> Presence;
 };
 
 /// \brief An HTTP answer, or the head of a streamed one.
@@ -86,6 +90,8 @@
   /// Time after which the connection fails if sent bytes stay unacknowledged
   /// (TCP user timeout); zero for the system's default.
   std::chrono::milliseconds UnackedTimeout{0};
+  /// Whether the caller still waits for the answer; null if unknown.
+  std::shared_ptr<const CallerPresence> Presence;
 };
 
 /// \brief How an attempt at an upstream failed.
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -141,6 +141,7 @@
   Item.Method = std::move(In.Method);
   Item.Target = std::move(In.Target);
   Item.ContentType = std::move(In.ContentType);
+  Item.Presence = std::move(In.Presence);
   Item.Parsed = std::move(Parsed);
   if (!Item.Parsed.KeyFromCaller)
     Item.Parsed.Key.Value = Id.Value;
@@ -280,6 +281,7 @@
   Call.Target = Item.Target;
   Call.ContentType = Item.ContentType;
   Call.Body = Item.Parsed.Body;
+  Call.Presence = Item.Presence;
   Call.Match = {"X-Request-Id", Item.Id.Value};
   Call.Headers = {Call.Match, {"Idempotency-Key", Item.Parsed.Key.Value}};
   // If a reused connection turns out closed, it is unknown whether the upstream
--- a/bronzeward/src/Request/RequestEngine.h
+++ b/bronzeward/src/Request/RequestEngine.h
@@ -90,6 +90,7 @@
     std::string Method;
     std::string Target;
     std::string ContentType;
+    std::shared_ptr<const CallerPresence> Presence;
     ServiceRequest Parsed;
     /// Configuration under which it was accepted.
     ConfigurationVersion Version;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -37,6 +37,8 @@
 constexpr std::size_t MaxDigestSuspects = 16;
 /// Time between two checks of state that changes without an event.
 constexpr Duration HousekeepingPeriod = 100ms;
+/// Delay of the housekeeping that is logged.
+constexpr Duration ReportedDelay = 250ms;
 /// Time between two log lines with the counts of store calls.
 constexpr Duration StoreReportPeriod = 10s;
 /// Time between two returns of excess budget.
@@ -617,7 +619,20 @@
                        std::to_string(Texts.Known) + " since the start");
 }
 
+void FleetCore::reportDelay(TimePoint Now) {
+  const Duration Delay = Now - HousekeepingDue.value_or(Now);
+  HousekeepingDue = Now + HousekeepingPeriod;
+  if (Delay < ReportedDelay)
+    return;
+  const auto DelayMs =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Delay);
+  Deps.Log.onEvent("loop-late", std::to_string(DelayMs.count()) +
+                                    " ms, calls in flight " +
+                                    std::to_string(Engine.inFlight()));
+}
+
 void FleetCore::housekeeping(TimePoint Now) {
+  reportDelay(Now);
   reportStoreCalls(Now);
   checkStore(Now);
   confirmMembershipByPeers(Now);
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -188,6 +188,8 @@
   /// Logs when the store becomes unreachable or reachable.
   void checkStore(TimePoint Now);
   void reportStoreCalls(TimePoint Now);
+  /// Logs when the event loop is behind its timers.
+  void reportDelay(TimePoint Now);
   void housekeeping(TimePoint Now);
   void finishDrain(TimePoint Now);
   [[nodiscard]] bool storeUnreachable() const;
@@ -241,6 +243,7 @@
   TimePoint MemberUntil;
   TimePoint NextExcessReturn;
   TimePoint NextStoreReport;
+  std::optional<TimePoint> HousekeepingDue;
   LoadNotice SentLoad;
   TimePoint SentLoadAt;
   std::optional<TimePoint> StartedAt;
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -96,6 +96,20 @@
             Status.StoreFailing ? 1 : 0);
   Out.gauge("ready", "Whether the instance takes requests.",
             Status.Ready ? 1 : 0);
+  Out.gauge("longest_loop_delay_ms",
+            "Longest delay of a periodic task since the start.",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                Status.LongestLoopDelay)
+                .count());
+  Out.counter("callers_left_before_read_total",
+              "Requests whose caller had left when they were read.",
+              Status.Connections.LeftBeforeRead);
+  Out.counter("callers_left_before_send_total",
+              "Calls whose caller had left when they were to be sent.",
+              Status.Connections.LeftBeforeSend);
+  Out.counter("cancelled_unacknowledged_total",
+              "Calls cancelled before all their bytes were acknowledged.",
+              Status.Connections.CancelledUnacknowledged);
   Out.counter("store_timeouts_total", "Store calls without a reply in time.",
               Status.Store.Timeouts);
   Out.counter("configuration_texts_sent_total", "Configurations sent to peers.",
@@ -144,7 +158,7 @@
   Out.counter("store_calls_held_back_total",
               "Store calls not sent: breaker open or too many in flight.",
               Status.Store.NotSent);
-  for (const RingCount &Ring : Status.Rings)
+  for (const RingCount &Ring : Status.Connections.Rings)
     Out.counter(("ring_" + Ring.Name + "_refused_total").c_str(),
                 "Items rejected by the full ring into this thread.",
                 Ring.Refused);
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -16,6 +16,18 @@
   std::uint64_t Refused = 0;
 };
 
+/// \ingroup Router
+/// \brief Counts of the threads that handle connections, since the start.
+struct ConnectionCounters {
+  std::vector<RingCount> Rings;
+  /// Requests whose caller had left when they were read.
+  std::uint64_t LeftBeforeRead = 0;
+  /// Calls whose caller had left when they were to be sent to an upstream.
+  std::uint64_t LeftBeforeSend = 0;
+  /// Calls cancelled while their upstream had not acknowledged all their bytes.
+  std::uint64_t CancelledUnacknowledged = 0;
+};
+
 /// \ingroup Router
 /// \brief Counts of configuration texts exchanged with peers.
 struct ConfigurationTextCounters {
@@ -48,7 +60,9 @@
   RequestCounters Requests;
   LatencyCounts FirstByte;
   LatencyCounts Whole;
-  std::vector<RingCount> Rings;
+  ConnectionCounters Connections;
+  /// Longest delay of a periodic task of the core since the start.
+  Duration LongestLoopDelay{};
   std::vector<Member> Members;
   std::vector<ContentFingerprint> Quarantined;
 };
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -215,12 +215,17 @@
     Limits.IdleTimeout = Bounds.IdleTimeout;
     Callers.setLimits(Limits);
   };
-  Handlers.Rings = [this] {
-    return std::vector<RingCount>{{"callers", Callers.refused()},
-                                  {"upstreams", Upstreams.refused()},
-                                  {"store", Store.refused()},
-                                  {"peers", Peers.refused()},
-                                  {"log", Log.dropped()}};
+  Handlers.Connections = [this] {
+    ConnectionCounters Counters;
+    Counters.Rings = {{"callers", Callers.refused()},
+                      {"upstreams", Upstreams.refused()},
+                      {"store", Store.refused()},
+                      {"peers", Peers.refused()},
+                      {"log", Log.dropped()}};
+    Counters.LeftBeforeRead = Callers.leftBeforeRead();
+    Counters.LeftBeforeSend = Upstreams.leftBeforeSend();
+    Counters.CancelledUnacknowledged = Upstreams.cancelledUnacknowledged();
+    return Counters;
   };
   return Handlers;
 }
