Do not send requests whose callers have left

Callers saw nothing. Upstreams got requests long after their callers had left, mostly from the one instance that had more callers than its processor carries, and worked for nobody while others waited.

Cause: a request was read, admitted and written to an idle connection without a look at its caller's connection. The end of that connection is an event of its own, which comes after the events that wait already: the order of the loop is request read, request passed to the core, end seen, request written, end passed to the core, request cancelled. Behind a full loop the caller had left long before the first of these.

Evidence: DepartedCaller, before: 23 of 70 requests whose callers had left before they were read reached the upstream, as many as it had idle connections; likewise a second request on a kept connection, and one whose caller left before its dispatch.

The socket itself is now asked, by a call that waits for no event, where the request has been read, where it is dispatched and after a connection was opened. First attempts, retries and resumptions all pass these points, in the relay and on the product's own interface. Such a request ends as not run, releases its claim and budget, and is not held against the upstream.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -284,10 +284,14 @@
 
   void onRequestRead() {
     ReadTimer.cancel();
-    if (wellFramed())
+    if (Presence->hasLeft()) {
+      ++Owner.LeftBeforeRead;
+      close();
+    } else if (wellFramed()) {
       forward();
-    else
+    } else {
       refuseRequest(Reason::InvalidRequest);
+    }
   }
 
   /// \returns whether every HTTP implementation reads the request alike: it has
@@ -341,8 +345,6 @@
     Request.ContentType = std::string(Message[http::field::content_type]);
     Request.Body = std::move(Message.body());
     Request.Presence = Presence;
-    if (Presence->hasLeft())
-      ++Owner.LeftBeforeRead;
     Owner.AwaitingAnswer.emplace(Ticket, weak_from_this());
     markAnswering(true);
     Stream.expires_never();
--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -136,6 +136,10 @@
       fail(HttpFailure::NotSent, ParseFailure.message());
       return;
     }
+    if (callerLeft()) {
+      fail(HttpFailure::CallerLeft, "the caller has left");
+      return;
+    }
     PooledConnection Reused = Connections->acquire(Peer, Request.MaxIdle);
     Stream = std::move(Reused.Stream);
     RepeatsMatch = Reused.RepeatsMatch;
@@ -145,20 +149,24 @@
     }
     Stream = std::make_unique<beast::tcp_stream>(Connections->context());
     Stream->expires_after(Request.ConnectTimeout);
-    Stream->async_connect(Peer,
-                          [Self = shared_from_this()](error_code Failure) {
-                            if (Self->Cancelled)
-                              return;
-                            if (Failure) {
-                              Self->fail(Failure == beast::error::timeout
-                                             ? HttpFailure::ConnectTimedOut
-                                             : HttpFailure::NotSent,
-                                         Failure.message());
-                              return;
-                            }
-                            Self->setOptions();
-                            Self->write();
-                          });
+    Stream->async_connect(
+        Peer, [Self = shared_from_this()](error_code Failure) {
+          if (Self->Cancelled)
+            return;
+          if (Failure) {
+            Self->fail(Failure == beast::error::timeout
+                           ? HttpFailure::ConnectTimedOut
+                           : HttpFailure::NotSent,
+                       Failure.message());
+            return;
+          }
+          if (Self->callerLeft()) {
+            Self->fail(HttpFailure::CallerLeft, "the caller has left");
+            return;
+          }
+          Self->setOptions();
+          Self->write();
+        });
   }
 
   void cancel() override {
@@ -168,6 +176,8 @@
       Stream->close();
   }
 
+  [[nodiscard]] bool ended() const override { return Cancelled; }
+
   [[nodiscard]] std::size_t unacknowledgedBytes() const override {
     int Count = 0;
     const bool Open = Stream && Stream->socket().is_open();
@@ -178,6 +188,10 @@
   }
 
 private:
+  [[nodiscard]] bool callerLeft() const {
+    return Request.Presence && Request.Presence->hasLeft();
+  }
+
   void setOptions() {
     error_code Ignored;
     Stream->socket().set_option(Tcp::no_delay(true), Ignored);
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Base"
+#include "bronzeward/src/Request/CallerPresence.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -42,6 +43,9 @@
   /// Maximum time for which sent bytes may stay unacknowledged
   /// (TCP_USER_TIMEOUT); zero for the default of the system.
   std::chrono::milliseconds UnackedTimeout{0};
+  /// Caller on whose behalf the request is sent; null if there is none. The
+  /// request is not sent once the caller has left.
+  std::shared_ptr<const CallerPresence> Presence;
 };
 
 /// \brief Why an exchange failed.
@@ -49,6 +53,8 @@
   NotSent,
   /// Not sent, because the connection did not open in time.
   ConnectTimedOut,
+  /// Not sent, because the caller has left.
+  CallerLeft,
   Closed,
   TimedOut,
   Invalid
@@ -74,6 +80,8 @@
   virtual ~HttpExchange() = default;
   /// \brief Ends the exchange; its listener is not called again.
   virtual void cancel() = 0;
+  /// \returns whether the exchange has succeeded, failed or been cancelled.
+  [[nodiscard]] virtual bool ended() const = 0;
   /// \returns the number of bytes that were written to the connection and that
   /// the server has not acknowledged; zero if the system cannot tell.
   [[nodiscard]] virtual std::size_t unacknowledgedBytes() const = 0;
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -33,8 +33,12 @@
   void onFailure(HttpFailure How, const std::string &) override {
     Owner.Running.erase(Attempt);
     UpstreamFailure Kind = UpstreamFailure::Closed;
+    if (How == HttpFailure::CallerLeft)
+      ++Owner.LeftBeforeSend;
     if (How == HttpFailure::NotSent)
       Kind = UpstreamFailure::NotSent;
+    else if (How == HttpFailure::CallerLeft)
+      Kind = UpstreamFailure::CallerLeft;
     else if (How == HttpFailure::ConnectTimedOut)
       Kind = UpstreamFailure::ConnectTimedOut;
     else if (How == HttpFailure::Invalid)
@@ -132,8 +136,6 @@
 }
 
 void UpstreamClient::startCall(const UpstreamCall &Call) {
-  if (Call.Presence && Call.Presence->hasLeft())
-    ++LeftBeforeSend;
   HttpRequest Request;
   Request.Host = Call.Host;
   Request.Port = Call.Port;
@@ -148,10 +150,13 @@
   Request.UnackedTimeout = Call.UnackedTimeout;
   Request.IdleTimeout = AnswerIdleTimeout;
   Request.MaxIdle = Call.MaxIdle;
+  Request.Presence = Call.Presence;
   const std::shared_ptr<HttpExchange> Exchange =
       startExchange(Connections, std::move(Request),
                     std::make_shared<AttemptListener>(*this, Call.Attempt));
-  Running.emplace(Call.Attempt, Exchange);
+  // An exchange that fails at once has already told its listener.
+  if (!Exchange->ended())
+    Running.emplace(Call.Attempt, Exchange);
 }
 
 void UpstreamClient::pollLoads() {
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -583,6 +583,12 @@
     onRejected(*Item, Now);
     return;
   }
+  if (Failure == UpstreamFailure::CallerLeft) {
+    endAttempt(*Item, AttemptEnd::Cancelled, Now);
+    Deps.Callers.disconnect(Item->Call.Ticket);
+    abandon(*Item, Now);
+    return;
+  }
   if (Failure != UpstreamFailure::NotSent &&
       Failure != UpstreamFailure::ConnectTimedOut) {
     Deps.Upstreams.cancel(Attempt);
@@ -701,12 +707,16 @@
   if (Found == ByTicket.end())
     return;
   ActiveCall &Item = Active.at(Found->second);
-  ++Counters.CallersGone;
   if (ByAttempt.contains(Item.Attempt)) {
     Deps.Upstreams.cancel(Item.Attempt);
     endAttempt(Item, AttemptEnd::Cancelled, Now);
     ++Item.PossibleRuns;
   }
+  abandon(Item, Now);
+}
+
+void RelayEngine::abandon(ActiveCall &Item, TimePoint Now) {
+  ++Counters.CallersGone;
   Deps.Log.onEnd(
       RequestId{Item.Call.CallerAttemptId}, Item.Admitted.Workspace, 0,
       nameOf(Item.PossibleRuns == 0 ? Outcome::NotRun : Outcome::Unknown),
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -200,6 +200,8 @@
   /// closing the caller's connection.
   void refuseOrAbort(ActiveCall &Item, Reason Why, TimePoint Now);
   void onExpired(const RequestId &Id, TimePoint Now);
+  /// Ends a call whose caller has left. Its attempt has ended.
+  void abandon(ActiveCall &Item, TimePoint Now);
   /// Settles or releases the call's reservation.
   void settleBudget(ActiveCall &Item, TimePoint Now);
   void finish(const RequestId &Id);
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -100,6 +100,8 @@
   NotSent,
   /// No byte was sent, since no connection was established in time.
   ConnectTimedOut,
+  /// No byte was sent, since the caller has left.
+  CallerLeft,
   /// The connection closed before the whole answer was received.
   Closed,
   /// The answer violated the protocol.
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -355,6 +355,10 @@
   ActiveRequest *Item = find(Attempt);
   if (Item == nullptr)
     return;
+  if (Failure == UpstreamFailure::CallerLeft) {
+    onLeftBeforeSend(*Item, Now);
+    return;
+  }
   const bool Sent = Failure != UpstreamFailure::NotSent &&
                     Failure != UpstreamFailure::ConnectTimedOut;
   failAttempt(*Item, Failure == UpstreamFailure::Closed, Now);
@@ -636,6 +640,17 @@
   }
 }
 
+void RequestEngine::onLeftBeforeSend(ActiveRequest &Item, TimePoint Now) {
+  ++Counters.CallersGone;
+  Deps.Callers.disconnect(Item.Ticket);
+  const RequestId Request = Item.Id;
+  Budgets->abandon(Request,
+                   Item.SentAttempts == 0 ? ClaimDisposition::Release
+                                          : ClaimDisposition::Keep,
+                   Now);
+  finish(Request, Now);
+}
+
 void RequestEngine::onDeadline(const RequestId &Request, TimePoint Now) {
   ActiveRequest *Item = find(Request);
   if (Item == nullptr)
--- a/bronzeward/src/Request/RequestEngine.h
+++ b/bronzeward/src/Request/RequestEngine.h
@@ -158,6 +158,8 @@
   void completeModel(ActiveRequest &Item, Bill &NewBill);
   /// Ends the latest attempt in the upstream table, unless it has ended.
   void releaseAttempt(ActiveRequest &Item, TimePoint Now);
+  /// Ends a request whose caller left before the latest attempt was sent.
+  void onLeftBeforeSend(ActiveRequest &Item, TimePoint Now);
   void onDeadline(const RequestId &Request, TimePoint Now);
   void beginStream(ActiveRequest &Item, TimePoint Now);
   /// Sends the answer, or its held back end, after the bill is durable.
