Reset the connection of a cancelled request

Upstreams got a request after its caller had left and it had been cancelled in time: a close in order still delivers what lies in the socket's buffer, behind a full link or an upstream that reads late.

Evidence: DepartedCaller, before: a request of 128 KiB, cancelled 400 ms before the upstream began to read, arrived whole. After: it does not. Bytes that the upstream has already got cannot be taken back; it sees the reset and stops.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -172,8 +172,12 @@
   void cancel() override {
     Cancelled = true;
     Listener.reset();
-    if (Stream)
-      Stream->close();
+    if (!Stream)
+      return;
+    // An orderly close would still deliver the bytes in the socket's buffer.
+    error_code Ignored;
+    Stream->socket().set_option(asio::socket_base::linger(true, 0), Ignored);
+    Stream->close();
   }
 
   [[nodiscard]] bool ended() const override { return Cancelled; }
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -78,7 +78,8 @@
 class HttpExchange {
 public:
   virtual ~HttpExchange() = default;
-  /// \brief Ends the exchange; its listener is not called again.
+  /// \brief Ends the exchange; its listener is not called again. Bytes of the
+  /// request that wait in the socket's buffer are discarded.
   virtual void cancel() = 0;
   /// \returns whether the exchange has succeeded, failed or been cancelled.
   [[nodiscard]] virtual bool ended() const = 0;
