Do not reuse connections whose answers name no request for relayed calls

Callers would have been told that a call had not run (503, or a second dispatch) although the upstream ran it: the first answer on a kept connection was a refusal without the attempt id, and a copy of it arrived after the next call had been written to the connection. An answer without the id was invalid only if an earlier one on the connection had had it.

The relay now requires the id (MatchRequired): a connection on which an answer lacked it is closed after that answer and is not reused, so that on a reused connection an answer without the id always fails the exchange, and the outcome is unknown. On a new connection an answer without the id still counts, since no earlier request can have caused it.

Cost: a new connection after each answer without the id, which an upstream of the relay sends only in error. The product's own interface does not set MatchRequired: a service that repeats no id keeps its connections, and a call that may not be repeated gets a new one there anyway.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <linux/sockios.h>
@@ -41,12 +42,22 @@
 /// which may be less than a second.
 constexpr Duration DefaultKeepTime = 500ms;
 
+/// \brief What is known about the answers on a connection.
+struct MatchHistory {
+  /// \returns whether a late copy of an earlier answer would be told from the
+  /// answer to a request.
+  [[nodiscard]] bool distinguishes(const HttpRequest &Request) const {
+    return !Request.MatchRequired || RepeatsMatch;
+  }
+
+  /// Whether an answer repeated the header that matches it with its request.
+  bool RepeatsMatch = false;
+};
+
 /// \brief An open connection between two exchanges.
 struct PooledConnection {
   std::unique_ptr<beast::tcp_stream> Stream;
-  /// Whether an answer on it repeated the header that matches it with its
-  /// request.
-  bool RepeatsMatch = false;
+  MatchHistory History;
 };
 
 class HttpConnectionPool {
@@ -55,11 +66,12 @@
 
   asio::io_context &context() { return Io; }
 
-  /// \returns the idle connection that was used last, or none if none is open
-  /// or all have been idle for longer than MaxIdle. In the latter case closes
-  /// the oldest, which the caller replaces by a new connection: a peer has no
-  /// more connections than requests were in progress at once.
-  PooledConnection acquire(const Tcp::endpoint &Peer, Duration MaxIdle) {
+  /// \returns the idle connection that was used last of those that suit the
+  /// request, or none. If only others are open, closes the oldest, which the
+  /// caller replaces by a new connection: a peer has no more connections than
+  /// requests were in progress at once.
+  PooledConnection acquire(const Tcp::endpoint &Peer,
+                           const HttpRequest &Request) {
     const TimePoint Now = std::chrono::steady_clock::now();
     std::vector<IdleConnection> &Idle = ByPeer[Peer];
     std::erase_if(Idle, [Now](const IdleConnection &Item) {
@@ -67,13 +79,18 @@
     });
     if (Idle.empty())
       return {};
-    if (MaxIdle <= Duration() || Now - Idle.back().IdleSince > MaxIdle) {
+    const auto Newest = std::find_if(
+        Idle.rbegin(), Idle.rend(), [&Request](const IdleConnection &Item) {
+          return Item.Connection.History.distinguishes(Request);
+        });
+    if (Request.MaxIdle <= Duration() || Newest == Idle.rend() ||
+        Now - Newest->IdleSince > Request.MaxIdle) {
       Idle.erase(Idle.begin());
       return {};
     }
-    PooledConnection Newest = std::move(Idle.back().Connection);
-    Idle.pop_back();
-    return Newest;
+    PooledConnection Reused = std::move(Newest->Connection);
+    Idle.erase(std::next(Newest).base());
+    return Reused;
   }
 
   /// \brief Keeps a connection for reuse.
@@ -136,9 +153,9 @@
       fail(HttpFailure::NotSent, ParseFailure.message());
       return;
     }
-    PooledConnection Reused = Connections->acquire(Peer, Request.MaxIdle);
+    PooledConnection Reused = Connections->acquire(Peer, Request);
     Stream = std::move(Reused.Stream);
-    RepeatsMatch = Reused.RepeatsMatch;
+    History = std::move(Reused.History);
     if (Stream) {
       write();
       return;
@@ -244,15 +261,15 @@
             : findHeader(Head.Headers, Request.Match.Name);
     const bool Interim = Head.Status < 200;
     // It may be another copy of an earlier answer.
-    const bool Unmatched =
-        !Request.Match.Name.empty() && MatchValue == nullptr && RepeatsMatch;
+    const bool Unmatched = !Request.Match.Name.empty() &&
+                           MatchValue == nullptr && History.RepeatsMatch;
     if (Unmatched && !Interim) {
       fail(HttpFailure::Invalid,
            "answer without " + Request.Match.Name +
                " on a connection whose earlier answers had it");
       return;
     }
-    RepeatsMatch = RepeatsMatch || MatchValue != nullptr;
+    History.RepeatsMatch = History.RepeatsMatch || MatchValue != nullptr;
     const bool OtherRequest =
         MatchValue != nullptr && *MatchValue != Request.Match.Value;
     Skipping = Interim || OtherRequest;
@@ -328,9 +345,11 @@
       return;
     }
     // Bytes after the answer belong to no request.
-    if (Parser->get().keep_alive() && Buffer.size() == 0) {
+    if (Parser->get().keep_alive() && Buffer.size() == 0 &&
+        History.distinguishes(Request)) {
       Stream->expires_never();
-      Connections->keep(Peer, {std::move(Stream), RepeatsMatch}, reuseTime());
+      Connections->keep(Peer, {std::move(Stream), std::move(History)},
+                        reuseTime());
     }
     const std::shared_ptr<HttpListener> Sink = std::move(Listener);
     Cancelled = true;
@@ -370,8 +389,8 @@
   /// Whether the answer being read is an interim one or belongs to another
   /// request.
   bool Skipping = false;
-  /// Whether an answer on this connection repeated the matching header.
-  bool RepeatsMatch = false;
+  /// Of this connection.
+  MatchHistory History;
   int SkippedHeads = 0;
   std::size_t SkippedBytes = 0;
   bool Cancelled = false;
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -31,6 +31,10 @@
   /// Header that the answer repeats. An answer with another value belongs to
   /// an earlier request and is skipped. Empty if answers carry none.
   HeaderField Match;
+  /// Whether the server is expected to repeat Match in every answer. The
+  /// request then reuses no connection on which an answer lacked it, since a
+  /// late copy of that answer could not be told from its own.
+  bool MatchRequired = false;
   /// Maximum time for the connection to open.
   Duration ConnectTimeout = 1s;
   /// Time without a received byte after which the exchange fails.
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -144,6 +144,7 @@
   Request.HostHeader = Call.HostHeader;
   Request.Headers = Call.Headers;
   Request.Match = Call.Match;
+  Request.MatchRequired = Call.MatchRequired;
   Request.ConnectTimeout = Call.ConnectTimeout;
   Request.UnackedTimeout = Call.UnackedTimeout;
   Request.IdleTimeout = AnswerIdleTimeout;
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -377,6 +377,7 @@
   Call.Body = Item.Call.Body;
   Call.Headers = Deps.Codec.dispatchHeaders(Item.Call, Dispatch);
   Call.Match = Deps.Codec.matchingHeader(Item.Call);
+  Call.MatchRequired = true;
   Call.Presence = Item.Call.Presence;
   Call.ConnectTimeout = std::min(
       Congestion.congested(Now) ? CongestedConnectTimeout : ConnectTimeout,
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -84,6 +84,9 @@
   /// recognised: an answer that has it with another value is skipped. Unused
   /// if its name is empty.
   HeaderField Match;
+  /// Whether the upstream is expected to repeat Match in every answer, see
+  /// HttpRequest::MatchRequired.
+  bool MatchRequired = false;
   /// Maximum idle time of a connection to reuse; zero forces a new one.
   Duration MaxIdle = 60s;
   Duration ConnectTimeout = 1s;
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -227,6 +227,14 @@
   CHECK(findHeader(Fixture.Answers[0].Headers, "Retry-After") != nullptr);
 }
 
+TEST_CASE("Upstreams are required to name the call that they answer",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  CHECK(Fixture.Calls[0].MatchRequired);
+  CHECK(Fixture.Calls[0].Match.Value == "call-1");
+}
+
 // Load pattern: a service is replaced under load, and its registry entries are
 // updated later than its upstreams announce their shutdown in answers.
 TEST_CASE("An upstream that announces its shutdown gets no further call",
