Do not send a request again on a connection that carried it before

Callers would have been told that a call had not run, or it ran at two upstreams: a rejected call goes on to another upstream under the same attempt id. Where two entries share an address (the first is outdated, and its address belongs to the second upstream now), the second dispatch could reuse the connection of the first, and a late copy of the first rejection, with the right id, was taken as the answer to the second dispatch. The same held for a caller that sent an attempt id twice.

A kept connection remembers the hashes of the ids of its last 32 requests and is not reused for one of them; another connection is taken or opened. A copy that is older than 32 other requests on the same connection is not covered.

Test first, without the change: "A copy of a refusal does not answer the same request sent again" 503 == 200 in both cases, with and without another request in between. It passes with it.

Cost: a new connection for a call that comes back to the same address, which happens only where entries share it.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <deque>
 #include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
@@ -42,16 +43,33 @@
 /// which may be less than a second.
 constexpr Duration DefaultKeepTime = 500ms;
 
+/// Number of requests on a connection that are not sent on it again, since a
+/// late copy of an earlier answer would match them.
+constexpr std::size_t MaxRecentMatches = 32;
+
 /// \brief What is known about the answers on a connection.
 struct MatchHistory {
   /// \returns whether a late copy of an earlier answer would be told from the
   /// answer to a request.
   [[nodiscard]] bool distinguishes(const HttpRequest &Request) const {
-    return !Request.MatchRequired || RepeatsMatch;
+    const bool SentBefore =
+        std::find(RecentMatches.begin(), RecentMatches.end(),
+                  hash64(Request.Match.Value)) != RecentMatches.end();
+    return !SentBefore && (!Request.MatchRequired || RepeatsMatch);
+  }
+  /// \brief Records the header that matches the answer that was just read.
+  void onAnswered(const HeaderField &Match) {
+    if (Match.Name.empty())
+      return;
+    if (RecentMatches.size() == MaxRecentMatches)
+      RecentMatches.pop_front();
+    RecentMatches.push_back(hash64(Match.Value));
   }
 
   /// Whether an answer repeated the header that matches it with its request.
   bool RepeatsMatch = false;
+  /// Hashes of the header's values in the last requests, the latest at the end.
+  std::deque<std::uint64_t> RecentMatches;
 };
 
 /// \brief An open connection between two exchanges.
@@ -348,6 +366,7 @@
     if (Parser->get().keep_alive() && Buffer.size() == 0 &&
         History.distinguishes(Request)) {
       Stream->expires_never();
+      History.onAnswered(Request.Match);
       Connections->keep(Peer, {std::move(Stream), std::move(History)},
                         reuseTime());
     }
--- a/test/StaleRefusalTest.cpp
+++ b/test/StaleRefusalTest.cpp
@@ -147,6 +147,18 @@
   CHECK(lastStatus({{NoId, NoId}}, {"first", "second"}, false) == 200);
 }
 
+// Guards against a copy with the right id: a rejected request is sent again to
+// an address that now belongs to another server.
+TEST_CASE("A copy of a refusal does not answer the same request sent again",
+          "[StaleRefusal]") {
+  const std::string Answer = answer("200 OK", "Id: first\r\n");
+  const std::vector<Script> Scripts{
+      {FirstRefusal, SecondAnswer, FirstRefusal + Answer}, {Answer}};
+  CHECK(lastStatus(Scripts, {"first", "second", "first"}, true) == 200);
+  CHECK(lastStatus({{FirstRefusal, FirstRefusal + Answer}, {Answer}},
+                   {"first", "first"}, true) == 200);
+}
+
 TEST_CASE("A copy of a refusal with its id is skipped", "[StaleRefusal]") {
   const std::string Interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
   CHECK(lastStatus({{FirstRefusal, FirstRefusal + SecondAnswer}},
