Reject answers that name two requests

Callers would have been told that a call had not run: of several attempt ids in one head only the first was read, so that a refusal of an earlier request whose head also named the current one was taken as the current one's answer.

An answer whose ids differ now fails the exchange, and the outcome is unknown. The same id twice is still one id.

Test first, without the change: "An answer that names two requests is invalid" 503 == 0 where the current id comes first, 200 == 0 where the earlier one does. It passes with it.

Cost: none for upstreams that name each request once.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "bronzeward/src/Net/HttpExchange.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -273,20 +274,16 @@
     for (const auto &Field : Parser->get().base())
       Head.Headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
+    const std::string Problem = matchProblem(Head);
+    if (!Problem.empty()) {
+      fail(HttpFailure::Invalid, Problem);
+      return;
+    }
     const std::string *MatchValue =
         Request.Match.Name.empty()
             ? nullptr
             : findHeader(Head.Headers, Request.Match.Name);
     const bool Interim = Head.Status < 200;
-    // It may be another copy of an earlier answer.
-    const bool Unmatched = !Request.Match.Name.empty() &&
-                           MatchValue == nullptr && History.RepeatsMatch;
-    if (Unmatched && !Interim) {
-      fail(HttpFailure::Invalid,
-           "answer without " + Request.Match.Name +
-               " on a connection whose earlier answers had it");
-      return;
-    }
     History.RepeatsMatch = History.RepeatsMatch || MatchValue != nullptr;
     const bool OtherRequest =
         MatchValue != nullptr && *MatchValue != Request.Match.Value;
@@ -299,6 +296,28 @@
     readBody();
   }
 
+  /// \returns why it is unclear which request an answer belongs to; empty if
+  /// it is clear.
+  [[nodiscard]] std::string matchProblem(const HttpHead &Head) const {
+    const std::string &Name = Request.Match.Name;
+    if (Name.empty())
+      return "";
+    const std::string *Value = findHeader(Head.Headers, Name);
+    // Without the header, it may be another copy of an earlier answer.
+    if (Value == nullptr)
+      return History.RepeatsMatch && Head.Status >= 200
+                 ? "answer without " + Name +
+                       " on a connection whose earlier answers had it"
+                 : "";
+    const bool Ambiguous =
+        std::any_of(Head.Headers.begin(), Head.Headers.end(),
+                    [&](const HeaderField &Field) {
+                      return boost::algorithm::iequals(Field.Name, Name) &&
+                             Field.Value != *Value;
+                    });
+    return Ambiguous ? "answer with several values of " + Name : "";
+  }
+
   void readBody() {
     if (Cancelled)
       return;
--- a/test/StaleRefusalTest.cpp
+++ b/test/StaleRefusalTest.cpp
@@ -159,6 +159,15 @@
                    {"first", "first"}, true) == 200);
 }
 
+TEST_CASE("An answer that names two requests is invalid", "[StaleRefusal]") {
+  for (const char *Ids :
+       {"Id: second\r\nId: first\r\n", "Id: first\r\nId: second\r\n"})
+    CHECK(lastStatus({{FirstRefusal, refusal(Ids) + SecondAnswer}},
+                     {"first", "second"}, true) == 0);
+  CHECK(lastStatus({{FirstRefusal, refusal("Id: second\r\nId: second\r\n")}},
+                   {"first", "second"}, true) == 503);
+}
+
 TEST_CASE("A copy of a refusal with its id is skipped", "[StaleRefusal]") {
   const std::string Interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
   CHECK(lastStatus({{FirstRefusal, FirstRefusal + SecondAnswer}},
