Report calls as not run only if the upstream stated it

Callers of calls that may not be repeated got an upstream's 408, 429 or 503 unchanged, also where the upstream had not stated that it did not run the call. They take these statuses as a promise and send the call again. An upstream's promise is the statement alone: a rejection that has it was and is recognised before, and the call goes on to another upstream or is refused. Any other such answer now ends a call that may not be repeated with 502 and without the upstream's headers.

Calls that may be repeated still get the upstream's status and body unchanged; the promise costs them nothing.

Test first, without the change: "A status alone does not report a call as not run" 408 == 502, 429 == 502 and 503 == 502, for calls and streams alike (12 of the assertions). It passes with it.

Cost: the callers no longer see the body of such an answer. Measured: all 45 test cases of [StaleRefusal], [RelayEngine], [HttpExchange] and [EndlessAnswer] pass.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -49,6 +49,12 @@
 /// connection can be reused.
 constexpr std::size_t MaxRejectionBytes = 65536;
 
+/// \returns whether a caller takes an answer with a status as a promise that
+/// its call has not run. An upstream promises it by other means.
+static bool promisesNotRun(std::uint16_t Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 RelayEngine::RelayEngine(FailureDomain OwnDomain, RetryAllowance FleetRetries,
                          RelayDependencies Dependencies)
     : Allowance(FleetRetries), Deps(Dependencies), Pool(std::move(OwnDomain)) {
@@ -557,7 +563,10 @@
   }
   ++Item->PossibleRuns;
   CrashQuarantine.onCompleted(Item->Content);
-  deliver(*Item, Now);
+  if (!Item->Admitted.Repeatable && promisesNotRun(Item->Head->Status))
+    refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
+  else
+    deliver(*Item, Now);
 }
 
 void RelayEngine::onRejected(ActiveCall &Item, TimePoint Now) {
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -235,6 +235,23 @@
   CHECK(Fixture.Calls[0].Match.Value == "call-1");
 }
 
+// Guards against a promise to callers that the upstream did not make: only the
+// statement that a call has not run counts, whatever the status.
+TEST_CASE("A status alone does not report a call as not run", "[RelayEngine]") {
+  for (const std::uint16_t Status : {408, 429, 503})
+    for (const char *Target : {"/post/x", "/stream/x"}) {
+      RelayFixture Fixture;
+      Fixture.request(Target);
+      Fixture.head(Status, {{"Signature", "s"}});
+      Fixture.bytes("busy");
+      Fixture.end();
+      CHECK(Fixture.Calls.size() == 1);
+      REQUIRE(Fixture.Answers.size() == 1);
+      CHECK(Fixture.Answers[0].Status == 502);
+      CHECK(findHeader(Fixture.Answers[0].Headers, "Signature") == nullptr);
+    }
+}
+
 // Load pattern: a service is replaced under load, and its registry entries are
 // updated later than its upstreams announce their shutdown in answers.
 TEST_CASE("An upstream that announces its shutdown gets no further call",
