Disconnect callers of streams whose resumption is answered with a failure

Callers got a stream that looked complete before its last event: where a resumable stream broke off and the upstream at which it was resumed answered with a failure (404, 408, 429, 500, 503) other than a stated rejection, and no further attempt was allowed, the failure ended the stream that was already being forwarded as if it were the stream's end. The log said "answered".

The end of such an answer now closes the caller's connection, as for any other stream that breaks.

Test first, without the change: "A stream whose resumption is refused disconnects its caller" CompleteStreams 1 == 0 and Disconnected 0 == 1 for each of the five statuses. It passes with it.

Measured: all 59 test cases of [StaleRefusal], [RelayEngine], [HttpExchange], [EndlessAnswer] and [RequestEngine] pass.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -563,7 +563,11 @@
   }
   ++Item->PossibleRuns;
   CrashQuarantine.onCompleted(Item->Content);
-  if (!Item->Admitted.Repeatable && promisesNotRun(Item->Head->Status))
+  const bool Withheld =
+      Item->StreamBegun
+          ? !Success
+          : !Item->Admitted.Repeatable && promisesNotRun(Item->Head->Status);
+  if (Withheld)
     refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
   else
     deliver(*Item, Now);
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -499,6 +499,24 @@
   CHECK(Fixture.CompleteStreams == 1);
 }
 
+// Guards against a stream that looks complete although its resumption failed.
+TEST_CASE("A stream whose resumption is refused disconnects its caller",
+          "[RelayEngine]") {
+  for (const std::uint16_t Status : {404, 408, 429, 500, 503}) {
+    RelayFixture Fixture;
+    Fixture.request("/resume/x");
+    Fixture.head(200);
+    Fixture.bytes("id: 1\n\n");
+    Fixture.fail(UpstreamFailure::Closed);
+    REQUIRE(Fixture.Calls.size() == 2);
+    Fixture.head(Status);
+    Fixture.end();
+    CHECK(Fixture.CompleteStreams == 0);
+    CHECK(Fixture.Disconnected == 1);
+    CHECK(Fixture.Answers.empty());
+  }
+}
+
 TEST_CASE("The remaining time is sent to the upstream and enforced",
           "[RelayEngine]") {
   RelayFixture Fixture;
