Show which refusals cannot be taken for those of another call

- A rejection of an attempt that has ended, after the call went on to another upstream or ended, is ignored: each send has an attempt number of its own, and an exchange passes on one head only, so a rejection cannot follow an answer.
- A rejection whose body breaks off stands: its complete head was matched with the send, and it holds the statement that the call did not run.
- The product's own interface takes no status of an upstream as "not run": an upstream's 408, 421, 429 or 503 is recorded as the answer of a call that ran, and such a call is sent on a new connection only.

--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -252,6 +252,43 @@
     }
 }
 
+TEST_CASE("A rejection whose body breaks off still counts as not run",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  Fixture.head(503, {{"Not-Run", "1"}});
+  Fixture.bytes("bu");
+  Fixture.fail(UpstreamFailure::Closed);
+  REQUIRE(Fixture.Calls.size() == 2);
+  Fixture.head(200);
+  Fixture.end();
+  CHECK(Fixture.Answers.at(0).Status == 200);
+}
+
+TEST_CASE("A rejection of an attempt that has ended is ignored",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  const AttemptId Rejected = Fixture.Calls[0].Attempt;
+  const auto Reject = [&] {
+    Fixture.Engine.onUpstreamHead(Rejected, {503, {{"Not-Run", "1"}}},
+                                  Fixture.Now);
+    Fixture.Engine.onUpstreamEnd(Rejected, Fixture.Now);
+    Fixture.Engine.onUpstreamFailure(Rejected, UpstreamFailure::Closed,
+                                     Fixture.Now);
+  };
+  Reject();
+  REQUIRE(Fixture.Calls.size() == 2);
+  Reject();
+  CHECK(Fixture.Calls.size() == 2);
+  CHECK(Fixture.Answers.empty());
+  Fixture.fail(UpstreamFailure::Closed);
+  Reject();
+  CHECK(Fixture.Calls.size() == 2);
+  REQUIRE(Fixture.Answers.size() == 1);
+  CHECK(Fixture.Answers[0].Status == 502);
+}
+
 // Load pattern: a service is replaced under load, and its registry entries are
 // updated later than its upstreams announce their shutdown in answers.
 TEST_CASE("An upstream that announces its shutdown gets no further call",
--- a/test/RequestEngineTest.cpp
+++ b/test/RequestEngineTest.cpp
@@ -285,6 +285,31 @@
   CHECK(Calls.size() == 1);
 }
 
+TEST_CASE("An upstream's refusal does not report a call as not run",
+          "[RequestEngine]") {
+  for (const std::uint16_t Status : {408, 421, 429, 503}) {
+    EngineFixture Item;
+    std::vector<UpstreamCall> Calls;
+    ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+    std::vector<Answer> Answers;
+    ALLOW_CALL(Item.Callers, answer(_, _))
+        .LR_SIDE_EFFECT(Answers.push_back(_2));
+    Item.request(Item.plain("k1"));
+    REQUIRE(Calls.size() == 1);
+    Item.Engine.onUpstreamHead(Calls[0].Attempt, Status, "", Item.Now);
+    Item.Engine.onUpstreamEnd(Calls[0].Attempt, Item.Now);
+    Item.settle();
+    REQUIRE(Answers.size() == 1);
+    const std::string *Reported =
+        findHeader(Answers[0].Headers, "Bronzeward-Outcome");
+    REQUIRE(Reported != nullptr);
+    CHECK(*Reported == "ran");
+    // The call is not sent again under the same key.
+    Item.request(Item.plain("k1"));
+    CHECK(Calls.size() == 1);
+  }
+}
+
 TEST_CASE("A call that was never sent releases its claim", "[RequestEngine]") {
   EngineFixture Item;
   std::vector<UpstreamCall> Calls;
