Keep connections of load reports apart from those of calls

Callers of the product's own interface could have got an upstream's load report, or its failure, as the answer to their call: load reports and calls reused the same connections, load reports name no request, and a late copy of one was taken as the answer to the next call at a service that repeats no id. Only calls that may be repeated reuse connections there, so that none was reported as not run.

Idle connections are now kept by peer and by the name of the header that matches answers. Where one request to a peer times out, all of the peer's idle connections are closed, as before.

Test first, without the change: "A copy of a load report does not answer a call" 404 == 200. It passes with it.

Not covered: a late copy of a call's answer at a service that repeats no id still answers the next repeatable call on its connection. Closing these connections after each answer would cost a new one for each call.

Cost: one more connection to each polled upstream of the product's own interface; the relay polls none. Measured: all 61 test cases of [StaleRefusal], [RelayEngine], [HttpExchange], [EndlessAnswer] and [RequestEngine] pass.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -92,7 +92,7 @@
   PooledConnection acquire(const Tcp::endpoint &Peer,
                            const HttpRequest &Request) {
     const TimePoint Now = std::chrono::steady_clock::now();
-    std::vector<IdleConnection> &Idle = ByPeer[Peer];
+    std::vector<IdleConnection> &Idle = Kept[{Peer, Request.Match.Name}];
     std::erase_if(Idle, [Now](const IdleConnection &Item) {
       return Now >= Item.Expiry || !isReusable(*Item.Connection.Stream);
     });
@@ -112,11 +112,11 @@
     return Reused;
   }
 
-  /// \brief Keeps a connection for reuse.
+  /// \brief Keeps a connection for reuse by requests like this one.
   /// \param Lifetime how long the peer keeps the idle connection open.
-  void keep(const Tcp::endpoint &Peer, PooledConnection Connection,
-            Duration Lifetime) {
-    std::vector<IdleConnection> &Idle = ByPeer[Peer];
+  void keep(const Tcp::endpoint &Peer, const HttpRequest &Request,
+            PooledConnection Connection, Duration Lifetime) {
+    std::vector<IdleConnection> &Idle = Kept[{Peer, Request.Match.Name}];
     if (Idle.size() >= MaxIdlePerPeer || Lifetime <= Duration())
       return;
     const TimePoint Now = std::chrono::steady_clock::now();
@@ -125,7 +125,10 @@
 
   /// \brief Closes all idle connections to a peer. If one connection stopped
   /// responding, others may have too, and each would cost a timeout.
-  void closeIdle(const Tcp::endpoint &Peer) { ByPeer.erase(Peer); }
+  void closeIdle(const Tcp::endpoint &Peer) {
+    std::erase_if(
+        Kept, [&Peer](const auto &Item) { return Item.first.first == Peer; });
+  }
 
 private:
   struct IdleConnection {
@@ -146,7 +149,11 @@
   }
 
   asio::io_context &Io;
-  std::map<Tcp::endpoint, std::vector<IdleConnection>> ByPeer;
+  /// By the peer and the name of the header that matches answers, so that a
+  /// late copy of an answer to a request without one reaches no request that
+  /// has one.
+  std::map<std::pair<Tcp::endpoint, std::string>, std::vector<IdleConnection>>
+      Kept;
 };
 
 std::shared_ptr<HttpConnectionPool>
@@ -386,7 +393,7 @@
         History.distinguishes(Request)) {
       Stream->expires_never();
       History.onAnswered(Request.Match);
-      Connections->keep(Peer, {std::move(Stream), std::move(History)},
+      Connections->keep(Peer, Request, {std::move(Stream), std::move(History)},
                         reuseTime());
     }
     const std::shared_ptr<HttpListener> Sink = std::move(Listener);
--- a/test/StaleRefusalTest.cpp
+++ b/test/StaleRefusalTest.cpp
@@ -196,5 +196,33 @@
   }
 }
 
+// Guards against a load report that reaches a caller.
+TEST_CASE("A copy of a load report does not answer a call", "[StaleRefusal]") {
+  const std::string Report = answer("404 Not Found", "");
+  const std::string Answer = answer("200 OK", "");
+  ScriptedServer Server({{Report, Report + Answer}, {Answer}});
+  boost::asio::io_context Io;
+  std::uint16_t Status = 0;
+  UpstreamClient Client(&Io, [&](const UpstreamEvent &Event) {
+    if (const auto *Begun = std::get_if<UpstreamHead>(&Event))
+      Status = Begun->Head.Status;
+    Io.stop();
+  });
+  UpstreamSpec Polled;
+  Polled.Host = "127.0.0.1";
+  Polled.Port = Server.port();
+  Client.setPolledUpstreams({Polled});
+  Io.run_for(100ms);
+  UpstreamCall Call;
+  Call.Host = Polled.Host;
+  Call.Port = Polled.Port;
+  Call.Method = "GET";
+  Call.Target = "/";
+  Call.Match = {"Id", "first"};
+  Client.dispatch(Call);
+  Io.run_for(AnswerTimeout);
+  CHECK(Status == 200);
+}
+
 } // namespace
 } // namespace bronzeward
