--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -1,11 +1,14 @@
 #include "bronzeward/src/Net/HttpExchange.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <deque>
 #include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
@@ -41,12 +44,39 @@
 /// which may be less than a second.
 constexpr Duration DefaultKeepTime = 500ms;
 
+/// Number of requests on a connection that are not sent on it again, since a
+/// late copy of an earlier answer would match them.
+constexpr std::size_t MaxRecentMatches = 32;
+
+/// \brief What is known about the answers on a connection.
+struct MatchHistory {
+  /// \returns whether a late copy of an earlier answer would be told from the
+  /// answer to a request.
+  [[nodiscard]] bool distinguishes(const HttpRequest &Request) const {
+    const bool SentBefore =
+        std::find(RecentMatches.begin(), RecentMatches.end(),
+                  hash64(Request.Match.Value)) != RecentMatches.end();
+    return !SentBefore && (!Request.MatchRequired || RepeatsMatch);
+  }
+  /// \brief Records the header that matches the answer that was just read.
+  void onAnswered(const HeaderField &Match) {
+    if (Match.Name.empty())
+      return;
+    if (RecentMatches.size() == MaxRecentMatches)
+      RecentMatches.pop_front();
+    RecentMatches.push_back(hash64(Match.Value));
+  }
+
+  /// Whether an answer repeated the header that matches it with its request.
+  bool RepeatsMatch = false;
+  /// Hashes of the header's values in the last requests, the latest at the end.
+  std::deque<std::uint64_t> RecentMatches;
+};
+
 /// \brief An open connection between two exchanges.
 struct PooledConnection {
   std::unique_ptr<beast::tcp_stream> Stream;
-  /// Whether an answer on it repeated the header that matches it with its
-  /// request.
-  bool RepeatsMatch = false;
+  MatchHistory History;
 };
 
 class HttpConnectionPool {
@@ -55,32 +85,38 @@
 
   asio::io_context &context() { return Io; }
 
-  /// \returns the idle connection that was used last, or none if none is open
-  /// or all have been idle for longer than MaxIdle. In the latter case closes
-  /// the oldest, which the caller replaces by a new connection: a peer has no
-  /// more connections than requests were in progress at once.
-  PooledConnection acquire(const Tcp::endpoint &Peer, Duration MaxIdle) {
+  /// \returns the idle connection that was used last of those that suit the
+  /// request, or none. If only others are open, closes the oldest, which the
+  /// caller replaces by a new connection: a peer has no more connections than
+  /// requests were in progress at once.
+  PooledConnection acquire(const Tcp::endpoint &Peer,
+                           const HttpRequest &Request) {
     const TimePoint Now = std::chrono::steady_clock::now();
-    std::vector<IdleConnection> &Idle = ByPeer[Peer];
+    std::vector<IdleConnection> &Idle = Kept[{Peer, Request.Match.Name}];
     std::erase_if(Idle, [Now](const IdleConnection &Item) {
       return Now >= Item.Expiry || !isReusable(*Item.Connection.Stream);
     });
     if (Idle.empty())
       return {};
-    if (MaxIdle <= Duration() || Now - Idle.back().IdleSince > MaxIdle) {
+    const auto Newest = std::find_if(
+        Idle.rbegin(), Idle.rend(), [&Request](const IdleConnection &Item) {
+          return Item.Connection.History.distinguishes(Request);
+        });
+    if (Request.MaxIdle <= Duration() || Newest == Idle.rend() ||
+        Now - Newest->IdleSince > Request.MaxIdle) {
       Idle.erase(Idle.begin());
       return {};
     }
-    PooledConnection Newest = std::move(Idle.back().Connection);
-    Idle.pop_back();
-    return Newest;
+    PooledConnection Reused = std::move(Newest->Connection);
+    Idle.erase(std::next(Newest).base());
+    return Reused;
   }
 
-  /// \brief Keeps a connection for reuse.
+  /// \brief Keeps a connection for reuse by requests like this one.
   /// \param Lifetime how long the peer keeps the idle connection open.
-  void keep(const Tcp::endpoint &Peer, PooledConnection Connection,
-            Duration Lifetime) {
-    std::vector<IdleConnection> &Idle = ByPeer[Peer];
+  void keep(const Tcp::endpoint &Peer, const HttpRequest &Request,
+            PooledConnection Connection, Duration Lifetime) {
+    std::vector<IdleConnection> &Idle = Kept[{Peer, Request.Match.Name}];
     if (Idle.size() >= MaxIdlePerPeer || Lifetime <= Duration())
       return;
     const TimePoint Now = std::chrono::steady_clock::now();
@@ -89,7 +125,10 @@
 
   /// \brief Closes all idle connections to a peer. If one connection stopped
   /// responding, others may have too, and each would cost a timeout.
-  void closeIdle(const Tcp::endpoint &Peer) { ByPeer.erase(Peer); }
+  void closeIdle(const Tcp::endpoint &Peer) {
+    std::erase_if(
+        Kept, [&Peer](const auto &Item) { return Item.first.first == Peer; });
+  }
 
 private:
   struct IdleConnection {
@@ -110,7 +149,11 @@
   }
 
   asio::io_context &Io;
-  std::map<Tcp::endpoint, std::vector<IdleConnection>> ByPeer;
+  /// By the peer and the name of the header that matches answers, so that a
+  /// late copy of an answer to a request without one reaches no request that
+  /// has one.
+  std::map<std::pair<Tcp::endpoint, std::string>, std::vector<IdleConnection>>
+      Kept;
 };
 
 std::shared_ptr<HttpConnectionPool>
@@ -140,9 +183,9 @@
       fail(HttpFailure::CallerLeft, "the caller has left");
       return;
     }
-    PooledConnection Reused = Connections->acquire(Peer, Request.MaxIdle);
+    PooledConnection Reused = Connections->acquire(Peer, Request);
     Stream = std::move(Reused.Stream);
-    RepeatsMatch = Reused.RepeatsMatch;
+    History = std::move(Reused.History);
     if (Stream) {
       write();
       return;
@@ -256,21 +299,17 @@
     for (const auto &Field : Parser->get().base())
       Head.Headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
+    const std::string Problem = matchProblem(Head);
+    if (!Problem.empty()) {
+      fail(HttpFailure::Invalid, Problem);
+      return;
+    }
     const std::string *MatchValue =
         Request.Match.Name.empty()
             ? nullptr
             : findHeader(Head.Headers, Request.Match.Name);
     const bool Interim = Head.Status < 200;
-    // It may be another copy of an earlier answer.
-    const bool Unmatched =
-        !Request.Match.Name.empty() && MatchValue == nullptr && RepeatsMatch;
-    if (Unmatched && !Interim) {
-      fail(HttpFailure::Invalid,
-           "answer without " + Request.Match.Name +
-               " on a connection whose earlier answers had it");
-      return;
-    }
-    RepeatsMatch = RepeatsMatch || MatchValue != nullptr;
+    History.RepeatsMatch = History.RepeatsMatch || MatchValue != nullptr;
     const bool OtherRequest =
         MatchValue != nullptr && *MatchValue != Request.Match.Value;
     Skipping = Interim || OtherRequest;
@@ -282,6 +321,28 @@
     readBody();
   }
 
+  /// \returns why it is unclear which request an answer belongs to; empty if
+  /// it is clear.
+  [[nodiscard]] std::string matchProblem(const HttpHead &Head) const {
+    const std::string &Name = Request.Match.Name;
+    if (Name.empty())
+      return "";
+    const std::string *Value = findHeader(Head.Headers, Name);
+    // Without the header, it may be another copy of an earlier answer.
+    if (Value == nullptr)
+      return History.RepeatsMatch && Head.Status >= 200
+                 ? "answer without " + Name +
+                       " on a connection whose earlier answers had it"
+                 : "";
+    const bool Ambiguous =
+        std::any_of(Head.Headers.begin(), Head.Headers.end(),
+                    [&](const HeaderField &Field) {
+                      return boost::algorithm::iequals(Field.Name, Name) &&
+                             Field.Value != *Value;
+                    });
+    return Ambiguous ? "answer with several values of " + Name : "";
+  }
+
   void readBody() {
     if (Cancelled)
       return;
@@ -346,9 +407,12 @@
       return;
     }
     // Bytes after the answer belong to no request.
-    if (Parser->get().keep_alive() && Buffer.size() == 0) {
+    if (Parser->get().keep_alive() && Buffer.size() == 0 &&
+        History.distinguishes(Request)) {
       Stream->expires_never();
-      Connections->keep(Peer, {std::move(Stream), RepeatsMatch}, reuseTime());
+      History.onAnswered(Request.Match);
+      Connections->keep(Peer, Request, {std::move(Stream), std::move(History)},
+                        reuseTime());
     }
     const std::shared_ptr<HttpListener> Sink = std::move(Listener);
     Cancelled = true;
@@ -388,8 +452,8 @@
   /// Whether the answer being read is an interim one or belongs to another
   /// request.
   bool Skipping = false;
-  /// Whether an answer on this connection repeated the matching header.
-  bool RepeatsMatch = false;
+  /// Of this connection.
+  MatchHistory History;
   int SkippedHeads = 0;
   std::size_t SkippedBytes = 0;
   bool Cancelled = false;
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -49,6 +49,12 @@
 /// connection can be reused.
 constexpr std::size_t MaxRejectionBytes = 65536;
 
+/// \returns whether a caller takes an answer with a status as a promise that
+/// its call has not run. An upstream promises it by other means.
+static bool promisesNotRun(std::uint16_t Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 RelayEngine::RelayEngine(FailureDomain OwnDomain, RetryAllowance FleetRetries,
                          RelayDependencies Dependencies)
     : Allowance(FleetRetries), Deps(Dependencies), Pool(std::move(OwnDomain)) {
@@ -377,6 +383,7 @@
   Call.Body = Item.Call.Body;
   Call.Headers = Deps.Codec.dispatchHeaders(Item.Call, Dispatch);
   Call.Match = Deps.Codec.matchingHeader(Item.Call);
+  Call.MatchRequired = true;
   Call.Presence = Item.Call.Presence;
   Call.ConnectTimeout = std::min(
       Congestion.congested(Now) ? CongestedConnectTimeout : ConnectTimeout,
@@ -556,7 +563,14 @@
   }
   ++Item->PossibleRuns;
   CrashQuarantine.onCompleted(Item->Content);
-  deliver(*Item, Now);
+  const bool Withheld =
+      Item->StreamBegun
+          ? !Success
+          : !Item->Admitted.Repeatable && promisesNotRun(Item->Head->Status);
+  if (Withheld)
+    refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
+  else
+    deliver(*Item, Now);
 }
 
 void RelayEngine::onRejected(ActiveCall &Item, TimePoint Now) {
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -227,6 +227,68 @@
   CHECK(findHeader(Fixture.Answers[0].Headers, "Retry-After") != nullptr);
 }
 
+TEST_CASE("Upstreams are required to name the call that they answer",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  CHECK(Fixture.Calls[0].MatchRequired);
+  CHECK(Fixture.Calls[0].Match.Value == "call-1");
+}
+
+// Guards against a promise to callers that the upstream did not make: only the
+// statement that a call has not run counts, whatever the status.
+TEST_CASE("A status alone does not report a call as not run", "[RelayEngine]") {
+  for (const std::uint16_t Status : {408, 429, 503})
+    for (const char *Target : {"/post/x", "/stream/x"}) {
+      RelayFixture Fixture;
+      Fixture.request(Target);
+      Fixture.head(Status, {{"Signature", "s"}});
+      Fixture.bytes("busy");
+      Fixture.end();
+      CHECK(Fixture.Calls.size() == 1);
+      REQUIRE(Fixture.Answers.size() == 1);
+      CHECK(Fixture.Answers[0].Status == 502);
+      CHECK(findHeader(Fixture.Answers[0].Headers, "Signature") == nullptr);
+    }
+}
+
+TEST_CASE("A rejection whose body breaks off still counts as not run",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  Fixture.head(503, {{"Not-Run", "1"}});
+  Fixture.bytes("bu");
+  Fixture.fail(UpstreamFailure::Closed);
+  REQUIRE(Fixture.Calls.size() == 2);
+  Fixture.head(200);
+  Fixture.end();
+  CHECK(Fixture.Answers.at(0).Status == 200);
+}
+
+TEST_CASE("A rejection of an attempt that has ended is ignored",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  const AttemptId Rejected = Fixture.Calls[0].Attempt;
+  const auto Reject = [&] {
+    Fixture.Engine.onUpstreamHead(Rejected, {503, {{"Not-Run", "1"}}},
+                                  Fixture.Now);
+    Fixture.Engine.onUpstreamEnd(Rejected, Fixture.Now);
+    Fixture.Engine.onUpstreamFailure(Rejected, UpstreamFailure::Closed,
+                                     Fixture.Now);
+  };
+  Reject();
+  REQUIRE(Fixture.Calls.size() == 2);
+  Reject();
+  CHECK(Fixture.Calls.size() == 2);
+  CHECK(Fixture.Answers.empty());
+  Fixture.fail(UpstreamFailure::Closed);
+  Reject();
+  CHECK(Fixture.Calls.size() == 2);
+  REQUIRE(Fixture.Answers.size() == 1);
+  CHECK(Fixture.Answers[0].Status == 502);
+}
+
 // Load pattern: a service is replaced under load, and its registry entries are
 // updated later than its upstreams announce their shutdown in answers.
 TEST_CASE("An upstream that announces its shutdown gets no further call",
@@ -474,6 +536,24 @@
   CHECK(Fixture.CompleteStreams == 1);
 }
 
+// Guards against a stream that looks complete although its resumption failed.
+TEST_CASE("A stream whose resumption is refused disconnects its caller",
+          "[RelayEngine]") {
+  for (const std::uint16_t Status : {404, 408, 429, 500, 503}) {
+    RelayFixture Fixture;
+    Fixture.request("/resume/x");
+    Fixture.head(200);
+    Fixture.bytes("id: 1\n\n");
+    Fixture.fail(UpstreamFailure::Closed);
+    REQUIRE(Fixture.Calls.size() == 2);
+    Fixture.head(Status);
+    Fixture.end();
+    CHECK(Fixture.CompleteStreams == 0);
+    CHECK(Fixture.Disconnected == 1);
+    CHECK(Fixture.Answers.empty());
+  }
+}
+
 TEST_CASE("The remaining time is sent to the upstream and enforced",
           "[RelayEngine]") {
   RelayFixture Fixture;
