Test that an answer that breaks off is told apart from a complete one

Callers would see a stream that lacks its tail as complete if an upstream's connection that ends early counted as the end of the answer. It can't happen here: an answer in chunks ends with the last chunk, one with a length with its last byte, and one without either only with an orderly close; a reset fails it.

Not to be told apart by anything on the wire: an answer without a length whose connection is closed in order too early.

--- a/test/HttpExchangeTest.cpp
+++ b/test/HttpExchangeTest.cpp
@@ -110,5 +110,60 @@
   CHECK(secondBody(answer("", "one"), answer("", "two")) == "two");
 }
 
+/// \brief How a server ends its connection.
+enum class ConnectionEnd { Close, Reset };
+
+/// Sends one request to a server that answers Text and ends the connection.
+/// \returns the body; empty if the exchange failed.
+std::optional<std::string> bodyOf(const std::string &Text, ConnectionEnd How) {
+  boost::asio::io_context ServerIo;
+  Tcp::acceptor Acceptor(ServerIo,
+                         {boost::asio::ip::make_address("127.0.0.1"), 0});
+  std::thread Worker([&] {
+    Tcp::socket Socket = Acceptor.accept();
+    std::string Request;
+    boost::system::error_code Failure;
+    boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Request),
+                            "\r\n\r\n", Failure);
+    boost::asio::write(Socket, boost::asio::buffer(Text), Failure);
+    // A reset discards what the peer has not read yet.
+    std::this_thread::sleep_for(100ms);
+    if (How == ConnectionEnd::Reset)
+      Socket.set_option(boost::asio::socket_base::linger(true, 0));
+    // The destructor would not reset the connection.
+    Socket.close();
+  });
+  boost::asio::io_context Io;
+  HttpRequest Request;
+  Request.Host = "127.0.0.1";
+  Request.Port = Acceptor.local_endpoint().port();
+  Request.Method = "GET";
+  Request.Target = "/";
+  const std::shared_ptr<BodyListener> Listener =
+      std::make_shared<BodyListener>(Io);
+  startExchange(makeHttpConnectionPool(Io), Request, Listener);
+  Io.run_for(10s);
+  Worker.join();
+  return Listener->Complete ? std::make_optional(Listener->Body) : std::nullopt;
+}
+
+TEST_CASE("An answer that breaks off is told apart from a complete one",
+          "[HttpExchange]") {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n"
+                                     "7\r\nid: 1\n\n\r\n";
+  const std::string Counted = Head + "Content-Length: 9\r\n\r\nid: 1\n\n";
+  const std::string Endless = Head + "\r\nid: 1\n\n";
+  for (const ConnectionEnd How : {ConnectionEnd::Close, ConnectionEnd::Reset}) {
+    CHECK_FALSE(bodyOf(Chunked, How));
+    CHECK_FALSE(bodyOf(Chunked + "0\r\n", How));
+    CHECK_FALSE(bodyOf(Counted, How));
+    CHECK(bodyOf(Chunked + "0\r\n\r\n", How) == "id: 1\n\n");
+  }
+  // Without a length only the close marks the end.
+  CHECK(bodyOf(Endless, ConnectionEnd::Close) == "id: 1\n\n");
+  CHECK_FALSE(bodyOf(Endless, ConnectionEnd::Reset));
+}
+
 } // namespace
 } // namespace bronzeward
