Cut a stream whose resumption is answered with something else

Callers saw a complete stream that lacked its tail: the upstream of a begun stream broke, and the one that was asked to resume it answered with an error (302, 400, 404, 409, 500, 503), or with a success that is no event stream or has another status, type or coding, whose text was joined to the stream.

Cause: the end of any whole answer went to deliver(), which ends a begun stream whatever its head says; and any success on a stream's route was passed on as events of it.

Now an answer belongs to a begun stream only if its status, media type and content coding are those of the head that the caller has. Another one's text is never passed on, and at its end the caller's connection is closed in the middle of the stream.

--- a/bronzeward/src/Relay/RelayAnswers.cpp
+++ b/bronzeward/src/Relay/RelayAnswers.cpp
@@ -1,5 +1,7 @@
 #include "bronzeward/src/Relay/RelayAnswers.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -53,4 +55,22 @@
   return Response;
 }
 
+/// \returns the value of a header without its parameters, in lowercase; empty
+/// if there is none.
+static std::string valueOf(const RelayAnswerHead &Head, const char *Name) {
+  const std::string *Value = findHeader(Head.Forwarded, Name);
+  if (Value == nullptr)
+    return {};
+  return boost::algorithm::to_lower_copy(
+      boost::algorithm::trim_copy(Value->substr(0, Value->find(';'))));
+}
+
+bool sameRepresentation(const RelayAnswerHead &First,
+                        const RelayAnswerHead &Next) {
+  return First.Status == Next.Status &&
+         valueOf(First, "Content-Type") == valueOf(Next, "Content-Type") &&
+         valueOf(First, "Content-Encoding") ==
+             valueOf(Next, "Content-Encoding");
+}
+
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RelayAnswers.h
+++ b/bronzeward/src/Relay/RelayAnswers.h
@@ -22,6 +22,12 @@
 /// \returns an answer with the upstream's status and headers and an empty body.
 [[nodiscard]] Answer answerHead(const RelayAnswerHead &Head);
 
+/// \returns whether the body of one answer can go on in that of another, whose
+/// status and headers the caller has: the status, the media type and the
+/// content coding are the same.
+[[nodiscard]] bool sameRepresentation(const RelayAnswerHead &First,
+                                      const RelayAnswerHead &Next);
+
 /// @}
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -503,8 +503,16 @@
   onUpstreamFailure(Longest->first, UpstreamFailure::Invalid, Now);
 }
 
+bool RelayEngine::belongsToStream(const ActiveCall &Item) {
+  return !Item.StreamBegun || sameRepresentation(Item.StreamHead, *Item.Head);
+}
+
 void RelayEngine::forwardEvents(ActiveCall &Item, std::string_view Bytes,
                                 TimePoint Now) {
+  if (!belongsToStream(Item)) {
+    onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
+    return;
+  }
   const std::string Events = Item.Events.feed(Bytes);
   if (Item.Events.incompleteEvent().size() > MaxEventBytes) {
     onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
@@ -516,6 +524,7 @@
   Item.Lifecycle.process(RequestEvent::FirstByte);
   if (!Item.StreamBegun) {
     Item.StreamBegun = true;
+    Item.StreamHead = *Item.Head;
     FirstByte.record(Now - Item.AcceptedAt);
     Deps.Callers.beginStream(Item.Call.Ticket, answerHead(*Item.Head));
   }
@@ -555,6 +564,10 @@
     return;
   }
   ++Item->PossibleRuns;
+  if (!belongsToStream(*Item)) {
+    refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
+    return;
+  }
   CrashQuarantine.onCompleted(Item->Content);
   deliver(*Item, Now);
 }
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -136,6 +136,8 @@
     EventStream Events;
     /// Whether the head of a stream was sent to the caller.
     bool StreamBegun = false;
+    /// The head that was sent; set if StreamBegun is.
+    RelayAnswerHead StreamHead;
   };
 
   void raisePrepaidBudgets(TimePoint Now);
@@ -179,6 +181,8 @@
   /// Records the rate limit that the upstream states, or that it states none.
   void recordRateLimit(const ActiveCall &Item, TimePoint Now);
   void forwardEvents(ActiveCall &Item, std::string_view Bytes, TimePoint Now);
+  /// \returns whether an answer is the begun stream or can go on in it.
+  [[nodiscard]] static bool belongsToStream(const ActiveCall &Item);
   /// Discards the body of an answer that reports that the call did not run.
   void skipRejection(ActiveCall &Item, std::size_t Length, TimePoint Now);
   /// Aborts the largest unfinished answer to free its memory.
