Join streams only where no event can be missing

Callers got a stream with a hole, with events twice or with those of two runs, that ended as complete: the upstream that resumed it started too late, sent events without usable ids, or ended before it reached the place. A stream whose events had no ids was resumed all the same, from its start. Ids of one run that repeated or fell were dropped in silence, so that an event could be missing. Whole events that arrived together with the start of one that was too long counted as sent and were not.

Cause: EventStream only dropped ids that did not rise; a jump, an id that it could not read and an event without one passed.

After an event without an id nothing is resumed.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -513,11 +513,15 @@
     onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
     return;
   }
-  const std::string Events = Item.Events.feed(Bytes);
-  if (Item.Events.incompleteEvent().size() > MaxEventBytes) {
+  // Whole events count as sent, so they are passed on before a fault is.
+  sendEvents(Item, Item.Events.feed(Bytes), Now);
+  if (Item.Events.faulty() ||
+      Item.Events.incompleteEvent().size() > MaxEventBytes)
     onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
-    return;
-  }
+}
+
+void RelayEngine::sendEvents(ActiveCall &Item, const std::string &Events,
+                             TimePoint Now) {
   if (Events.empty())
     return;
   Pool.onFirstByte(Item.Attempt, Now);
@@ -564,7 +568,7 @@
     return;
   }
   ++Item->PossibleRuns;
-  if (!belongsToStream(*Item)) {
+  if (!belongsToStream(*Item) || !Item->Events.continuous()) {
     refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
     return;
   }
@@ -638,7 +642,7 @@
 }
 
 bool RelayEngine::acquireRetry(ActiveCall &Item, TimePoint Now) {
-  return Item.Admitted.Repeatable &&
+  return Item.Admitted.Repeatable && Item.Events.resumable() &&
          Item.PossibleRuns + 1 < Item.Admitted.Route->Attempts &&
          Now + MinTimeLeft < Item.ExpiresAt &&
          Item.Query.Excluded.size() < MaxDispatches &&
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -181,6 +181,8 @@
   /// Records the rate limit that the upstream states, or that it states none.
   void recordRateLimit(const ActiveCall &Item, TimePoint Now);
   void forwardEvents(ActiveCall &Item, std::string_view Bytes, TimePoint Now);
+  /// Sends events to the caller, after the stream's head if they are the first.
+  void sendEvents(ActiveCall &Item, const std::string &Events, TimePoint Now);
   /// \returns whether an answer is the begun stream or can go on in it.
   [[nodiscard]] static bool belongsToStream(const ActiveCall &Item);
   /// Discards the body of an answer that reports that the call did not run.
