Omit events that a resuming caller already has

A caller that came back with its own Last-Event-Id got events twice if the upstream began before that event: it meets a new EventStream, which knew nothing of the id. Resumptions within that answer started from the caller's id only as long as no event was sent.

Evidence, on the code before: 'Events up to a caller's own last event are omitted' fails in both sections (2 checks of the text; 3 more of the id sent, which the test codec, unlike the real one, did not take from the caller).

The id now counts as that of the last event sent where the route may be resumed. Elsewhere the upstream begins anew and all of its stream is passed on, which a second case checks. An id that is not a number is passed on as before. Both cases pass.

--- a/bronzeward/src/Relay/EventStream.cpp
+++ b/bronzeward/src/Relay/EventStream.cpp
@@ -87,6 +87,14 @@
   return Number;
 }
 
+void EventStream::resumeAfter(std::string_view Id) {
+  const std::optional<std::int64_t> Number = parseNumber(Id);
+  if (!Number)
+    return;
+  LastNumber = Number;
+  LastIdText = Id;
+}
+
 std::string EventStream::feed(std::string_view Bytes) {
   if (Faulty)
     return {};
--- a/bronzeward/src/Relay/EventStream.h
+++ b/bronzeward/src/Relay/EventStream.h
@@ -17,6 +17,9 @@
 /// first new number follows by no more than the smallest step seen so far.
 class EventStream {
 public:
+  /// \brief Omits the events that a caller has, up to and including Id. An id
+  /// that is not a number has no effect.
+  void resumeAfter(std::string_view Id);
   /// \brief Appends bytes of the upstream's answer.
   /// \returns the events that Bytes completes, unchanged, without those that
   /// were returned before. After a fault, nothing of this upstream's stream.
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -160,6 +160,8 @@
   Item.Query.PromptTokens = Call.PromptTokens.value_or(0);
   Item.Call = std::move(Call);
   Item.Admitted = std::move(Admitted);
+  if (Item.Admitted.Route->Resumable)
+    Item.Events.resumeAfter(Item.Call.LastEventId);
   Item.Expiry = Deps.Timers.schedule(
       Item.ExpiresAt, [this, Id](TimePoint At) { onExpired(Id, At); });
   ByTicket.emplace(Item.Call.Ticket, Id);
--- a/test/StreamResumptionTest.cpp
+++ b/test/StreamResumptionTest.cpp
@@ -203,5 +203,42 @@
   CHECK(Fixture.Text == "id: 1\n\nid: 2\n\n");
 }
 
+// Guards against events that come twice: a caller resumes a stream, and the
+// upstream begins before the event that the caller names.
+TEST_CASE("Events up to a caller's own last event are omitted",
+          "[StreamResumption]") {
+  RelayFixture Fixture;
+  Fixture.request("/resume/x", "", {{"Last-Event-Id", "2"}});
+  REQUIRE(Fixture.Calls.size() == 1);
+  CHECK(*findHeader(Fixture.Calls[0].Headers, "Last") == "2");
+  SECTION("In one answer") {
+    Fixture.head(200);
+    Fixture.bytes("id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n");
+    Fixture.end();
+  }
+  SECTION("Also if the first upstream breaks") {
+    Fixture.fail(UpstreamFailure::Closed);
+    REQUIRE(Fixture.Calls.size() == 2);
+    CHECK(*findHeader(Fixture.Calls[1].Headers, "Last") == "2");
+    Fixture.head(200);
+    Fixture.bytes("id: 2\n\nid: 3\n\nid: 4\n\n");
+    Fixture.end();
+  }
+  CHECK(Fixture.Text == "id: 3\n\nid: 4\n\n");
+  CHECK(Fixture.CompleteStreams == 1);
+}
+
+// The upstream begins such a stream anew, and all of it is one run.
+TEST_CASE("Nothing is omitted from a stream that may not be resumed",
+          "[StreamResumption]") {
+  RelayFixture Fixture;
+  Fixture.request("/stream/x", "", {{"Last-Event-Id", "2"}});
+  Fixture.head(200);
+  Fixture.bytes("id: 1\n\nid: 2\n\nid: 3\n\n");
+  Fixture.end();
+  CHECK(Fixture.Text == "id: 1\n\nid: 2\n\nid: 3\n\n");
+  CHECK(Fixture.CompleteStreams == 1);
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/support/RelayFixture.h
+++ b/test/support/RelayFixture.h
@@ -26,6 +26,8 @@
     Call.Host = In.Host;
     Call.Body = In.Body;
     Call.CallerAttemptId = "call-" + std::to_string(In.Ticket.Number);
+    if (const std::string *Last = findHeader(In.Headers, "Last-Event-Id"))
+      Call.LastEventId = *Last;
     return Call;
   }
   [[nodiscard]] std::vector<HeaderField>
@@ -113,8 +115,10 @@
     return All;
   }
 
-  CallerTicket request(const char *Target, const char *Body = "") {
+  CallerTicket request(const char *Target, const char *Body = "",
+                       std::vector<HeaderField> Headers = {}) {
     CallerRequest In;
+    In.Headers = std::move(Headers);
     In.Ticket = CallerTicket{++LastTicket};
     In.Method = "POST";
     In.Target = Target;
