Test resumed streams against random faults of upstreams

Upstreams break, resume early or late, repeat events, fall back, send no ids, another type or an error, over 1,000 seeds. The caller must have a prefix of the true stream, and all of it if the stream ends as complete. An upstream that itself ends its answer in order before its last event is left out: nothing on the wire tells it apart.

--- a/test/StreamResumptionTest.cpp
+++ b/test/StreamResumptionTest.cpp
@@ -2,6 +2,10 @@
 
 #include "test/support/RelayFixture.h"
 
+#include <algorithm>
+#include <cstdlib>
+#include <numeric>
+
 namespace bronzeward {
 namespace {
 
@@ -240,5 +244,184 @@
   CHECK(Fixture.CompleteStreams == 1);
 }
 
+/// \brief A stream that upstreams break, resume wrongly or answer with errors.
+class UnreliableStream {
+public:
+  explicit UnreliableStream(std::uint64_t Seed) : Source(Seed) {
+    FleetConfiguration Accepted;
+    Accepted.Version = {2};
+    Accepted.Routes = {fakes::routeOf("/resume/", CallKind::Stream, 4, true)};
+    Accepted.Services = {{ServiceName{"s"}, 100, 0}};
+    Fixture.Engine.configure(std::move(Accepted), Fixture.Now);
+    Fixture.addUpstreams(5);
+    const std::size_t Count = 2 + Source.below(9);
+    const std::size_t FirstId = Source.below(5);
+    const std::size_t Step = 1 + Source.below(3);
+    const std::string End =
+        std::vector<std::string>{"\n", "\r\n", "\r"}[Source.below(3)];
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Events.push_back("id: " + std::to_string(FirstId + Index * Step) + End +
+                       "data: t" + std::to_string(Index) + End + End);
+  }
+
+  void run() {
+    Fixture.request("/resume/x");
+    while (Fixture.Engine.inFlight() > 0) {
+      const std::size_t Calls = Fixture.Calls.size();
+      answer();
+      if (Fixture.Calls.size() == Calls && Fixture.Engine.inFlight() > 0)
+        Fixture.fail(UpstreamFailure::Closed);
+    }
+  }
+  [[nodiscard]] std::string whole() const { return text(0, Events.size()); }
+
+  RelayFixture Fixture;
+
+private:
+  [[nodiscard]] std::string text(std::size_t From, std::size_t To) const {
+    std::string Text;
+    for (std::size_t Index = From; Index < To; ++Index)
+      Text += Events[Index];
+    return Text;
+  }
+  /// \returns the number of events that the caller has.
+  [[nodiscard]] std::size_t received() const {
+    std::size_t Count = 0;
+    while (Count < Events.size() && text(0, Count).size() < Fixture.Text.size())
+      ++Count;
+    return Count;
+  }
+  void send(const std::string &Bytes) {
+    const AttemptId Attempt = Fixture.Calls.back().Attempt;
+    for (std::size_t At = 0; At < Bytes.size();) {
+      const std::size_t Length = 1 + Source.below(24);
+      Fixture.Engine.onUpstreamBytes(Attempt, Bytes.substr(At, Length),
+                                     Fixture.Now);
+      At += Length;
+    }
+  }
+  void begin() { Fixture.head(200, {{"Content-Type", "text/event-stream"}}); }
+  void endAttempt(AttemptId Attempt) {
+    Fixture.Engine.onUpstreamEnd(Attempt, Fixture.Now);
+  }
+  /// Sends events from an index on, up to the last one or a break.
+  void sendFrom(std::size_t From) {
+    const AttemptId Attempt = Fixture.Calls.back().Attempt;
+    const std::string Rest = text(From, Events.size());
+    if (Source.below(3) == 0) {
+      send(Rest);
+      endAttempt(Attempt);
+      return;
+    }
+    send(Rest.substr(0, Source.below(Rest.size() + 1)));
+    Fixture.Engine.onUpstreamFailure(Attempt, UpstreamFailure::Closed,
+                                     Fixture.Now);
+  }
+  void answer() {
+    switch (Source.below(4)) {
+    case 0:
+      answerWithError();
+      return;
+    case 1:
+      if (!Fixture.Text.empty()) {
+        answerWrongly();
+        return;
+      }
+      [[fallthrough]];
+    default:
+      begin();
+      sendFrom(Source.below(2) == 0 ? received()
+                                    : Source.below(received() + 1));
+    }
+  }
+  void answerWithError() {
+    const AttemptId Attempt = Fixture.Calls.back().Attempt;
+    switch (Source.below(3)) {
+    case 0:
+      Fixture.fail(UpstreamFailure::NotSent);
+      return;
+    case 1:
+      Fixture.head(503, {{"Not-Run", "1"}});
+      break;
+    default:
+      Fixture.head(Source.below(2) == 0 ? 404 : 500);
+      send("id: 1\ndata: error\n\n");
+    }
+    endAttempt(Attempt);
+  }
+  /// Resumes a begun stream in a way that would corrupt it.
+  void answerWrongly() {
+    const AttemptId Attempt = Fixture.Calls.back().Attempt;
+    const std::size_t Next = received();
+    switch (Source.below(5)) {
+    case 0: // Late, maybe past the end.
+      begin();
+      send(text(std::min(Next + 1 + Source.below(3), Events.size()),
+                Events.size()));
+      break;
+    case 1: // Without ids.
+      begin();
+      send("data: t0\n\ndata: t1\n\n");
+      break;
+    case 2: // Repeats an event, then goes on.
+      begin();
+      send(Events[Next - 1] + Events[Next - 1] + text(Next, Events.size()));
+      break;
+    case 3: // Falls back to the first event.
+      begin();
+      send(text(Next, Events.size()) + text(0, Events.size()));
+      break;
+    default: // No event stream.
+      Fixture.head(Source.below(2) == 0 ? 204 : 200,
+                   {{"Content-Type", "text/html"}});
+      send(text(Next, Events.size()));
+    }
+    endAttempt(Attempt);
+  }
+
+  Random Source;
+  std::vector<std::string> Events;
+};
+
+// BRONZEWARD_SEED=N runs only that seed.
+std::vector<std::uint64_t> seeds() {
+  if (const char *SeedText = std::getenv("BRONZEWARD_SEED"))
+    return {std::strtoull(SeedText, nullptr, 10)};
+  std::vector<std::uint64_t> All(1000);
+  std::iota(All.begin(), All.end(), std::uint64_t{1});
+  return All;
+}
+
+TEST_CASE("A caller has a prefix of the true stream, and all of it if it ends",
+          "[StreamResumption]") {
+  int Complete = 0;
+  int Cut = 0;
+  int Resumed = 0;
+  for (const std::uint64_t Seed : seeds()) {
+    CAPTURE(Seed);
+    UnreliableStream Stream(Seed);
+    Stream.run();
+    const RelayFixture &Seen = Stream.Fixture;
+    CAPTURE(Seen.Text, Stream.whole());
+    REQUIRE(Stream.whole().starts_with(Seen.Text));
+    REQUIRE(Seen.CompleteStreams + Seen.Disconnected +
+                static_cast<int>(Seen.Answers.size()) ==
+            1);
+    REQUIRE(Seen.Streams == (Seen.Text.empty() ? 0 : 1));
+    if (Seen.CompleteStreams > 0)
+      REQUIRE(Seen.Text == Stream.whole());
+    Complete += Seen.CompleteStreams;
+    Cut += Seen.Disconnected;
+    if (Seen.CompleteStreams > 0 && Seen.Calls.size() > 1)
+      ++Resumed;
+  }
+  // One seed need not show each outcome.
+  if (seeds().size() == 1)
+    return;
+  CHECK(Complete > 0);
+  CHECK(Cut > 0);
+  CHECK(Resumed > 0);
+}
+
 } // namespace
 } // namespace bronzeward
