Never write a whole answer into a begun stream

Callers would find the head of an error in the middle of their stream, and then an end that looks complete.

The server now cuts the connection instead.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -152,9 +152,13 @@
   void perform(const Outgoing &Item) {
     switch (Item.Action) {
     case Step::Whole:
-      sendWhole(Item.Content);
+      if (Streaming)
+        abort();
+      else
+        sendWhole(Item.Content);
       return;
     case Step::Begin:
+      Streaming = true;
       sendHead(Item.Content);
       return;
     case Step::Part:
@@ -165,13 +169,17 @@
       enqueue(Item.Content.Body);
       return;
     case Step::Close:
-      Owner.AwaitingAnswer.erase(Ticket);
-      close();
+      abort();
       return;
     }
   }
 
 private:
+  void abort() {
+    Owner.AwaitingAnswer.erase(Ticket);
+    close();
+  }
+
   void awaitRequest() {
     Parser.emplace();
     Parser->body_limit(Owner.Limits.MaxBodyBytes);
@@ -326,6 +334,7 @@
   }
 
   void forward() {
+    Streaming = false;
     http::request<http::string_body> &Message = Parser->get();
     KeepAlive = Message.keep_alive();
     CallerRequest Request;
@@ -520,6 +529,8 @@
   bool KeepAlive = true;
   bool TimedOut = false;
   bool Closing = false;
+  /// Whether the present request is answered with a stream.
+  bool Streaming = false;
   bool Writing = false;
   bool Ending = false;
   bool IsAnswering = false;
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <functional>
 #include <optional>
 #include <thread>
 
@@ -236,5 +237,107 @@
   CHECK(readSlowly(16, 3s).Ended);
 }
 
+/// \brief A server that streams to its only caller as the test says.
+class StreamServer {
+public:
+  using Script = std::function<void(CallerServer &, CallerTicket)>;
+
+  /// \param Script called in the server's thread once the request is read.
+  explicit StreamServer(Script Steps)
+      : Server(Echo::limits(), [this, Steps](CallerEvent Event) {
+          if (const auto *Request = std::get_if<CallerRequest>(&Event))
+            Steps(Server, Request->Ticket);
+          return true;
+        }) {
+    Port = Server.listen("127.0.0.1", 0).value();
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Port});
+    boost::asio::write(
+        Socket,
+        boost::asio::buffer(std::string(
+            "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+  }
+  ~StreamServer() { Server.stop(); }
+
+  /// \returns what the server sends until it closes the connection.
+  std::string readAll() {
+    std::string Reply;
+    boost::system::error_code Failure;
+    boost::asio::read(Socket, boost::asio::dynamic_buffer(Reply), Failure);
+    return Reply;
+  }
+
+  CallerServer Server;
+
+private:
+  std::uint16_t Port = 0;
+  boost::asio::io_context Io;
+  Tcp::socket Socket{Io};
+};
+
+/// Checks that a caller sees one head, and that its stream was cut.
+void checkCut(const std::string &Reply) {
+  CAPTURE(Reply.substr(0, 400));
+  CHECK(hasStatus(Reply, "200"));
+  CHECK(Reply.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(Reply.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST_CASE("A stream that is cut has no last chunk", "[CallerServer]") {
+  const auto CutAfter = [](std::size_t Bytes, bool Drain) {
+    StreamServer Item([=](CallerServer &Server, CallerTicket To) {
+      Server.beginStream(To, Answer());
+      Server.sendPart(To, std::string(Bytes, 'x'));
+      if (Drain)
+        Server.drain();
+      Server.disconnect(To);
+      // Nothing may follow, whatever is asked for.
+      Server.sendPart(To, "late");
+      Server.endStream(To, "");
+      Server.answer(To, Answer());
+    });
+    return Item.readAll();
+  };
+  for (const bool Drain : {false, true}) {
+    const std::string Short = CutAfter(10, Drain);
+    if (!Short.empty())
+      checkCut(Short);
+    const std::string Long = CutAfter(std::size_t{4} * 1024 * 1024, Drain);
+    if (!Long.empty())
+      checkCut(Long);
+    CHECK(Short.find("late") == std::string::npos);
+    CHECK(Long.find("late") == std::string::npos);
+  }
+}
+
+TEST_CASE("A stream that was begun on the wire and is cut has no last chunk",
+          "[CallerServer]") {
+  std::atomic<std::uint64_t> Ticket = 0;
+  StreamServer Item([&](CallerServer &Server, CallerTicket To) {
+    Server.beginStream(To, Answer());
+    Server.sendPart(To, "id: 1\n\n");
+    Ticket = To.Number;
+  });
+  std::this_thread::sleep_for(100ms);
+  Item.Server.disconnect(CallerTicket{Ticket});
+  const std::string Reply = Item.readAll();
+  checkCut(Reply);
+  CHECK(Reply.ends_with("7\r\nid: 1\n\n\r\n"));
+}
+
+// Guards against an error that callers find within their stream.
+TEST_CASE("A whole answer is never written into a begun stream",
+          "[CallerServer]") {
+  StreamServer Item([](CallerServer &Server, CallerTicket To) {
+    Server.beginStream(To, Answer());
+    Server.sendPart(To, "id: 1\n\n");
+    Answer Failure;
+    Failure.Status = 502;
+    Server.answer(To, Failure);
+  });
+  const std::string Reply = Item.readAll();
+  CHECK(Reply.find("502") == std::string::npos);
+  CHECK(Reply.find("\r\n0\r\n") == std::string::npos);
+}
+
 } // namespace
 } // namespace bronzeward
