Cut a stream of which the full ring dropped a part

Callers would see a stream with a hole that ends as complete: where answers come faster than the server's thread takes them from its ring, a part was dropped and later parts and the end found room again. If the end was dropped, the connection stayed open.

Evidence, on the code before: 'A stream of which a part is lost is cut' sends 70,000 parts while the thread is busy; the caller then got the tail and the last chunk (2 of 2 checks failed). Now the first loss closes the caller's connection, and nothing is sent to it in the meantime.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -620,9 +620,20 @@
 }
 
 void CallerServer::push(Outgoing Item) {
-  // If the ring is full the answer is lost, and the connection stays open until
-  // its caller closes it.
-  Ring.push(std::move(Item));
+  const CallerTicket To = Item.To;
+  std::lock_guard<std::mutex> Guard(LostLock);
+  if (Lost.contains(To) || Ring.push(std::move(Item)))
+    return;
+  // A later part would leave a hole in the caller's stream.
+  Lost.insert(To);
+  asio::post(Thread.context(), [this, To] { abandon(To); });
+}
+
+void CallerServer::abandon(CallerTicket To) {
+  Outgoing Close{To, Step::Close, {}};
+  perform(Close);
+  std::lock_guard<std::mutex> Guard(LostLock);
+  Lost.erase(To);
 }
 
 void CallerServer::answer(CallerTicket To, const Answer &Whole) {
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <variant>
 
@@ -98,6 +99,8 @@
   void serve(boost::asio::ip::tcp::socket Socket);
   void perform(Outgoing &Item);
   void push(Outgoing Item);
+  /// Closes the connection of a caller to which an item could not be sent.
+  void abandon(CallerTicket To);
 
   CallerLimits Limits;
   EventHandler Handler;
@@ -114,6 +117,10 @@
   std::atomic<std::uint64_t> LeftBeforeRead = 0;
   std::uint64_t LastTicket = 0;
   Mailbox<Outgoing> Ring;
+  std::mutex LostLock;
+  /// Callers that lost an item because the ring was full and whose connections
+  /// are not closed yet. Nothing more is sent to them.
+  std::set<CallerTicket> Lost;
 };
 
 /// @}
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -339,5 +339,26 @@
   CHECK(Reply.find("\r\n0\r\n") == std::string::npos);
 }
 
+// Guards against a hole: parts that the full ring drops, with later ones that
+// find room again.
+TEST_CASE("A stream of which a part is lost is cut", "[CallerServer]") {
+  std::atomic<std::uint64_t> Ticket = 0;
+  StreamServer Item([&](CallerServer &Server, CallerTicket To) {
+    Server.beginStream(To, Answer());
+    // The server's thread is here, and takes nothing from its ring.
+    for (int Count = 0; Count < 70000; ++Count)
+      Server.sendPart(To, "x");
+    Ticket = To.Number;
+  });
+  while (Ticket == 0 || Item.Server.refused() == 0)
+    std::this_thread::sleep_for(1ms);
+  std::this_thread::sleep_for(200ms);
+  Item.Server.sendPart(CallerTicket{Ticket}, "tail");
+  Item.Server.endStream(CallerTicket{Ticket}, "");
+  const std::string Reply = Item.readAll();
+  CHECK(Reply.find("tail") == std::string::npos);
+  CHECK(Reply.find("\r\n0\r\n") == std::string::npos);
+}
+
 } // namespace
 } // namespace bronzeward
