Merge the joining of streams

Both changes looked at whole answers that must not reach the caller; one check, mustBeWithheld, now holds the conditions of both. Conflict in RELAY.md: both texts are kept.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -152,9 +152,13 @@
   void perform(const Outgoing &Item) {
     switch (Item.Action) {
     case Step::Whole:
-      sendWhole(Item.Content);
+      if (Streaming)
+        abort();
+      else
+        sendWhole(Item.Content);
       return;
     case Step::Begin:
+      Streaming = true;
       sendHead(Item.Content);
       return;
     case Step::Part:
@@ -165,13 +169,17 @@
       enqueue(Item.Content.Body);
       return;
     case Step::Close:
-      Owner.AwaitingAnswer.erase(Ticket);
-      close();
+      abort();
       return;
     }
   }
 
 private:
+  void abort() {
+    Owner.AwaitingAnswer.erase(Ticket);
+    close();
+  }
+
   void awaitRequest() {
     Parser.emplace();
     Parser->body_limit(Owner.Limits.MaxBodyBytes);
@@ -330,6 +338,7 @@
   }
 
   void forward() {
+    Streaming = false;
     http::request<http::string_body> &Message = Parser->get();
     KeepAlive = Message.keep_alive();
     CallerRequest Request;
@@ -522,6 +531,8 @@
   bool KeepAlive = true;
   bool TimedOut = false;
   bool Closing = false;
+  /// Whether the present request is answered with a stream.
+  bool Streaming = false;
   bool Writing = false;
   bool Ending = false;
   bool IsAnswering = false;
@@ -611,9 +622,20 @@
 }
 
 void CallerServer::push(Outgoing Item) {
-  // If the ring is full the answer is lost, and the connection stays open until
-  // its caller closes it.
-  Ring.push(std::move(Item));
+  const CallerTicket To = Item.To;
+  std::lock_guard<std::mutex> Guard(LostLock);
+  if (Lost.contains(To) || Ring.push(std::move(Item)))
+    return;
+  // A later part would leave a hole in the caller's stream.
+  Lost.insert(To);
+  asio::post(Thread.context(), [this, To] { abandon(To); });
+}
+
+void CallerServer::abandon(CallerTicket To) {
+  Outgoing Close{To, Step::Close, {}};
+  perform(Close);
+  std::lock_guard<std::mutex> Guard(LostLock);
+  Lost.erase(To);
 }
 
 void CallerServer::answer(CallerTicket To, const Answer &Whole) {
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -166,6 +166,8 @@
   Item.Query.PromptTokens = Call.PromptTokens.value_or(0);
   Item.Call = std::move(Call);
   Item.Admitted = std::move(Admitted);
+  if (Item.Admitted.Route->Resumable)
+    Item.Events.resumeAfter(Item.Call.LastEventId);
   Item.Expiry = Deps.Timers.schedule(
       Item.ExpiresAt, [this, Id](TimePoint At) { onExpired(Id, At); });
   ByTicket.emplace(Item.Call.Ticket, Id);
@@ -510,19 +512,32 @@
   onUpstreamFailure(Longest->first, UpstreamFailure::Invalid, Now);
 }
 
+bool RelayEngine::belongsToStream(const ActiveCall &Item) {
+  return !Item.StreamBegun || sameRepresentation(Item.StreamHead, *Item.Head);
+}
+
 void RelayEngine::forwardEvents(ActiveCall &Item, std::string_view Bytes,
                                 TimePoint Now) {
-  const std::string Events = Item.Events.feed(Bytes);
-  if (Item.Events.incompleteEvent().size() > MaxEventBytes) {
+  if (!belongsToStream(Item)) {
     onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
     return;
   }
+  // Whole events count as sent, so they are passed on before a fault is.
+  sendEvents(Item, Item.Events.feed(Bytes), Now);
+  if (Item.Events.faulty() ||
+      Item.Events.incompleteEvent().size() > MaxEventBytes)
+    onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
+}
+
+void RelayEngine::sendEvents(ActiveCall &Item, const std::string &Events,
+                             TimePoint Now) {
   if (Events.empty())
     return;
   Pool.onFirstByte(Item.Attempt, Now);
   Item.Lifecycle.process(RequestEvent::FirstByte);
   if (!Item.StreamBegun) {
     Item.StreamBegun = true;
+    Item.StreamHead = *Item.Head;
     FirstByte.record(Now - Item.AcceptedAt);
     Deps.Callers.beginStream(Item.Call.Ticket, answerHead(*Item.Head));
   }
@@ -562,15 +577,18 @@
     return;
   }
   ++Item->PossibleRuns;
-  CrashQuarantine.onCompleted(Item->Content);
-  const bool Withheld =
-      Item->StreamBegun
-          ? !Success
-          : !Item->Admitted.Repeatable && promisesNotRun(Item->Head->Status);
-  if (Withheld)
+  if (mustBeWithheld(*Item)) {
     refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
-  else
-    deliver(*Item, Now);
+    return;
+  }
+  CrashQuarantine.onCompleted(Item->Content);
+  deliver(*Item, Now);
+}
+
+bool RelayEngine::mustBeWithheld(const ActiveCall &Item) {
+  if (Item.StreamBegun)
+    return !belongsToStream(Item) || !Item.Events.continuous();
+  return !Item.Admitted.Repeatable && promisesNotRun(Item.Head->Status);
 }
 
 void RelayEngine::onRejected(ActiveCall &Item, TimePoint Now) {
@@ -645,7 +663,7 @@
 }
 
 bool RelayEngine::acquireRetry(ActiveCall &Item, TimePoint Now) {
-  return Item.Admitted.Repeatable &&
+  return Item.Admitted.Repeatable && Item.Events.resumable() &&
          Item.PossibleRuns + 1 < Item.Admitted.Route->Attempts &&
          Now + MinTimeLeft < Item.ExpiresAt &&
          Item.Query.Excluded.size() < MaxDispatches &&
