Keep the other items of a reply that holds one unreadable item

Operators would have seen store-reply-unreadable without end and instances that no longer follow upstreams: one item of a list or of watch events without a readable key, revision or value (a wrong type, a revision that is negative or too large, deep nesting, a lone surrogate or a byte that is not UTF-8 in a key) made the whole reply unreadable, and the next list held the same item. A value that is not base64 was taken for an empty one, also where a single key is read.

Cause: the reply was one parse and one exception.

Both are reported in Problem, so that the existing line, at most one a second, names them.

Not covered: a page of a list that holds nothing but unreadable items ends the list, since the next page begins after the last readable key.

--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -100,6 +100,8 @@
   if (List->After.empty())
     AllPages.Revision = Reply.Revision;
   AllPages.Status = StoreStatus::Ok;
+  if (!Reply.Problem.empty())
+    AllPages.Problem = std::move(Reply.Problem);
   const bool More = Reply.More && !Reply.Entries.empty() &&
                     AllPages.Entries.size() < MaxListEntries;
   if (More)
--- /dev/null
+++ b/test/OddEntriesTest.cpp
@@ -0,0 +1,107 @@
+#include "bronzeward/src/Net/Base64.h"
+#include "platform/PlatformStoreCodec.h"
+
+#include <catch2/catch.hpp>
+
+namespace bronzeward::platform {
+namespace {
+
+const std::string SoundValue =
+    R"({"service":"s","address":"10.1.2.3:80","zone":"a","version":3,)"
+    R"("capacity":6,"state":"ready","warmup_left_ms":0,"sequence":9,)"
+    R"("born":1700000000000})";
+
+std::string item(const std::string &Key, const std::string &Value,
+                 std::uint64_t Revision) {
+  return R"({"key":")" + Key + R"(","value":")" + encodeBase64(Value) +
+         R"(","rev":)" + std::to_string(Revision) + "}";
+}
+
+std::string nested(std::size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+/// \returns items of a reply that name no entry, or none that can be read.
+std::vector<std::string> oddItems() {
+  const std::string Deep = nested(100'000);
+  return {"null",
+          "7",
+          "{}",
+          Deep,
+          R"({"key":7,"value":"dg==","rev":4})",
+          R"({"value":"dg==","rev":4})",
+          R"({"key":"servers/o","value":"dg=="})",
+          R"({"key":"servers/o","value":"dg==","rev":-4})",
+          R"({"key":"servers/o","value":"dg==","rev":4.5})",
+          R"({"key":"servers/o","value":"dg==","rev":1e999})",
+          R"({"key":"servers/o","value":"dg==","rev":99999999999999999999})",
+          R"({"key":"servers/o","value":"dg==","rev":4,"deleted":"no"})",
+          R"({"key":"servers/o","value":7,"rev":4})",
+          R"({"key":"servers/o","value":"%%%%","rev":4})",
+          R"({"key":"servers/o","value":"==","rev":4})",
+          R"({"key":"servers/o","value":)" + Deep + R"(,"rev":4})",
+          R"({"key":"servers/\ud800","value":"dg==","rev":4})",
+          "{\"key\":\"servers/\xff\",\"value\":\"dg==\",\"rev\":4}"};
+}
+
+std::string replyBody(const char *Name, const std::string &Items) {
+  return std::string(R"({")") + Name + R"(":[)" + Items +
+         R"(],"store_revision":6,"has_more":false})";
+}
+
+void checkSoundItems(const StoreReply &Reply) {
+  CHECK(Reply.Status == StoreStatus::Ok);
+  CHECK(Reply.Revision == 6);
+  std::vector<std::string> Readable;
+  for (const StoreEntry &Entry : Reply.Entries)
+    if (Entry.Value == SoundValue)
+      Readable.push_back(Entry.Key);
+  CHECK(Readable == std::vector<std::string>{"servers/a", "servers/z"});
+}
+
+// Guards against followers that repeat a list for ever, since each reply holds
+// the same odd item.
+TEST_CASE("An item that cannot be read does not hide the others",
+          "[OddEntries]") {
+  const PlatformStoreCodec Codec;
+  const std::string First = item("servers/a", SoundValue, 2);
+  const std::string Last = item("servers/z", SoundValue, 5);
+  for (const std::string &Odd : oddItems()) {
+    INFO(Odd.substr(0, 80));
+    for (const std::string &Items :
+         {First + "," + Odd + "," + Last, Odd + "," + First + "," + Last,
+          First + "," + Last + "," + Odd}) {
+      checkSoundItems(Codec.parse(ListKeys{"servers/", "", false}, 200,
+                                  replyBody("items", Items)));
+      checkSoundItems(Codec.parse(WatchKeys{"servers/", 1, 1s}, 200,
+                                  replyBody("events", Items)));
+    }
+  }
+}
+
+TEST_CASE("An item that cannot be read is reported", "[OddEntries]") {
+  const PlatformStoreCodec Codec;
+  for (const std::string &Odd : oddItems()) {
+    INFO(Odd.substr(0, 80));
+    CHECK_FALSE(Codec
+                    .parse(ListKeys{"servers/", "", false}, 200,
+                           replyBody("items", Odd))
+                    .Problem.empty());
+  }
+}
+
+// A record that was taken for an empty one would be written anew.
+TEST_CASE("A key whose value cannot be decoded has no known value",
+          "[OddEntries]") {
+  const PlatformStoreCodec Codec;
+  for (const char *Value : {"%%%%", "=", "dg", "dg==dg"}) {
+    const StoreReply Reply =
+        Codec.parse(ReadKey{"k"}, 200,
+                    std::string(R"({"key":"k","rev":4,"value":")") + Value +
+                        R"(","store_revision":6})");
+    CHECK(Reply.Status == StoreStatus::Unknown);
+  }
+}
+
+} // namespace
+} // namespace bronzeward::platform
