--- a/bronzeward/src/Base/SocketAddress.cpp
+++ b/bronzeward/src/Base/SocketAddress.cpp
@@ -8,7 +8,8 @@
 
 std::optional<SocketAddress> parseSocketAddress(const std::string &Text) {
   const std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string::npos)
+  // A NUL would end the host early where it is parsed.
+  if (Colon == std::string::npos || Text.find('\0') != std::string::npos)
     return std::nullopt;
   SocketAddress Parsed;
   Parsed.Host = Text.substr(0, Colon);
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -96,7 +96,8 @@
   auto List = Group.initEntries(In.Entries.size());
   for (unsigned Index = 0; Index < In.Entries.size(); ++Index) {
     const StoreEntry &Entry = In.Entries[Index];
-    List[Index].setKey(Entry.Key);
+    // A key may hold a NUL.
+    List[Index].setKey(kj::StringPtr(Entry.Key.data(), Entry.Key.size()));
     List[Index].setValue(capnp::Data::Reader(
         reinterpret_cast<const kj::byte *>(Entry.Value.data()),
         Entry.Value.size()));
@@ -218,7 +219,8 @@
   Out.Since = In.getSince();
   for (schema::UpstreamEntry::Reader Item : In.getEntries()) {
     StoreEntry Entry;
-    Entry.Key = Item.getKey().cStr();
+    // A key may hold a NUL.
+    Entry.Key.assign(Item.getKey().begin(), Item.getKey().size());
     Entry.Value.assign(Item.getValue().asChars().begin(),
                        Item.getValue().asChars().end());
     Entry.Revision = Item.getRevision();
--- a/test/OddEntriesTest.cpp
+++ b/test/OddEntriesTest.cpp
@@ -1,6 +1,9 @@
 #include "bronzeward/src/Net/Base64.h"
+#include "bronzeward/src/Net/PeerCodec.h"
+#include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
 
+#include <capnp/message.h>
 #include <catch2/catch.hpp>
 
 namespace bronzeward::platform {
@@ -103,5 +106,39 @@
   }
 }
 
+TEST_CASE("A key that holds a NUL does not stand for a shorter one",
+          "[OddEntries]") {
+  const PlatformStoreCodec Codec;
+  const StoreReply Reply = Codec.parse(
+      WatchKeys{"servers/", 1, 1s}, 200,
+      replyBody("events",
+                R"({"key":"servers/a\u0000b","rev":5,"deleted":true})"));
+  REQUIRE(Reply.Entries.size() == 1);
+  CHECK(Reply.Entries[0].Key == std::string("servers/a\0b", 11));
+
+  UpstreamList Sent;
+  Sent.Entries = Reply.Entries;
+  capnp::MallocMessageBuilder Built;
+  internal::write(Built.initRoot<schema::PeerMessage>(), InstanceId{"i"}, Sent);
+  const PeerMessage Received =
+      internal::read(Built.getRoot<schema::PeerMessage>().asReader());
+  const auto *List = std::get_if<UpstreamList>(&Received);
+  REQUIRE(List != nullptr);
+  REQUIRE(List->Entries.size() == 1);
+  CHECK(List->Entries[0].Key == Reply.Entries[0].Key);
+}
+
+TEST_CASE("A key that is no name of an upstream is rejected", "[OddEntries]") {
+  const PlatformDeploymentCodec Codec;
+  for (const std::string &Key :
+       {std::string("servers/"), std::string("op/config-of-another"),
+        std::string("servers/a\r\nX-Tenant: b"),
+        std::string("servers/a\0b", 11), std::string()}) {
+    INFO(Key);
+    CHECK_FALSE(Codec.parseUpstream({Key, SoundValue, 1, false}));
+  }
+  CHECK(Codec.parseUpstream({"servers/i-1", SoundValue, 1, false}));
+}
+
 } // namespace
 } // namespace bronzeward::platform
