Stop using an upstream whose entry was overwritten and cannot be read

Instances disagreed: one that listed the entries took the upstream out of use, one that watched them, or heard of the change from a peer, kept it in use with its old address until its next list, also where the new state was one that this version does not know.

Cause: an unreadable change was logged and otherwise ignored, an unreadable entry of a list counted as missing. The latter is right: it names no upstream.

A change that cannot be read now removes the upstream as a deletion does, and the next readable one brings it back.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -383,10 +383,14 @@
     return;
   }
   const Result<UpstreamEntry> Parsed = Codecs.Deployment.parseUpstream(Entry);
-  if (Parsed)
+  if (Parsed) {
     Directory.onEntry(Parsed.value(), Entry.Revision, Now);
-  else
-    Deps.Log.onEvent("upstream-entry-skipped", describe(Parsed.error()));
+    return;
+  }
+  Deps.Log.onEvent("upstream-entry-skipped", describe(Parsed.error()));
+  // It names no upstream, as if it were missing from a list.
+  Directory.onRemoved(Codecs.Deployment.upstreamOf(Entry.Key), Entry.Revision,
+                      std::nullopt, Now);
 }
 
 void FleetCore::onUpstreamList(const UpstreamList &Message, TimePoint Now) {
--- a/test/OddEntriesTest.cpp
+++ b/test/OddEntriesTest.cpp
@@ -2,6 +2,7 @@
 #include "bronzeward/src/Net/PeerCodec.h"
 #include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
+#include "test/support/FleetNetwork.h"
 
 #include <capnp/message.h>
 #include <catch2/catch.hpp>
@@ -140,5 +141,37 @@
   CHECK(Codec.parseUpstream({"servers/i-1", SoundValue, 1, false}));
 }
 
+std::vector<std::size_t> upstreamsOf(const fakes::FleetNetwork &Fleet) {
+  std::vector<std::size_t> Counts;
+  for (std::size_t Node = 0; Node < Fleet.size(); ++Node)
+    Counts.push_back(Fleet.upstreams(Node));
+  return Counts;
+}
+
+constexpr std::size_t Instances = 8;
+constexpr double Link = 1.25e6;
+
+// Guards against instances that disagree: those that read the list no longer
+// used the upstream, those that watched still did.
+TEST_CASE("An upstream whose entry is overwritten with bytes that cannot be "
+          "read is not used until it is written again",
+          "[OddEntries]") {
+  fakes::FleetNetwork Fleet(Instances, 4, Link);
+  Fleet.configure(1, 1);
+  for (const char *Name : {"a", "b", "c", "d", "e", "f"})
+    Fleet.writeUpstream(Name);
+  Fleet.runFor(8s);
+  REQUIRE(upstreamsOf(Fleet) == std::vector<std::size_t>(Instances, 6));
+  for (const std::string &Odd :
+       {nested(100'000), std::string("\x01\xff"), std::string()}) {
+    Fleet.writeEntry("c", Odd);
+    Fleet.runFor(3s);
+    CHECK(upstreamsOf(Fleet) == std::vector<std::size_t>(Instances, 5));
+    Fleet.writeUpstream("c");
+    Fleet.runFor(3s);
+    CHECK(upstreamsOf(Fleet) == std::vector<std::size_t>(Instances, 6));
+  }
+}
+
 } // namespace
 } // namespace bronzeward::platform
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -248,6 +248,16 @@
               Now);
 }
 
+void FleetNetwork::writeEntry(const std::string &Name,
+                              const std::string &Value) {
+  Store.write(Deployment.upstreamPrefix() + Name, Value, Now);
+}
+
+std::size_t FleetNetwork::logged(const std::string &Event) const {
+  const auto Found = Log.Counts.find(Event);
+  return Found == Log.Counts.end() ? 0 : Found->second;
+}
+
 void FleetNetwork::removeUpstream(const std::string &Name) {
   Store.remove(Deployment.upstreamPrefix() + Name, Now);
 }
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -65,6 +65,15 @@
   mutable std::size_t Parsed = 0;
 };
 
+/// \brief Counts the log entries of each kind.
+class CountingLog : public SilentLog {
+public:
+  void onEvent(const std::string &Event, const std::string &) override {
+    ++Counts[Event];
+  }
+  std::map<std::string, std::size_t> Counts;
+};
+
 /// \brief A call that reached a simulated upstream.
 struct UpstreamArrival {
   UpstreamName Upstream;
@@ -98,6 +107,8 @@
   /// \brief Writes a configuration version with the given number of routes.
   void configure(std::uint64_t Version, std::size_t Routes);
   void writeUpstream(const std::string &Name);
+  /// \brief Writes any bytes as the registry entry of a name.
+  void writeEntry(const std::string &Name, const std::string &Value);
   void removeUpstream(const std::string &Name);
   /// \brief Makes the store unreachable, or reachable again, for an instance.
   void setStoreUnreachable(std::size_t Index, bool IsUnreachable);
@@ -131,6 +142,8 @@
   [[nodiscard]] std::size_t bytesFromPeers(std::size_t Index) const;
   /// \returns how many configurations all instances together parsed.
   [[nodiscard]] std::size_t parsed() const { return Deployment.Parsed; }
+  /// \returns the number of log entries of that kind at all instances.
+  [[nodiscard]] std::size_t logged(const std::string &Event) const;
   [[nodiscard]] std::size_t size() const { return Nodes.size(); }
 
 private:
@@ -178,7 +191,7 @@
 
   CountingCodec Deployment;
   platform::PlatformCallCodec Calls;
-  SilentLog Log;
+  CountingLog Log;
   FixedClock Wall;
   InMemoryStore Store;
   std::size_t Domains = 0;
