Bound the log lines and the bytes that unreadable entries cause

One unreadable entry of a megabyte was sent in full to every instance that has no contact with the store, and each unreadable entry of each list and message was a log line, which repeated an unknown state in full.

Lines are now limited to one a second, as for unreadable replies, and say how many there were; the state is not repeated. Peers receive the key of an unreadable entry longer than 4096 bytes without its value, which they cannot read either.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -35,6 +35,9 @@
 constexpr std::size_t MaxGossipPeers = 8;
 /// Most quarantined contents in one digest.
 constexpr std::size_t MaxDigestSuspects = 16;
+/// Longest value of an entry that cannot be read that is sent to peers; of a
+/// longer one they receive the key only.
+constexpr std::size_t MaxUnreadableBytes = 4096;
 /// Time between two checks of state that changes without an event.
 constexpr Duration HousekeepingPeriod = 100ms;
 /// Delay of the housekeeping that is logged.
@@ -305,7 +308,7 @@
 void FleetCore::UpstreamListener::onChanged(const StoreEntry &Entry,
                                             TimePoint Now) {
   Owner.applyUpstreamEntry(Entry, Owner.storeRecoveredAt(), Now);
-  Owner.queueChange(Entry, Now);
+  Owner.queueChange(Owner.Entries[Entry.Key], Now);
   Owner.Directory.onCaughtUp(Entry.Revision);
   Owner.updateUsableUpstreams(Now);
 }
@@ -358,11 +361,11 @@
   std::map<std::string, StoreEntry> Replacement;
   for (const StoreEntry &Entry : Listed) {
     const Result<UpstreamEntry> Parsed = Codecs.Deployment.parseUpstream(Entry);
+    StoreEntry &Stored = Replacement[Entry.Key] = Entry;
     if (Parsed)
       Upstreams.emplace_back(Parsed.value(), Entry.Revision);
     else
-      Deps.Log.onEvent("upstream-entry-skipped", describe(Parsed.error()));
-    Replacement[Entry.Key] = Entry;
+      skipUpstreamEntry(Stored, Parsed.error(), Now);
   }
   Entries = std::move(Replacement);
   EntriesListRevision = Revision;
@@ -387,12 +390,21 @@
     Directory.onEntry(Parsed.value(), Entry.Revision, Now);
     return;
   }
-  Deps.Log.onEvent("upstream-entry-skipped", describe(Parsed.error()));
+  skipUpstreamEntry(Stored, Parsed.error(), Now);
   // It names no upstream, as if it were missing from a list.
   Directory.onRemoved(Codecs.Deployment.upstreamOf(Entry.Key), Entry.Revision,
                       std::nullopt, Now);
 }
 
+void FleetCore::skipUpstreamEntry(StoreEntry &Entry, const Error &Problem,
+                                  TimePoint Now) {
+  if (Entry.Value.size() > MaxUnreadableBytes)
+    Entry.Value.clear();
+  if (const std::optional<std::string> Line =
+          SkippedEntries.report(describe(Problem), Now))
+    Deps.Log.onEvent("upstream-entry-skipped", *Line);
+}
+
 void FleetCore::onUpstreamList(const UpstreamList &Message, TimePoint Now) {
   if (Message.Whole && Message.Revision > Directory.revision()) {
     applyUpstreamList(Message.Entries, Message.Revision, std::nullopt, Now);
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -142,6 +142,9 @@
                          std::optional<TimePoint> RecoveredAt, TimePoint Now);
   void applyUpstreamEntry(const StoreEntry &Entry,
                           std::optional<TimePoint> RecoveredAt, TimePoint Now);
+  /// Logs an entry that cannot be read and drops its bytes where they are many.
+  void skipUpstreamEntry(StoreEntry &Entry, const Error &Problem,
+                         TimePoint Now);
   void onUpstreamList(const UpstreamList &Message, TimePoint Now);
   void updateUsableUpstreams(TimePoint Now);
   /// \returns when this instance regained contact with the store or a watcher;
@@ -224,6 +227,8 @@
   /// Revision of the list from which Entries was built; all later changes are
   /// known.
   std::uint64_t EntriesListRevision = 0;
+  /// Limits the log lines about entries that cannot be read.
+  UnreadableReplies SkippedEntries;
   /// Batch of changes that is sent next.
   std::vector<StoreEntry> UnsentChanges;
   /// Revision after which UnsentChanges holds every change.
--- a/bronzeward/src/Store/UnreadableReplies.h
+++ b/bronzeward/src/Store/UnreadableReplies.h
@@ -9,8 +9,8 @@
 namespace bronzeward {
 
 /// \ingroup Store
-/// \brief Limits the rate at which unreadable replies of the store are logged,
-/// so that a store that sends nothing else does not flood the log.
+/// \brief Limits the rate at which unreadable replies or entries of the store
+/// are logged, so that a store that sends nothing else does not flood the log.
 class UnreadableReplies {
 public:
   /// \param Problem why the reply could not be parsed; empty where it could.
--- a/test/OddEntriesTest.cpp
+++ b/test/OddEntriesTest.cpp
@@ -129,6 +129,108 @@
   CHECK(List->Entries[0].Key == Reply.Entries[0].Key);
 }
 
+/// \brief Generates values of registry entries with one or more odd fields.
+class OddValues {
+public:
+  explicit OddValues(std::uint64_t Seed) : Source(Seed) {}
+
+  std::string next() {
+    std::string Value = "{";
+    for (const char *Field :
+         {"service", "address", "zone", "capacity", "state", "born"}) {
+      if (Value.size() > 1)
+        Value += ',';
+      Value += '"' + std::string(Field) + "\":" + pick(Field);
+    }
+    Value += '}';
+    if (Source.below(8) == 0)
+      Value.resize(Source.below(Value.size()));
+    if (Source.below(8) == 0 && !Value.empty())
+      Value[Source.below(Value.size())] = static_cast<char>(Source.below(256));
+    return Value;
+  }
+
+private:
+  std::string pick(const std::string &Field) {
+    if (Source.below(3) == 0)
+      return Odd[Source.below(Odd.size())];
+    if (Field == "address")
+      return '"' + Addresses[Source.below(Addresses.size())] + '"';
+    if (Field == "capacity" || Field == "born")
+      return Numbers[Source.below(Numbers.size())];
+    return Field == "state" ? R"("ready")" : R"("s")";
+  }
+
+  Random Source;
+  std::vector<std::string> Addresses{"10.1.2.3:80",
+                                     "10.1.2.3:0",
+                                     "10.1.2.3:65536",
+                                     "10.1.2.3:99999999999",
+                                     "10.1.2.3:+8",
+                                     "10.1.2.3:8x",
+                                     "10.1.2.3:-1",
+                                     ":80",
+                                     "::1:80",
+                                     "[::1]:80",
+                                     "host:80",
+                                     "10.1.2.3",
+                                     "",
+                                     R"(1.2.3.4\u0000:8)",
+                                     R"(1.2.3.4:80\u00009)"};
+  std::vector<std::string> Numbers{"6",
+                                   "0",
+                                   "-1",
+                                   "-0",
+                                   "1.5",
+                                   "6.0",
+                                   "1e18",
+                                   "9223372036854775807",
+                                   "9223372036854775808",
+                                   "9223372036854775808.0",
+                                   "18446744073709551616",
+                                   "-9223372036854775809",
+                                   "1e308",
+                                   "1e999",
+                                   "1e-999",
+                                   "1700000000000"};
+  std::vector<std::string> Odd{"null",
+                               "true",
+                               "{}",
+                               "7",
+                               "1e999",
+                               "NaN",
+                               R"("")",
+                               R"("\ud800")",
+                               R"("\u0000")",
+                               "\"\xff\"",
+                               nested(31),
+                               nested(200'000),
+                               std::string(200'000, '{'),
+                               '"' + std::string(1'000'000, 'x') + '"'};
+};
+
+TEST_CASE("An odd registry entry is rejected or within bounds",
+          "[OddEntries]") {
+  const PlatformDeploymentCodec Codec;
+  OddValues Values(7);
+  int Accepted = 0;
+  for (int Round = 0; Round < 5'000; ++Round) {
+    const std::string Value = Values.next();
+    const Result<UpstreamEntry> Parsed =
+        Codec.parseUpstream({"servers/o", Value, 1, false});
+    if (!Parsed) {
+      CHECK(describe(Parsed.error()).size() < 300);
+      continue;
+    }
+    ++Accepted;
+    INFO(Value.substr(0, 300));
+    CHECK(Parsed.value().Slots > 0);
+    CHECK(Parsed.value().Port > 0);
+    CHECK(Parsed.value().Host.find('\0') == std::string::npos);
+  }
+  CHECK(Accepted > 0);
+}
+
 TEST_CASE("A key that is no name of an upstream is rejected", "[OddEntries]") {
   const PlatformDeploymentCodec Codec;
   for (const std::string &Key :
@@ -173,5 +275,41 @@
   }
 }
 
+// Guards against a link that is full of bytes that no instance can read.
+TEST_CASE("Entries that cannot be read are not sent to peers in full",
+          "[OddEntries]") {
+  constexpr std::size_t Large = 24;
+  fakes::FleetNetwork Fleet(Large, 4, Link);
+  Fleet.configure(1, 1);
+  Fleet.writeUpstream("a");
+  Fleet.runFor(8s);
+  for (std::size_t Node = 0; Node < Large; Node += 3)
+    Fleet.setStoreUnreachable(Node, true);
+  Fleet.runFor(4s);
+  std::vector<std::size_t> Before;
+  for (std::size_t Node = 0; Node < Large; ++Node)
+    Before.push_back(Fleet.bytesFromPeers(Node));
+  Fleet.writeEntry("odd", std::string(1'000'000, '['));
+  Fleet.writeUpstream("b");
+  Fleet.runFor(4s);
+  CHECK(upstreamsOf(Fleet) == std::vector<std::size_t>(Large, 2));
+  for (std::size_t Node = 0; Node < Large; ++Node)
+    CHECK(Fleet.bytesFromPeers(Node) - Before[Node] < 100'000);
+}
+
+TEST_CASE("Many odd entries cause few log lines", "[OddEntries]") {
+  fakes::FleetNetwork Fleet(2, 1, Link);
+  Fleet.configure(1, 1);
+  Fleet.writeUpstream("a");
+  Fleet.runFor(4s);
+  for (int Round = 0; Round < 100; ++Round)
+    for (int Index = 0; Index < 10; ++Index)
+      Fleet.writeEntry("odd" + std::to_string(Index), std::to_string(Round));
+  Fleet.runFor(1s);
+  CHECK(Fleet.logged("upstream-entry-skipped") > 0);
+  // One line each second at each instance.
+  CHECK(Fleet.logged("upstream-entry-skipped") <= 4);
+}
+
 } // namespace
 } // namespace bronzeward::platform
