--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -89,6 +89,28 @@
   CHECK(*header(Out, "X-Model") == "m");
 }
 
+// Sums of such numbers did not fit 64 bits: the time left and the cost became
+// negative.
+TEST_CASE("The largest numbers in headers neither overflow nor turn negative",
+          "[PlatformCodec]") {
+  const PlatformCallCodec Codec;
+  const std::string Largest = "9223372036854775807";
+  const Result<RelayCall> Call = Codec.parseCall(
+      requestOf({{"X-Attempt-Id", "a1"},
+                 {"X-Deadline-Ms", Largest},
+                 {"X-Token-Count", Largest + "," + Largest},
+                 {"X-Prompt-Prefix", "5c:" + Largest + ",91:" + Largest}}));
+  REQUIRE(Call);
+  CHECK(Call.value().CallerTimeout > Duration(1h));
+  CHECK(*Call.value().PromptTokens + *Call.value().MaxOutputTokens > 0);
+  REQUIRE(Call.value().Parts.size() == 2);
+  CHECK(Call.value().Parts[0].Tokens + Call.value().Parts[1].Tokens > 0);
+  const RelayAnswerHead Head = Codec.parseAnswerHead(
+      {200, {{"X-Server-Load", Largest + "," + Largest + ",8"}}});
+  REQUIRE(Head.Load);
+  CHECK(Head.Load->Running + Head.Load->Waiting > 0);
+}
+
 TEST_CASE("An answer's head shows whether the call ran", "[PlatformCodec]") {
   const PlatformCallCodec Codec;
   CHECK(Codec.parseAnswerHead({503, {{"X-Not-Executed", "1"}}}).NotRun);
@@ -231,5 +253,41 @@
   CHECK_FALSE(Codec.parseConfiguration("{}"));
 }
 
+TEST_CASE("Numbers of a configuration are cut to what their types hold",
+          "[PlatformCodec]") {
+  const PlatformDeploymentCodec Codec;
+  for (const char *Number : {"1e300", "1e999", "99999999999999999999"}) {
+    INFO(Number);
+    const std::string Value = Number;
+    const Result<FleetConfiguration> Parsed = Codec.parseConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+        R"("prefix":"/a/","kind":"idempotent","timeout_ms":)" +
+        Value + R"(,"target_latency_ms":)" + Value + R"(,"priority":)" + Value +
+        R"(,"attempts":)" + Value + R"(,"backends":[{"service":"s","weight":)" +
+        Value +
+        R"(},{"service":"t","weight":-1}]}],"services":[{"name":"s",)"
+        R"("max_connections":)" +
+        Value + R"(,"engine":{"stride":)" + Value +
+        R"(}}],"limits":{"max_header_bytes":)" + Value +
+        R"(,"header_timeout_ms":)" + Value +
+        R"(},"tenants":[{"name":"khan","api_keys":["k"],"prepaid":)" + Value +
+        "}]}");
+    REQUIRE(Parsed);
+    const RouteSpec &Route = Parsed.value().Routes[0];
+    // Times are added to the present.
+    CHECK(Route.Timeout > Duration(1h));
+    CHECK(Route.Timeout < Duration(24h) * 365);
+    CHECK(Route.Objective < Duration(24h) * 365);
+    CHECK(Route.Priority > 0);
+    CHECK(Route.Attempts > 0);
+    CHECK(Route.Targets[0].Weight > 0);
+    CHECK(Route.Targets[1].Weight == 0);
+    CHECK(Parsed.value().Services[0].MaxConnections > 0);
+    CHECK(Parsed.value().Services[0].TokensPerEvent > 0);
+    CHECK(Parsed.value().Bounds.HeaderTimeout < Duration(24h) * 365);
+    CHECK(Parsed.value().Workspaces[0].Prepaid > Money());
+  }
+}
+
 } // namespace
 } // namespace bronzeward::platform
