Cancel a call also if the ring to its client is full

An upstream would have gone on working for a caller that had left, until its answer ended or nothing came for 600 s: cancel() dropped the cancellation where the ring, of 65,536 items, was full. dispatch() handles that case already.

The cancellation is now posted to the client's loop. Tests of UpstreamClient pass as before; none fills the ring.

--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -110,7 +110,23 @@
   });
 }
 
-void UpstreamClient::cancel(AttemptId Attempt) { Ring.push(Cancel{Attempt}); }
+void UpstreamClient::cancel(AttemptId Attempt) {
+  if (Ring.push(Cancel{Attempt}))
+    return;
+  // Without the cancellation, the upstream would go on working for nobody.
+  boost::asio::post(Thread.context(),
+                    [this, Attempt] { cancelRunning(Attempt); });
+}
+
+void UpstreamClient::cancelRunning(AttemptId Attempt) {
+  const auto Found = Running.find(Attempt);
+  if (Found == Running.end())
+    return;
+  if (Found->second->unacknowledgedBytes() > 0)
+    ++CancelledUnacknowledged;
+  Found->second->cancel();
+  Running.erase(Found);
+}
 
 void UpstreamClient::setPolledUpstreams(std::vector<UpstreamSpec> Upstreams) {
   Ring.push(SetPolled{std::move(Upstreams)});
@@ -120,13 +136,7 @@
   if (const auto *Call = std::get_if<UpstreamCall>(&Item)) {
     startCall(*Call);
   } else if (const auto *Cancelled = std::get_if<Cancel>(&Item)) {
-    const auto Found = Running.find(Cancelled->Attempt);
-    if (Found == Running.end())
-      return;
-    if (Found->second->unacknowledgedBytes() > 0)
-      ++CancelledUnacknowledged;
-    Found->second->cancel();
-    Running.erase(Found);
+    cancelRunning(Cancelled->Attempt);
   } else if (auto *NewSet = std::get_if<SetPolled>(&Item)) {
     const bool WasIdle = PolledUpstreams.empty();
     PolledUpstreams = std::move(NewSet->Upstreams);
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -85,6 +85,7 @@
 
   void execute(Command &Item);
   void startCall(const UpstreamCall &Call);
+  void cancelRunning(AttemptId Attempt);
   void pollLoads();
 
   EventHandler Handler;
