Ignore a read timeout that expires as the request is complete

A caller could have lost its connection without an answer, and its call would have run on: where the loop is behind, the last bytes of a request and its read timer can be ready at once. The timer's handler can no longer be cancelled then; it cancelled the wait that keeps the session alive, or the answer being written.

The handler now acts only while a request is being read. No test provokes the coincidence; CallerServer passes as before.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -212,9 +212,11 @@
     // The stream's own timeout would close the connection before the refusal is
     // sent.
     Stream.expires_never();
+    Reading = true;
     ReadTimer.expires_after(Owner.Limits.ReadTimeout);
     ReadTimer.async_wait([Self = shared_from_this()](error_code Failure) {
-      if (Failure)
+      // A timer that has expired may be too late to be cancelled.
+      if (Failure || !Self->Reading)
         return;
       Self->TimedOut = true;
       Self->Stream.cancel();
@@ -246,7 +248,7 @@
           Buffer.prepare(HeadReadBytes),
           [Self = shared_from_this()](error_code Failure, std::size_t Length) {
             if (Failure) {
-              Self->ReadTimer.cancel();
+              Self->endReading();
               Self->failRead(Failure);
               return;
             }
@@ -256,8 +258,13 @@
     }
   }
 
-  void refuseRequest(Reason Cause) {
+  void endReading() {
+    Reading = false;
     ReadTimer.cancel();
+  }
+
+  void refuseRequest(Reason Cause) {
+    endReading();
     Closing = true;
     sendRefusal(Cause);
   }
@@ -268,7 +275,7 @@
     error_code Failure;
     Buffer.consume(Parser->put(Buffer.data(), Failure));
     if (Failure && Failure != http::error::need_more) {
-      ReadTimer.cancel();
+      endReading();
       failRead(Failure);
       return;
     }
@@ -286,7 +293,7 @@
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
           if (Failure) {
-            Self->ReadTimer.cancel();
+            Self->endReading();
             Self->failRead(Failure);
           } else {
             Self->onRequestRead();
@@ -295,7 +302,7 @@
   }
 
   void onRequestRead() {
-    ReadTimer.cancel();
+    endReading();
     if (Presence->hasLeft()) {
       ++Owner.LeftBeforeRead;
       close();
@@ -539,6 +546,8 @@
   std::string PendingParts;
   std::string PartsBeingWritten;
   bool KeepAlive = true;
+  /// Whether a request has begun to arrive and is not complete.
+  bool Reading = false;
   bool TimedOut = false;
   bool Closing = false;
   /// Whether the present request is answered with a stream.
