Cancel the call of a caller that lost a part of its answer

An upstream would have worked on for a caller whose connection the server had closed, because the full ring into its thread dropped a part of the answer: the core was not told. It now is, as for any caller that leaves. No test sees it: the case of CallerServer that fills the ring passes and ignores the event.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -178,6 +178,14 @@
     }
   }
 
+  /// \brief Closes the connection and tells the owner that its caller no longer
+  /// waits.
+  void callerGone() {
+    if (Owner.AwaitingAnswer.erase(Ticket) > 0)
+      Owner.Handler(CallerEvent(CallerGone{Ticket}));
+    close();
+  }
+
 private:
   void abort() {
     Owner.AwaitingAnswer.erase(Ticket);
@@ -406,12 +414,6 @@
     return Owner.AwaitingAnswer.contains(Ticket);
   }
 
-  void callerGone() {
-    if (Owner.AwaitingAnswer.erase(Ticket) > 0)
-      Owner.Handler(CallerEvent(CallerGone{Ticket}));
-    close();
-  }
-
   template <class Body>
   void fillHead(http::response<Body> &Out, const Answer &Content) {
     Out.version(11);
@@ -651,8 +653,10 @@
 }
 
 void CallerServer::abandon(CallerTicket To) {
-  Outgoing Close{To, Step::Close, {}};
-  perform(Close);
+  const auto Found = AwaitingAnswer.find(To);
+  if (Found != AwaitingAnswer.end())
+    if (const std::shared_ptr<Session> Target = Found->second.lock())
+      Target->callerGone();
   std::lock_guard<std::mutex> Guard(LostLock);
   Lost.erase(To);
 }
