Look for the caller before a permit or an upstream's place is taken

Upstreams that limit their rate could have been denied to callers that wait, for the sake of some that had left: the caller was looked for by the client only, after the core had taken a permit, a place at the upstream and, for a repetition, a part of the retry budget; the permit does not come back.

The relay now looks before each attempt as well. The test 'The caller's presence is checked before each attempt' covers the first one, a retry and a resumption. Tests of the engines show that the presence is passed on and what becomes of a call whose caller left; DepartedCaller has a case for a connection that is being opened, and waits for conditions instead of times where it can.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -272,6 +272,11 @@
 }
 
 void RelayEngine::dispatch(ActiveCall &Item, TimePoint Now) {
+  // Before a permit or a place at an upstream is taken.
+  if (Item.Call.Presence && Item.Call.Presence->hasLeft()) {
+    disconnect(Item, Now);
+    return;
+  }
   limitConnections(Item);
   std::vector<Candidate> Candidates =
       Pool.candidates(Item.Query, Deps.Source, Now);
@@ -617,8 +622,7 @@
   }
   if (Failure == UpstreamFailure::CallerLeft) {
     endAttempt(*Item, AttemptEnd::Cancelled, Now);
-    Deps.Callers.disconnect(Item->Call.Ticket);
-    abandon(*Item, Now);
+    disconnect(*Item, Now);
     return;
   }
   if (Failure != UpstreamFailure::NotSent &&
@@ -747,6 +751,11 @@
   abandon(Item, Now);
 }
 
+void RelayEngine::disconnect(ActiveCall &Item, TimePoint Now) {
+  Deps.Callers.disconnect(Item.Call.Ticket);
+  abandon(Item, Now);
+}
+
 void RelayEngine::abandon(ActiveCall &Item, TimePoint Now) {
   ++Counters.CallersGone;
   Deps.Log.onEnd(
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -210,6 +210,9 @@
   /// closing the caller's connection.
   void refuseOrAbort(ActiveCall &Item, Reason Why, TimePoint Now);
   void onExpired(const RequestId &Id, TimePoint Now);
+  /// Ends a call whose caller was found to have left, and closes its
+  /// connection. Its attempt has ended.
+  void disconnect(ActiveCall &Item, TimePoint Now);
   /// Ends a call whose caller has left. Its attempt has ended.
   void abandon(ActiveCall &Item, TimePoint Now);
   /// Settles or releases the call's reservation.
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -641,7 +641,7 @@
 }
 
 void RequestEngine::onLeftBeforeSend(ActiveRequest &Item, TimePoint Now) {
-  ++Counters.CallersGone;
+  Counters.CallersGone += Item.CallerGone ? 0 : 1;
   Deps.Callers.disconnect(Item.Ticket);
   const RequestId Request = Item.Id;
   Budgets->abandon(Request,
--- a/test/DepartedCallerTest.cpp
+++ b/test/DepartedCallerTest.cpp
@@ -108,13 +108,21 @@
     Io.restart();
     Io.run_for(Time);
   }
+  /// Runs until so many requests are answered, then until nothing happens.
+  void runUntilAnswered(int Count) {
+    const TimePoint Limit = std::chrono::steady_clock::now() + 20s;
+    while (Answered < Count && std::chrono::steady_clock::now() < Limit)
+      run(20ms);
+    run();
+  }
 
   boost::asio::io_context Io;
   Mailbox<CallerEvent> Events;
   CallerServer Callers;
   UpstreamClient Upstreams;
-  /// Called when a request is about to be passed on.
-  std::function<void()> BeforeDispatch;
+  /// Called when a request is about to be passed on, and when its connection
+  /// to the upstream is being opened.
+  std::function<void()> BeforeDispatch, WhileConnecting;
   int Answered = 0;
   int Gone = 0;
   std::set<UpstreamFailure> Failures;
@@ -138,6 +146,10 @@
     Call.Body = Request.Body;
     Call.Presence = Request.Presence;
     Upstreams.dispatch(Call);
+    // Runs after the client has started the call and before its connection is
+    // reported as open.
+    if (WhileConnecting)
+      boost::asio::post(Io, WhileConnecting);
   }
   void onUpstream(const UpstreamEvent &Event) {
     if (const auto *Ended = std::get_if<UpstreamEnded>(&Event)) {
@@ -166,12 +178,12 @@
       Callers.push_back(Instance.request());
   };
   SendFromAll();
-  Instance.run();
+  Instance.runUntilAnswered(Present);
   REQUIRE(Upstream.requests() == Present);
   for (int Number = 0; Number < Departed; ++Number)
     Instance.request()->close();
   SendFromAll();
-  Instance.run();
+  Instance.runUntilAnswered(2 * Present);
   CHECK(Upstream.requests() == 2 * Present);
   CHECK(Instance.Answered == 2 * Present);
   CHECK(Instance.Callers.answering() == 0);
@@ -182,7 +194,7 @@
   CountingUpstream Upstream;
   SmallInstance Instance(Upstream.port());
   const std::unique_ptr<Tcp::socket> Caller = Instance.request();
-  Instance.run();
+  Instance.runUntilAnswered(1);
   REQUIRE(Upstream.requests() == 1);
   std::string Reply;
   boost::asio::read_until(*Caller, boost::asio::dynamic_buffer(Reply),
@@ -210,11 +222,23 @@
   CHECK(Upstream.requests() == 1);
 }
 
-/// Accepts one connection and reads the first request after a delay.
+TEST_CASE("A request whose caller leaves as its connection opens is not sent",
+          "[DepartedCaller]") {
+  CountingUpstream Upstream;
+  SmallInstance Instance(Upstream.port());
+  std::unique_ptr<Tcp::socket> Caller = Instance.request();
+  Instance.WhileConnecting = [&] { Caller->close(); };
+  Instance.run(500ms);
+  CHECK(Upstream.requests() == 0);
+  CHECK(Instance.Failures == std::set{UpstreamFailure::CallerLeft});
+}
+
+/// Accepts one connection and reads the first request once it may.
 /// \returns whether the whole request arrives.
-bool arrivesLate(Tcp::acceptor &Acceptor, Duration Delay, std::size_t Bytes) {
+bool arrivesLate(Tcp::acceptor &Acceptor, const std::atomic<bool> &MayRead,
+                 std::size_t Bytes) {
   Tcp::socket Socket = Acceptor.accept();
-  std::this_thread::sleep_for(Delay);
+  MayRead.wait(false);
   std::string Received;
   error_code Failure;
   boost::asio::read(Socket, boost::asio::dynamic_buffer(Received),
@@ -234,13 +258,16 @@
   SmallInstance Instance(Acceptor.local_endpoint().port());
   constexpr std::size_t BodyBytes = std::size_t{128} * 1024;
   bool Arrived = false;
+  std::atomic<bool> MayRead = false;
   std::thread Reader(
-      [&] { Arrived = arrivesLate(Acceptor, 600ms, BodyBytes); });
+      [&] { Arrived = arrivesLate(Acceptor, MayRead, BodyBytes); });
   const std::unique_ptr<Tcp::socket> Caller =
       Instance.request(std::string(BodyBytes, 'a'));
   Instance.run();
   Caller->close();
   Instance.run();
+  MayRead = true;
+  MayRead.notify_one();
   Reader.join();
   CHECK(Instance.Gone == 1);
   CHECK_FALSE(Arrived);
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -403,6 +403,74 @@
   CHECK(Fixture.Engine.inFlight() == 0);
 }
 
+// Guards against faults that are held against an upstream to which nothing was
+// sent, and against a retry for a caller that has left.
+TEST_CASE("A call whose caller left before it was sent ends without a retry",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  for (const char *Target : {"/get/x", "/post/x", "/stream/x", "/resume/x"}) {
+    const std::size_t Before = Fixture.Calls.size();
+    Fixture.request(Target);
+    Fixture.fail(UpstreamFailure::CallerLeft);
+    CHECK(Fixture.Calls.size() == Before + 1);
+    CHECK(Fixture.Engine.inFlight() == 0);
+  }
+  CHECK(Fixture.Answers.empty());
+  CHECK(Fixture.Disconnected == 4);
+  CHECK(Fixture.Engine.counters().CallersGone == 4);
+  CHECK(Fixture.Engine.counters().Retries == 0);
+}
+
+/// \brief Presence that the test controls.
+class ManualPresence : public CallerPresence {
+public:
+  [[nodiscard]] bool hasLeft() const override { return Left; }
+  bool Left = false;
+};
+
+TEST_CASE("The caller's presence is checked before each attempt",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  const std::shared_ptr<ManualPresence> Presence =
+      std::make_shared<ManualPresence>();
+  const auto Request = [&](const char *Target) {
+    CallerRequest In;
+    In.Ticket = CallerTicket{++Fixture.LastTicket};
+    In.Method = "POST";
+    In.Target = Target;
+    In.Host = "h";
+    In.Presence = Presence;
+    Fixture.Engine.onCallerRequest(std::move(In), Fixture.Now);
+  };
+  for (const char *Target : {"/get/x", "/resume/x"}) {
+    Presence->Left = false;
+    Request(Target);
+    CHECK(Fixture.Calls.back().Presence == Presence);
+    const std::size_t Sent = Fixture.Calls.size();
+    Presence->Left = true;
+    Fixture.fail(UpstreamFailure::Closed);
+    Request(Target);
+    CHECK(Fixture.Calls.size() == Sent);
+    CHECK(Fixture.Engine.inFlight() == 0);
+  }
+  CHECK(Fixture.Disconnected == 4);
+  CHECK(Fixture.Answers.empty());
+}
+
+TEST_CASE("A stream whose resumption was not sent disconnects its caller",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/resume/x");
+  Fixture.head(200);
+  Fixture.bytes("id: 1\n\n");
+  Fixture.fail(UpstreamFailure::Closed);
+  REQUIRE(Fixture.Calls.size() == 2);
+  Fixture.fail(UpstreamFailure::CallerLeft);
+  CHECK(Fixture.CompleteStreams == 0);
+  CHECK(Fixture.Disconnected == 1);
+  CHECK(Fixture.Engine.inFlight() == 0);
+}
+
 TEST_CASE("Calls without a route or an upstream are refused as not run",
           "[RelayEngine]") {
   RelayFixture Fixture;
--- a/test/RequestEngineTest.cpp
+++ b/test/RequestEngineTest.cpp
@@ -369,6 +369,41 @@
   CHECK(Item.Engine.inFlight() == 0);
 }
 
+TEST_CASE("The caller's presence is passed on with each attempt",
+          "[RequestEngine]") {
+  class Absent : public CallerPresence {
+    [[nodiscard]] bool hasLeft() const override { return true; }
+  };
+  EngineFixture Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  CallerRequest In = Item.chat(true);
+  In.Presence = std::make_shared<Absent>();
+  const std::shared_ptr<const CallerPresence> Presence = In.Presence;
+  Item.request(std::move(In));
+  REQUIRE(Calls.size() == 1);
+  CHECK(Calls[0].Presence == Presence);
+}
+
+// Guards against a claim that blocks the key of a request that was never sent.
+TEST_CASE("A request whose caller left before it was sent releases its claim",
+          "[RequestEngine]") {
+  EngineFixture Item;
+  std::vector<UpstreamCall> Calls;
+  ALLOW_CALL(Item.Upstreams, dispatch(_)).LR_SIDE_EFFECT(Calls.push_back(_1));
+  ALLOW_CALL(Item.Callers, disconnect(_));
+  Item.request(Item.plain("k1"));
+  REQUIRE(Calls.size() == 1);
+  Item.Engine.onUpstreamFailure(Calls.back().Attempt,
+                                UpstreamFailure::CallerLeft, Item.Now);
+  Item.settle();
+  CHECK(Item.Engine.inFlight() == 0);
+  CHECK(Item.settled() == Money());
+  // The same request can be sent again under its key.
+  Item.request(Item.plain("k1"));
+  CHECK(Calls.size() == 2);
+}
+
 TEST_CASE("A request that exceeds its deadline ends with outcome unknown",
           "[RequestEngine]") {
   EngineFixture Item;
