Keep connections of callers that send their next request early

A caller that sent a request while the one ahead of it was still being answered lost its connection: no answer, or a stream cut between two events. The upstream worked on, since nothing cancelled the request.

Cause: between writes the only reference to a Session is the wait of watchForDisconnect. The bytes of the next request end that wait; the handler saw that the caller is still there, and did not wait again. The Session was destroyed without close(), so neither CallerGone was sent nor Answering decremented.

The handler now looks for the end of the connection behind the unread bytes too, and looks again every 50 ms while there are any. That wait holds the session as the first one does, and ends with the answer. A caller that sends nothing early never gets there.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -36,6 +36,10 @@
 /// an exception for a field whose length does not fit into 16 bits.
 constexpr std::size_t MaxLineBytes = 65000;
 
+/// Time between two checks whether a caller that has sent its next request
+/// early is still connected.
+constexpr Duration EarlyRequestCheckPeriod = 50ms;
+
 /// \brief Result of checking the raw bytes of a request's head.
 struct HeadScan {
   bool Complete = false;
@@ -361,19 +365,25 @@
                                  WatchedTicket = Ticket](error_code Failure) {
           if (Failure || Self->Ticket != WatchedTicket || !Self->open())
             return;
-          error_code Peeked;
-          char Byte = 0;
-          Self->Stream.socket().non_blocking(true, Peeked);
-          const std::size_t Length = Self->Stream.socket().receive(
-              asio::buffer(&Byte, 1), Tcp::socket::message_peek, Peeked);
-          const bool Disconnected =
-              (Peeked && Peeked != asio::error::would_block) ||
-              (!Peeked && Length == 0);
-          if (Disconnected)
+          if (closedByPeer(Self->Stream.socket().native_handle()))
             Self->callerGone();
+          else
+            Self->watchBehindUnreadBytes();
         });
   }
 
+  /// Bytes of a following request keep the socket readable, so that the end of
+  /// the connection is looked for periodically. The wait also keeps the session
+  /// alive, as the other watch does.
+  void watchBehindUnreadBytes() {
+    ReadTimer.expires_after(EarlyRequestCheckPeriod);
+    ReadTimer.async_wait([Self = shared_from_this(),
+                          WatchedTicket = Ticket](error_code Failure) {
+      if (!Failure && Self->Ticket == WatchedTicket && Self->open())
+        Self->watchForDisconnect();
+    });
+  }
+
   [[nodiscard]] bool open() const {
     return Owner.AwaitingAnswer.contains(Ticket);
   }
--- a/test/process/CallerContractTest.py
+++ b/test/process/CallerContractTest.py
@@ -3,6 +3,7 @@
 import pathlib
 import socket
 import sys
+import time
 import unittest
 
 sys.path.insert(
@@ -88,6 +89,41 @@
             lambda: any(bill["key"] == "gone-1" for bill in
                         self.fleet.accounts()["khan"]["bills"]))
 
+    def test_request_sent_while_the_one_ahead_is_answered(self):
+        def message(key, tokens):
+            body = json.dumps({
+                "model": "draft-large", "stream": False, "max_tokens": tokens,
+                "messages": [{"role": "user", "content": key}]})
+            return ("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                    "Authorization: Bearer khan-key\r\n"
+                    f"Idempotency-Key: {key}\r\n"
+                    f"Content-Length: {len(body)}\r\n\r\n{body}").encode()
+        with socket.create_connection(
+                ("127.0.0.1", self.fleet.callers[0]), 10) as connection:
+            connection.sendall(message("ahead-1", 16))
+            time.sleep(0.3)
+            connection.sendall(message("early-1", 2))
+            text = b""
+            while text.count(b'"finish_reason"') < 2:
+                piece = connection.recv(65536)
+                self.assertTrue(piece, f"closed after {text!r}")
+                text += piece
+        self.assertEqual(text.count(b"HTTP/1.1 200 "), 2)
+
+    def test_caller_that_leaves_behind_an_early_request(self):
+        def load():
+            return json.loads(self.fleet.get(
+                self.fleet.engines[0], "/load").body)
+        before = load()["cancelled"]
+        stream = self.fleet.open(0, "leaving early", key="gone-2", tokens=64)
+        stream.read_until("word2 ")
+        stream.connection.sock.sendall(b"POST /early HTTP/1.1\r\n")
+        time.sleep(0.2)
+        stream.response.close()
+        stream.connection.close()
+        fleet_module.wait_until("the engine's work is cancelled",
+                                lambda: load()["cancelled"] > before)
+
     def test_too_many_connections(self):
         held = [socket.create_connection(
             ("127.0.0.1", self.fleet.callers[0]), 30) for _ in range(20)]
