--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -97,7 +97,7 @@
     """The processes, their ports and calls to them."""
 
     def __init__(self, routers=3, engines=2, keep=False, engine_flags=(),
-                 router_flags=(), policy=""):
+                 router_flags=(), policy="", linked=False):
         self.bin = pathlib.Path(
             os.environ.get("BRONZEWARD_BIN", ROOT / "build" / "bin"))
         self.work = pathlib.Path(tempfile.mkdtemp(prefix="bronzeward-"))
@@ -105,7 +105,7 @@
         self.keep = keep
         self.router_names = [f"router-{i + 1}" for i in range(routers)]
         self.domains = ["ub-1", "ub-2", "ub-3"]
-        ports = iter(free_ports(6 * routers + engines + 4))
+        ports = iter(free_ports(6 * routers + 2 * engines + 5))
         self.control_store = next(ports)
         self.store_admin = next(ports)
         self.relay_admin = next(ports)
@@ -116,6 +116,9 @@
         self.links = [next(ports) for _ in range(routers)]
         self.engines = [next(ports) for _ in range(engines)]
         self.plain = next(ports)
+        # Routers reach linked upstreams through the relay.
+        self.linked = linked
+        self.upstream_links = [next(ports) for _ in range(engines + 1)]
         self.engine_flags = list(engine_flags)
         self.router_flags = list(router_flags)
         self.policy = policy
@@ -136,13 +139,15 @@
                    f"--control_port={self.store_admin}")
         self.spawn("relay", "bronzeward-standin-relay",
                    "--links=" + ",".join(
-                       f"{a}={b}" for a, b in zip(self.links, self.peers)),
+                       f"{a}={b}" for a, b in zip(
+                           self.links + self.upstream_links,
+                           self.peers + self.engines + [self.plain])),
                    f"--control_port={self.relay_admin}")
-        for index, port in enumerate(self.engines):
-            self.spawn(f"engine-{index + 1}", "bronzeward-standin-engine",
-                       f"--listen=127.0.0.1:{port}", *self.engine_flags)
+        for index in range(len(self.engines)):
+            self.start_engine(index)
         self.spawn("plain", "bronzeward-standin-plain",
-                   f"--listen=127.0.0.1:{self.plain}")
+                   f"--listen=127.0.0.1:{self.plain}",
+                   f"--history={self.work / 'plain.history'}")
         for port in [self.store_admin, self.plain, *self.engines]:
             wait_until(f"port {port} answers",
                        lambda p=port: self.get(p, "/load").status)
@@ -151,6 +156,13 @@
             self.start_router(index)
         self.wait_ready()
 
+    def start_engine(self, index):
+        name = f"engine-{index + 1}"
+        self.spawn(name, "bronzeward-standin-engine",
+                   f"--listen=127.0.0.1:{self.engines[index]}",
+                   f"--history={self.work / name}.history",
+                   *self.engine_flags)
+
     def start_router(self, index):
         self.spawn(self.router_names[index], "bronzeward",
                    f"--instance={self.router_names[index]}",
@@ -214,7 +226,9 @@
 route = "/ledger"
 price = { call = 500 }
 """]
-        for index, port in enumerate(self.engines):
+        reached = self.upstream_links if self.linked else [
+            *self.engines, self.plain]
+        for index, port in enumerate(reached[:-1]):
             parts.append(f"""
 [[upstream]]
 name = "engine-{index + 1}"
@@ -226,7 +240,7 @@
 [[upstream]]
 name = "ledger-1"
 service = "ledger"
-address = "127.0.0.1:{self.plain}"
+address = "127.0.0.1:{reached[-1]}"
 failure_domain = "ub-3"
 """)
         for name, key in self.keys.items():
@@ -277,6 +291,9 @@
         word = "cut" if cut else "heal"
         self.get(self.relay_admin, f"/{word}/{self.links[index]}")
 
+    def link(self, switch, port):
+        self.get(self.relay_admin, f"/{switch}/{port}")
+
     def open(self, index, prompt, workspace="khan", key=None, tokens=16,
              stream=True):
         headers = {"Authorization": "Bearer " + self.keys[workspace],
--- a/standins/Service.h
+++ b/standins/Service.h
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 
+#include <fstream>
 #include <iostream>
 
 namespace bronzeward::standins {
@@ -42,7 +43,31 @@
     return 0;
   }
 
+  /// \brief Appends each step of a request to a file: step, microseconds of
+  /// the monotonic clock, run, key. A file outlives a killed process.
+  void keepHistory(const std::string &File) {
+    if (!File.empty())
+      History.open(File, std::ios::app);
+  }
+
 protected:
+  void record(const char *Step, const std::string &Run,
+              const std::string &Key) {
+    if (History.is_open())
+      History << Step << " " << nowMicros() << " " << Run << " "
+              << (Key.empty() ? "-" : Key) << std::endl;
+  }
+
+  /// \returns a name for one execution, unique over restarts.
+  std::string nameRun(const CallerRequest &Request) {
+    std::string Name = Request.Key.empty() ? "none" : Request.Key;
+    for (const HeaderField &Field : Request.Headers)
+      if (Field.Name == "X-Request-Id")
+        Name = Field.Value;
+    return Name + "/" + std::to_string(nowMicros()) + "." +
+           std::to_string(++NamedRuns);
+  }
+
   /// \brief Takes one request, or the news that a caller went away.
   virtual void take(CallerEvent &Event) = 0;
 
@@ -57,10 +82,19 @@
   CallerServer Server;
 
 private:
+  static std::int64_t nowMicros() {
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+  }
+
   static int complain(const Error &Failure) {
     std::cerr << describe(Failure) << "\n";
     return SettingsExitCode;
   }
+
+  std::ofstream History;
+  std::int64_t NamedRuns = 0;
 };
 
 } // namespace bronzeward::standins
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -15,6 +15,7 @@
 DEFINE_string(crash_mark, "crash-the-engine",
               "text in a prompt that crashes the engine");
 
+DEFINE_string(history, "", "file for the steps of each request; none if empty");
 DEFINE_bool(checks_fencing, true, "refuse orders with an old fencing number");
 
 namespace bronzeward::standins {
@@ -28,6 +29,8 @@
 /// \brief One request in the engine.
 struct Job {
   CallerTicket Ticket;
+  std::string Run;
+  std::string Key;
   std::string Model;
   bool Streamed = false;
   std::int64_t MaxTokens = 0;
@@ -39,6 +42,9 @@
 
 /// \brief The engine, in one thread beside its server's thread.
 class Engine : public Service {
+public:
+  Engine() { keepHistory(FLAGS_history); }
+
 private:
   void take(CallerEvent &Event) override {
     if (const auto *Gone = std::get_if<CallerGone>(&Event)) {
@@ -121,6 +127,9 @@
     const json::object &Body = Parsed.as_object();
     Job Fresh;
     Fresh.Ticket = Request.Ticket;
+    Fresh.Run = nameRun(Request);
+    Fresh.Key = Request.Key;
+    record("arrived", Fresh.Run, Fresh.Key);
     Fresh.Model = Body.at("model").as_string().c_str();
     const json::value *Stream = Body.if_contains("stream");
     Fresh.Streamed = Stream != nullptr && Stream->as_bool();
@@ -148,6 +157,7 @@
     const std::int64_t Prefill =
         FLAGS_prefill_us * (Fresh.InputTokens - Fresh.CachedTokens);
     Job &Placed = Jobs.emplace(Ticket, std::move(Fresh)).first->second;
+    record("began", Placed.Run, Placed.Key);
     if (Placed.Streamed) {
       Answer Head;
       Head.ContentType = "text/event-stream";
@@ -176,7 +186,8 @@
 
   static json::object chunk(const Job &Item, json::value Delta,
                             json::value Finish) {
-    return {{"object", "chat.completion.chunk"},
+    return {{"id", Item.Run},
+            {"object", "chat.completion.chunk"},
             {"model", Item.Model},
             {"choices",
              json::array{json::object{{"index", 0},
@@ -206,6 +217,7 @@
   }
 
   void finish(Job &Item) {
+    record("ended", Item.Run, Item.Key);
     if (Item.Streamed) {
       Server.endStream(
           Item.Ticket,
@@ -218,6 +230,7 @@
       Answer Whole;
       Whole.ContentType = "application/json";
       Whole.Body = json::serialize(json::object{
+          {"id", Item.Run},
           {"object", "chat.completion"},
           {"model", Item.Model},
           {"choices", json::array{json::object{
@@ -233,9 +246,18 @@
   }
 
   void cancel(CallerTicket Ticket) {
-    Cancelled += static_cast<std::int64_t>(Jobs.erase(Ticket));
-    std::erase_if(Queue,
-                  [&](const Job &Item) { return Item.Ticket == Ticket; });
+    const auto Found = Jobs.find(Ticket);
+    if (Found != Jobs.end()) {
+      record("cancelled", Found->second.Run, Found->second.Key);
+      Jobs.erase(Found);
+      ++Cancelled;
+    }
+    std::erase_if(Queue, [&](const Job &Item) {
+      if (Item.Ticket != Ticket)
+        return false;
+      record("cancelled", Item.Run, Item.Key);
+      return true;
+    });
     startNext();
   }
 
--- a/standins/plain.cpp
+++ b/standins/plain.cpp
@@ -8,6 +8,7 @@
 
 DEFINE_string(listen, "127.0.0.1:9101", "address, ip:port");
 DEFINE_int32(work_ms, 20, "time for one call");
+DEFINE_string(history, "", "file for the steps of each call; none if empty");
 
 namespace bronzeward::standins {
 
@@ -15,6 +16,9 @@
 
 /// \brief The service, in one thread beside its server's thread.
 class PlainService : public Service {
+public:
+  PlainService() { keepHistory(FLAGS_history); }
+
 private:
   void take(CallerEvent &Event) override {
     if (const auto *Request = std::get_if<CallerRequest>(&Event))
@@ -39,12 +43,16 @@
     ++Running;
     const std::int64_t Number = ++Executed;
     ++Executions[Request.Key];
+    const std::string Run = nameRun(Request);
+    record("arrived", Run, Request.Key);
+    record("began", Run, Request.Key);
     std::shared_ptr<boost::asio::steady_timer> Timer =
         std::make_shared<boost::asio::steady_timer>(
             Io, std::chrono::milliseconds(FLAGS_work_ms));
-    Timer->async_wait([this, Timer, Number,
+    Timer->async_wait([this, Timer, Number, Run, Key = Request.Key,
                        Ticket = Request.Ticket](boost::system::error_code) {
       --Running;
+      record("ended", Run, Key);
       answerJson(Ticket, json::object{{"filed", Number}});
     });
   }
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -1,7 +1,7 @@
 /// \file
-/// Stand-in for a link between two instances: passes TCP on, until it is told
-/// to hold everything back. A cut link accepts connections and delivers
-/// nothing, as a partition does.
+/// Stand-in for a link between two processes: passes TCP on, until it is told
+/// to delay it, to reset it or to hold it back, in one direction or in both. A
+/// cut link accepts connections and delivers nothing, as a partition does.
 
 #include "bronzeward/Net"
 #include "daemons/Settings.h"
@@ -9,6 +9,7 @@
 #include <gflags/gflags.h>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -25,12 +26,19 @@
 using Tcp = boost::asio::ip::tcp;
 using boost::system::error_code;
 
+/// \brief Faults of one direction of a link.
+struct Direction {
+  bool Cut = false;
+  std::chrono::milliseconds Delay{0};
+};
+
 /// \brief One direction of one connection.
 class Pump : public std::enable_shared_from_this<Pump> {
 public:
   Pump(std::shared_ptr<Tcp::socket> Source, std::shared_ptr<Tcp::socket> Sink,
-       const bool &Held)
-      : From(std::move(Source)), To(std::move(Sink)), Cut(Held) {}
+       const Direction &Now)
+      : From(std::move(Source)), To(std::move(Sink)), Faults(Now),
+        Pause(From->get_executor()) {}
 
   void read() {
     From->async_read_some(
@@ -38,13 +46,24 @@
         [Self = shared_from_this()](error_code Failure, std::size_t Length) {
           if (Failure)
             Self->close();
-          else if (!Self->Cut)
-            Self->write(Length);
+          else if (!Self->Faults.Cut)
+            Self->hold(Length);
           // A cut link loses what it was given and falls silent.
         });
   }
 
 private:
+  void hold(std::size_t Length) {
+    if (Faults.Delay.count() == 0) {
+      write(Length);
+      return;
+    }
+    Pause.expires_after(Faults.Delay);
+    Pause.async_wait([Self = shared_from_this(), Length](error_code) {
+      Self->write(Length);
+    });
+  }
+
   void write(std::size_t Length) {
     boost::asio::async_write(
         *To, boost::asio::buffer(Bytes, Length),
@@ -64,7 +83,8 @@
 
   std::shared_ptr<Tcp::socket> From;
   std::shared_ptr<Tcp::socket> To;
-  const bool &Cut;
+  const Direction &Faults;
+  boost::asio::steady_timer Pause;
   std::array<char, 16384> Bytes{};
 };
 
@@ -76,7 +96,9 @@
 
   Tcp::acceptor Acceptor;
   Tcp::endpoint Target;
-  bool Cut = false;
+  Direction Forth;
+  Direction Back;
+  std::list<std::weak_ptr<Tcp::socket>> Open;
 };
 
 /// \brief All links, and the port that cuts and heals them.
@@ -132,18 +154,52 @@
         Item.Target, [Near = std::move(Near), Far, &Item](error_code Failure) {
           if (Failure)
             return;
-          std::make_shared<Pump>(Near, Far, Item.Cut)->read();
-          std::make_shared<Pump>(Far, Near, Item.Cut)->read();
+          Item.Open.remove_if([](const std::weak_ptr<Tcp::socket> &Socket) {
+            return Socket.expired();
+          });
+          Item.Open.insert(Item.Open.end(), {Near, Far});
+          std::make_shared<Pump>(Near, Far, Item.Forth)->read();
+          std::make_shared<Pump>(Far, Near, Item.Back)->read();
         });
   }
 
-  /// Takes "/cut/PORT" and "/heal/PORT".
+  static void reset(Link &Item) {
+    for (const std::weak_ptr<Tcp::socket> &Open : Item.Open) {
+      const std::shared_ptr<Tcp::socket> Socket = Open.lock();
+      if (!Socket)
+        continue;
+      error_code Ignored;
+      Socket->set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+      Socket->close(Ignored);
+    }
+    Item.Open.clear();
+  }
+
+  static void apply(Link &Item, const std::string &Switch) {
+    constexpr std::string_view Delay = "delay-";
+    if (Switch == "cut" || Switch == "cut-forth")
+      Item.Forth.Cut = true;
+    if (Switch == "cut" || Switch == "cut-back")
+      Item.Back.Cut = true;
+    if (Switch == "reset")
+      reset(Item);
+    if (Switch.starts_with(Delay))
+      Item.Forth.Delay = Item.Back.Delay =
+          std::chrono::milliseconds(std::stoi(Switch.substr(Delay.size())));
+    if (Switch == "heal") {
+      Item.Forth = {};
+      Item.Back = {};
+    }
+  }
+
+  /// Takes "/SWITCH/PORT" with the switches cut, cut-forth, cut-back, reset,
+  /// delay-MILLISECONDS and heal.
   void set(const CallerRequest &Asked) {
     const std::size_t Slash = Asked.Target.rfind('/');
     const std::string Port = Asked.Target.substr(Slash + 1);
     for (Link &Item : Links)
       if (std::to_string(Item.Acceptor.local_endpoint().port()) == Port)
-        Item.Cut = Asked.Target.starts_with("/cut/");
+        apply(Item, Asked.Target.substr(1, Slash - 1));
     Answer Made;
     Made.Body = "done\n";
     Control.answer(Asked.Ticket, Made);
--- /dev/null
+++ b/test/process/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the soak: callers, faults and the checks of what was seen."""
