--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -3,6 +3,7 @@
 #include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <catch2/catch.hpp>
 
 namespace bronzeward::platform {
@@ -258,20 +259,19 @@
   const PlatformDeploymentCodec Codec;
   for (const char *Number : {"1e300", "1e999", "99999999999999999999"}) {
     INFO(Number);
-    const std::string Value = Number;
-    const Result<FleetConfiguration> Parsed = Codec.parseConfiguration(
-        R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
-        R"("prefix":"/a/","kind":"idempotent","timeout_ms":)" +
-        Value + R"(,"target_latency_ms":)" + Value + R"(,"priority":)" + Value +
-        R"(,"attempts":)" + Value + R"(,"backends":[{"service":"s","weight":)" +
-        Value +
-        R"(},{"service":"t","weight":-1}]}],"services":[{"name":"s",)"
-        R"("max_connections":)" +
-        Value + R"(,"engine":{"stride":)" + Value +
-        R"(}}],"limits":{"max_header_bytes":)" + Value +
-        R"(,"header_timeout_ms":)" + Value +
-        R"(},"tenants":[{"name":"khan","api_keys":["k"],"prepaid":)" + Value +
-        "}]}");
+    const Result<FleetConfiguration> Parsed =
+        Codec.parseConfiguration(boost::algorithm::replace_all_copy(
+            std::string(
+                R"({"version":7,"routes":[{"name":"r","host":"h.example",)"
+                R"("prefix":"/a/","kind":"idempotent","timeout_ms":@,)"
+                R"("target_latency_ms":@,"priority":@,"attempts":@,)"
+                R"("backends":[{"service":"s","weight":@},)"
+                R"({"service":"t","weight":-1}]}],"services":[{"name":"s",)"
+                R"("max_connections":@,"engine":{"stride":@}}],)"
+                R"("limits":{"max_header_bytes":@,"header_timeout_ms":@},)"
+                R"("tenants":[{"name":"khan","api_keys":["k"],)"
+                R"("prepaid":@}]})"),
+            "@", Number));
     REQUIRE(Parsed);
     const RouteSpec &Route = Parsed.value().Routes[0];
     // Times are added to the present.
