--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -242,8 +242,8 @@
 public:
   using Script = std::function<void(CallerServer &, CallerTicket)>;
 
-  /// \param Script called in the server's thread once the request is read.
-  explicit StreamServer(Script Steps)
+  /// \param Steps called in the server's thread once the request is read.
+  explicit StreamServer(const Script &Steps)
       : Server(Echo::limits(), [this, Steps](CallerEvent Event) {
           if (const auto *Request = std::get_if<CallerRequest>(&Event))
             Steps(Server, Request->Ticket);
--- a/test/StreamResumptionTest.cpp
+++ b/test/StreamResumptionTest.cpp
@@ -260,8 +260,13 @@
     const std::string End =
         std::vector<std::string>{"\n", "\r\n", "\r"}[Source.below(3)];
     for (std::size_t Index = 0; Index < Count; ++Index)
-      Events.push_back("id: " + std::to_string(FirstId + Index * Step) + End +
-                       "data: t" + std::to_string(Index) + End + End);
+      Events.push_back(std::string("id: ")
+                           .append(std::to_string(FirstId + Index * Step))
+                           .append(End)
+                           .append("data: t")
+                           .append(std::to_string(Index))
+                           .append(End)
+                           .append(End));
   }
 
   void run() {
