Hand departures of callers to the core ahead of the events that wait

Upstreams worked on for callers that had left: the departure was handled behind all events in the core's ring, and a mailbox handed over a whole ring at once, in which time its loop noticed no further departure.

Departures have a ring of their own, and a mailbox gives other work its turn after 16 items. A departure may now overtake its own request; the core ignores it then, and the request is dropped where the caller is looked for.

Test: 'A long queue lets other work of its loop have its turn' (BoundedRing) is new; it was not run without the change, where the whole queue comes first by construction. After: [BoundedRing], [DepartedCaller], [CallerServer] and the engines' cases pass.

--- a/bronzeward/src/Base/BoundedRing.h
+++ b/bronzeward/src/Base/BoundedRing.h
@@ -2,7 +2,10 @@
 
 #include <boost/circular_buffer.hpp>
 
+#include <algorithm>
 #include <cstdint>
+#include <iterator>
+#include <limits>
 #include <mutex>
 #include <utility>
 #include <vector>
@@ -31,12 +34,18 @@
     return true;
   }
 
-  /// \brief Moves every waiting item to the end of Batch.
-  void drain(std::vector<Item> &Batch) {
+  /// \brief Moves waiting items, the oldest first, to the end of Batch.
+  /// \param Limit greatest number of items to move.
+  /// \returns whether items are left.
+  bool drain(std::vector<Item> &Batch,
+             std::size_t Limit = std::numeric_limits<std::size_t>::max()) {
     std::lock_guard<std::mutex> Guard(Lock);
-    for (Item &Value : Items)
-      Batch.push_back(std::move(Value));
-    Items.clear();
+    const std::size_t Count = std::min(Limit, Items.size());
+    const auto End = Items.begin() + static_cast<std::ptrdiff_t>(Count);
+    Batch.insert(Batch.end(), std::make_move_iterator(Items.begin()),
+                 std::make_move_iterator(End));
+    Items.erase_begin(Count);
+    return !Items.empty();
   }
 
   /// \returns how many items were refused since the start.
--- a/bronzeward/src/Net/CoreThread.cpp
+++ b/bronzeward/src/Net/CoreThread.cpp
@@ -14,7 +14,11 @@
       Thread(Shared), Timer(Thread.context()), Housekeeping(Thread.context()),
       Status(std::make_shared<RouterStatus>()),
       Ring(Thread.context(), RingCapacity,
-           [this](CoreEvent &Event) { handle(Event); }) {}
+           [this](CoreEvent &Event) { handle(Event); }),
+      Departures(Thread.context(), RingCapacity, [this](CallerGone &Event) {
+        Core->onCallerGone(Event.Ticket, Time.now());
+        armTimer();
+      }) {}
 
 void CoreThread::start() {
   boost::asio::post(Thread.context(), [this] {
--- a/bronzeward/src/Net/CoreThread.h
+++ b/bronzeward/src/Net/CoreThread.h
@@ -71,6 +71,9 @@
   void stop() { Thread.stop(); }
   /// \brief Passes an event to the core; waits while the ring is full.
   void post(CoreEvent Event) { Ring.pushOrWait(std::move(Event)); }
+  /// \brief Passes the departure of a caller to the core, ahead of the events
+  /// that wait, among which its request may be.
+  void postDeparture(CallerGone Event) { Departures.pushOrWait(Event); }
   /// \brief Passes an event to the core without waiting.
   /// \returns false if the ring is full; the event is dropped then.
   bool tryPost(CoreEvent Event) { return Ring.push(std::move(Event)); }
@@ -103,6 +106,7 @@
   mutable std::mutex StatusLock;
   std::shared_ptr<const RouterStatus> Status;
   Mailbox<CoreEvent> Ring;
+  Mailbox<CallerGone> Departures;
 };
 
 /// @}
--- a/bronzeward/src/Net/Mailbox.h
+++ b/bronzeward/src/Net/Mailbox.h
@@ -13,6 +13,11 @@
 
 namespace bronzeward {
 
+/// Number of items that a mailbox hands over before other work of its loop gets
+/// its turn. A loop that handles a long queue at once notices nothing
+/// meanwhile.
+inline constexpr std::size_t MailboxBatch = 16;
+
 /// \ingroup Net
 /// \brief Bounded queue of items for the thread that runs an `io_context`.
 template <class Item> class Mailbox {
@@ -58,9 +63,11 @@
   void drain() {
     Scheduled = false;
     std::vector<Item> Batch;
-    Ring.drain(Batch);
+    const bool More = Ring.drain(Batch, MailboxBatch);
     for (Item &Value : Batch)
       Receive(Value);
+    if (More)
+      wake();
   }
 
   boost::asio::io_context &Io;
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -153,7 +153,7 @@
 bool InstanceProcess::postCallerEvent(CallerEvent Event) {
   if (std::holds_alternative<CallerRequest>(Event))
     return Core.tryPost(std::move(Event));
-  Core.post(std::move(Event));
+  Core.postDeparture(std::get<CallerGone>(Event));
   return true;
 }
 
--- a/test/BoundedRingTest.cpp
+++ b/test/BoundedRingTest.cpp
@@ -48,6 +48,22 @@
   CHECK(std::is_sorted(Seen.begin(), Seen.end()));
 }
 
+// Guards against a loop that notices nothing while it handles a long queue.
+TEST_CASE("A long queue lets other work of its loop have its turn",
+          "[BoundedRing]") {
+  boost::asio::io_context Io;
+  constexpr int Count = 1000;
+  int Seen = 0;
+  int SeenBeforeOther = 0;
+  Mailbox<int> Box(Io, Count, [&](int &) { ++Seen; });
+  for (int Number = 0; Number < Count; ++Number)
+    Box.push(Number);
+  boost::asio::post(Io, [&] { SeenBeforeOther = Seen; });
+  Io.run();
+  CHECK(Seen == Count);
+  CHECK(SeenBeforeOther <= Count / 10);
+}
+
 TEST_CASE("A mailbox that nobody reads refuses past its capacity",
           "[BoundedRing]") {
   boost::asio::io_context Idle;
