Accept all waiting connections in one turn of the loop

Callers waited for half a second and more to be read, gave up, and their requests were read all the same, while the loop was on time: each of its turns accepted one connection, so that of those that come at once the last waits for as many turns as there are.

Evidence: 'Waiting connections are accepted within few turns of the loop', before: 103 turns for 100 connections, 25 allowed.

Up to 64 connections are now accepted at once. The read timeout of a request no longer leaves its mark on the next one of the connection. After: the case passes, as do the other cases of DepartedCaller and CallerServer.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t RingCapacity = 65536;
 /// Time after a failure to accept a connection until the next attempt.
 constexpr Duration AcceptRetryDelay = 50ms;
+/// Number of waiting connections that are accepted at once. One in each turn of
+/// the loop would leave callers waiting while each turn takes long.
+constexpr int AcceptBatch = 64;
 /// Maximum number of connections that wait to be accepted.
 constexpr int ListenBacklog = 1024;
 /// Size of one read of a request's headers.
@@ -221,6 +224,7 @@
     // sent.
     Stream.expires_never();
     Reading = true;
+    TimedOut = false;
     ReadTimer.expires_after(Owner.Limits.ReadTimeout);
     ReadTimer.async_wait([Self = shared_from_this()](error_code Failure) {
       // A timer that has expired may be too late to be cancelled.
@@ -581,6 +585,8 @@
     Acceptor.bind(Endpoint, Failure);
   if (!Failure)
     Acceptor.listen(ListenBacklog, Failure);
+  if (!Failure)
+    Acceptor.non_blocking(true, Failure);
   if (Failure)
     return fail(ErrorKind::Unavailable, "listen for callers", Address,
                 Failure.message());
@@ -599,10 +605,23 @@
       return;
     }
     serve(std::move(Socket));
+    acceptWaiting();
     accept();
   });
 }
 
+void CallerServer::acceptWaiting() {
+  for (int Count = 1; Count < AcceptBatch; ++Count) {
+    error_code Failure;
+    Tcp::socket Socket(Thread.context());
+    Acceptor.accept(Socket, Failure);
+    // A failure other than that none waits is handled where accept() meets it.
+    if (Failure)
+      return;
+    serve(std::move(Socket));
+  }
+}
+
 void CallerServer::acceptLater() {
   // Without free descriptors the connection stays in the queue, and the next
   // attempt would fail at once.
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -95,6 +95,8 @@
   };
 
   void accept();
+  /// Accepts the connections that wait already, up to a limit.
+  void acceptWaiting();
   void acceptLater();
   void serve(boost::asio::ip::tcp::socket Socket);
   void perform(Outgoing &Item);
--- a/test/DepartedCallerTest.cpp
+++ b/test/DepartedCallerTest.cpp
@@ -164,6 +164,30 @@
   std::uint16_t Port = 0;
 };
 
+/// Load pattern: many callers connect at once, and each turn of the loop takes
+/// long. Callers that are not accepted give up and come again.
+TEST_CASE("Waiting connections are accepted within few turns of the loop",
+          "[DepartedCaller]") {
+  CountingUpstream Upstream;
+  SmallInstance Instance(Upstream.port());
+  constexpr int Count = 100;
+  int Read = 0;
+  int Turns = 0;
+  Instance.BeforeDispatch = [&] { ++Read; };
+  std::vector<std::unique_ptr<Tcp::socket>> Callers;
+  for (int Number = 0; Number < Count; ++Number)
+    Callers.push_back(Instance.request());
+  std::function<void()> Turn = [&] {
+    ++Turns;
+    if (Read < Count)
+      boost::asio::post(Instance.Io, Turn);
+  };
+  boost::asio::post(Instance.Io, Turn);
+  Instance.run(2s);
+  CHECK(Read == Count);
+  CHECK(Turns <= Count / 4);
+}
+
 /// Load pattern: an instance falls behind its callers, who give up before their
 /// requests are read. Earlier requests left idle connections to the upstream.
 TEST_CASE("Requests whose callers left before they were read are not sent",
