--- a/bronzeward/src/Relay/EventStream.h
+++ b/bronzeward/src/Relay/EventStream.h
@@ -9,12 +9,13 @@
 
 /// \ingroup Relay
 /// \brief Splits upstreams' server-sent events at event boundaries, and joins
-/// the streams of several upstreams only where no event can be missing.
+/// the streams of several upstreams where their numbers show no gap.
 ///
 /// An event is numbered if its "id" is a non-negative integer. The numbers of
 /// one upstream's stream have to increase. Another upstream's stream may go on
 /// where events were returned before if it repeats the last of them, or if its
-/// first new number follows by no more than the smallest step seen so far.
+/// first new number follows by no more than the smallest step seen so far. If
+/// numbers rise unevenly, such a step can still hide an event.
 class EventStream {
 public:
   /// \brief Omits the events that a caller has, up to and including Id. An id
