--- a/test/DepartedCallerTest.cpp
+++ b/test/DepartedCallerTest.cpp
@@ -175,6 +175,7 @@
   int Turns = 0;
   Instance.BeforeDispatch = [&] { ++Read; };
   std::vector<std::unique_ptr<Tcp::socket>> Callers;
+  Callers.reserve(Count);
   for (int Number = 0; Number < Count; ++Number)
     Callers.push_back(Instance.request());
   std::function<void()> Turn = [&] {
