Add a test that fails: a long backlog is never committed

The test replays its load: 100 bills a second while the store is away, then only peers reach the store, and a message of more than 100 operations does not get through.

--- a/test/support/FakeFleet.cpp
+++ b/test/support/FakeFleet.cpp
@@ -1,6 +1,7 @@
 #include "test/support/FakeFleet.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bronzeward::fakes {
 
@@ -63,6 +64,9 @@
 
 // One instance.
 
+/// Time after which the loss of a message is reported to its sender.
+constexpr Duration DeliveryTimeout = 1s;
+
 struct FakeFleet::Node : StorePort, PeerPort, BudgetListener {
   Node(FakeFleet &Owner, std::size_t Number, std::uint64_t Seed)
       : Fleet(Owner), Index(Number),
@@ -105,6 +109,14 @@
     for (const std::unique_ptr<Node> &Other : Fleet.Nodes) {
       if (Other->Name != To)
         continue;
+      const auto *Submitted = std::get_if<SubmitOperations>(&Message);
+      if (Submitted != nullptr &&
+          Submitted->Operations.size() > MaxOperationsSent) {
+        Timers->schedule(Fleet.Now + DeliveryTimeout, [this, To](TimePoint At) {
+          Agent->onPeerUnreachable(To, At);
+        });
+        return;
+      }
       Effect Item;
       Item.From = Index;
       Item.Incarnation = OwnIncarnation;
@@ -175,6 +187,7 @@
   bool CutFromStore = false;
   Duration StoreLag{};
   bool CutFromPeers = false;
+  std::size_t MaxOperationsSent = std::numeric_limits<std::size_t>::max();
 };
 
 // The fleet.
@@ -258,6 +271,10 @@
   Nodes[Index]->StoreLag = Lag;
 }
 
+void FakeFleet::setMaxOperationsSent(std::size_t Index, std::size_t Count) {
+  Nodes[Index]->MaxOperationsSent = Count;
+}
+
 void FakeFleet::setCutFromPeers(std::size_t Index, bool Cut) {
   Nodes[Index]->CutFromPeers = Cut;
 }
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -99,6 +99,9 @@
   void setCutFromPeers(std::size_t Node, bool Cut);
   /// \brief Adds a delay to each store call of an instance.
   void setStoreLag(std::size_t Node, Duration Lag);
+  /// \brief Limits the operations in one message of an instance. A longer one
+  /// is lost, as on a link too slow for the peers' delivery timeout.
+  void setMaxOperationsSent(std::size_t Node, std::size_t Count);
   /// \brief Sends every instance that reaches the store the list of members,
   /// without ended instances.
   /// \param ListPaused whether paused instances are listed.
