Log an instance's free budget, pending operations and loans

The log showed what an instance lacked when it refused a call for want of a grant (SHORT), but not whether its ledger operations got a result, or whether its loan requests were answered.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -167,6 +167,7 @@
   std::vector<InstanceId> Others = otherMembers();
   Deps.Source.shuffle(Others);
   Others.resize(std::min(Others.size(), LoanFanout));
+  LoanCounts.Requested += Others.size();
   for (const InstanceId &Peer : Others)
     Deps.Peers.send(Peer, LoanRequest{Workspace, Minimum, Wanted});
 }
@@ -188,6 +189,7 @@
   Book &Budget = Found->second;
   const Money Lent = Budget.Grant.lend(Message.Minimum, Message.Wanted);
   if (!Lent.isZero()) {
+    ++LoanCounts.Granted;
     Deps.Peers.send(
         From, loanOf(Message.Workspace, {holder(Budget), Now}, Lent, Now));
     return;
@@ -196,13 +198,16 @@
   // grant.
   const std::optional<LoanOrigin> Borrowed =
       Loans.reserve(Message.Workspace, Message.Minimum);
-  if (Borrowed)
-    Deps.Peers.send(From,
-                    loanOf(Message.Workspace, *Borrowed, Message.Minimum, Now));
+  if (!Borrowed)
+    return;
+  ++LoanCounts.Granted;
+  Deps.Peers.send(From,
+                  loanOf(Message.Workspace, *Borrowed, Message.Minimum, Now));
 }
 
 void BudgetAgent::onLoan(const Loan &Message, TimePoint Now) {
   Book &Budget = Books[Message.Workspace];
+  ++LoanCounts.Received;
   if (Message.Lender == holder(Budget))
     Budget.Grant.loanReturned(Message.Amount);
   else if (!isOwnIncarnation(Message.Lender))
@@ -1061,6 +1066,13 @@
 
 std::size_t BudgetAgent::carriedBills() const { return CopiedBills.carried(); }
 
+Money BudgetAgent::free() const {
+  Money Sum;
+  for (const auto &[Workspace, Budget] : Books)
+    Sum += Budget.Grant.free() + Loans.free(Workspace);
+  return Sum;
+}
+
 Money BudgetAgent::held() const {
   Money Sum;
   for (const auto &Entry : Books)
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -88,6 +88,14 @@
                          TimePoint Now) = 0;
 };
 
+/// \brief Counts of the loans between instances since the start.
+struct LoanCounters {
+  /// Messages that ask a peer for a loan.
+  std::uint64_t Requested = 0;
+  std::uint64_t Received = 0;
+  std::uint64_t Granted = 0;
+};
+
 /// \brief Interfaces that a \ref BudgetAgent depends on.
 struct BudgetDependencies {
   StoreClient &Store;
@@ -154,6 +162,15 @@
   [[nodiscard]] const Membership &membership() const { return Members; }
   [[nodiscard]] std::size_t pendingOperations() const;
   [[nodiscard]] std::size_t carriedBills() const;
+  /// \returns the age of the oldest operation without a result; zero if there
+  /// is none.
+  [[nodiscard]] Duration oldestOperationAge(TimePoint Now) const {
+    return Router.oldestAge(Now);
+  }
+  [[nodiscard]] const LoanCounters &loanCounters() const { return LoanCounts; }
+  /// \returns the amount of grants and loans that can be reserved here, over
+  /// all workspaces.
+  [[nodiscard]] Money free() const;
   /// \returns the state of a workspace's budget as text for the log.
   [[nodiscard]] std::string describe(const WorkspaceId &Workspace) const;
   /// \returns the sum of grants held here, over all workspaces.
@@ -312,6 +329,7 @@
   CarriedBills CopiedBills;
   std::map<WorkspaceId, Book> Books;
   LoanBook Loans;
+  LoanCounters LoanCounts;
   std::optional<TimePoint> FirstSettled;
   std::map<RequestId, Reservation> Reservations;
   std::map<RequestId, PendingClaim> Claims;
--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -46,7 +46,7 @@
     return 0;
   const std::uint64_t Number = ++LastNumber;
   Pending.emplace(Number, PendingOperation{Slot, std::move(Change),
-                                           std::move(Done), false, false});
+                                           std::move(Done), Now, false, false});
   enqueue(Slot, Number, Now);
   return Number;
 }
@@ -374,6 +374,11 @@
   }
 }
 
+Duration OperationRouter::oldestAge(TimePoint Now) const {
+  return Pending.empty() ? Duration()
+                         : Now - Pending.begin()->second.SubmittedAt;
+}
+
 void OperationRouter::suspect(const InstanceId &Peer, TimePoint Now) {
   SuspectedUntil[Peer] = Now + SuspectTime;
 }
--- a/bronzeward/src/Budget/OperationRouter.h
+++ b/bronzeward/src/Budget/OperationRouter.h
@@ -69,12 +69,15 @@
   SlotCommitter &committer(SlotId Slot);
 
   [[nodiscard]] std::size_t pending() const { return Pending.size(); }
+  /// \returns the age of the oldest pending operation; zero if there is none.
+  [[nodiscard]] Duration oldestAge(TimePoint Now) const;
 
 private:
   struct PendingOperation {
     SlotId Slot;
     Operation Change;
     Handler Done;
+    TimePoint SubmittedAt;
     bool EverSent = false;
     bool HandedOver = false;
   };
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -633,6 +633,23 @@
                    "sent " + std::to_string(Texts.Sent) + " received " +
                        std::to_string(Texts.Received) + " known " +
                        std::to_string(Texts.Known) + " since the start");
+  if (Budgets)
+    reportBudgets(Now);
+}
+
+void FleetCore::reportBudgets(TimePoint Now) {
+  const LoanCounters &Loans = Budgets->loanCounters();
+  const auto OldestMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Budgets->oldestOperationAge(Now));
+  Deps.Log.onEvent("budgets",
+                   "free " + std::to_string(Budgets->free().micros()) +
+                       " pending operations " +
+                       std::to_string(Budgets->pendingOperations()) +
+                       " oldest " + std::to_string(OldestMs.count()) +
+                       " ms, loans requested " +
+                       std::to_string(Loans.Requested) + " received " +
+                       std::to_string(Loans.Received) + " granted " +
+                       std::to_string(Loans.Granted) + " since the start");
 }
 
 void FleetCore::reportDelay(TimePoint Now) {
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -191,6 +191,7 @@
   /// Logs when the store becomes unreachable or reachable.
   void checkStore(TimePoint Now);
   void reportStoreCalls(TimePoint Now);
+  void reportBudgets(TimePoint Now);
   /// Logs when the event loop is behind its timers.
   void reportDelay(TimePoint Now);
   void housekeeping(TimePoint Now);
