Send ledger operations to peers in messages of limited size

Cause: all operations without a result went to the committer in one message; a backlog of hundreds of bills takes longer over a busy link than the delivery timeout of one second, so it was lost, sent to the next committer, and grew meanwhile; the draw of a grant was among them. Now urgent operations go first, and bills and returns follow in at most four unconfirmed messages of 32 operations, doubled up to 256 with each one that is confirmed. Bills are collected for half of the commit interval, for which the committer lets them wait anyway, instead of 2 ms.

--- a/bronzeward/src/Budget/OperationRouter.cpp
+++ b/bronzeward/src/Budget/OperationRouter.cpp
@@ -6,6 +6,12 @@
 
 /// Time for which operations to a peer are batched into one message.
 constexpr Duration ForwardDelay = 2ms;
+/// Deferrable operations are batched for the commit interval divided by this,
+/// as the committer lets them wait for its interval anyway.
+constexpr int DeferredDelayDivisor = 2;
+/// Maximum number of unconfirmed messages of deferrable operations. A backlog
+/// then neither fills a slow link nor delays urgent operations.
+constexpr std::size_t MaxDeferrableInFlight = 4;
 /// Time for which a failed committer is skipped.
 constexpr Duration SuspectTime = 2s;
 /// Instances that are asked to commit for a slot before this one does. In a
@@ -86,20 +92,38 @@
   return *Entry;
 }
 
+bool OperationRouter::deferrable(std::uint64_t Number) const {
+  const Operation &Change = Pending.at(Number).Change;
+  if (const CommitBill *Billed = std::get_if<CommitBill>(&Change))
+    return Billed->AnswerReleased;
+  // A refill is urgent too, since requests may wait for it meanwhile.
+  return std::holds_alternative<ReturnGrant>(Change);
+}
+
 void OperationRouter::enqueue(SlotId Slot, std::uint64_t Number,
                               TimePoint Now) {
-  SlotOutbox &Outbox = Outboxes[Slot];
-  Outbox.Numbers.push_back(Number);
-  const InstanceId To = committerFor(Slot, Now);
-  if (To == Self) {
+  Outboxes[Slot].Numbers.push_back(Number);
+  if (committerFor(Slot, Now) == Self) {
     flush(Slot, Now);
     return;
   }
-  if (Outbox.FlushScheduled)
+  const Duration Delay =
+      deferrable(Number) ? std::max(ForwardDelay, Deps.Policy.CommitInterval /
+                                                      DeferredDelayDivisor)
+                         : ForwardDelay;
+  scheduleFlush(Slot, Now + Delay);
+}
+
+void OperationRouter::scheduleFlush(SlotId Slot, TimePoint When) {
+  SlotOutbox &Outbox = Outboxes[Slot];
+  if (Outbox.NextFlush && *Outbox.NextFlush <= When)
     return;
-  Outbox.FlushScheduled = true;
-  Deps.Timers.schedule(Now + ForwardDelay, [this, Slot](TimePoint At) {
-    Outboxes[Slot].FlushScheduled = false;
+  Outbox.NextFlush = When;
+  Deps.Timers.schedule(When, [this, Slot, When](TimePoint At) {
+    // An earlier flush may have replaced this one.
+    if (Outboxes[Slot].NextFlush != When)
+      return;
+    Outboxes[Slot].NextFlush.reset();
     flush(Slot, At);
   });
 }
@@ -121,7 +145,41 @@
   if (To == Self)
     commitHere(Slot, Numbers, Now);
   else
-    sendTo(To, Slot, Numbers, Now);
+    sendBatches(To, Slot, std::move(Numbers), Now);
+}
+
+void OperationRouter::sendBatches(const InstanceId &To, SlotId Slot,
+                                  std::vector<std::uint64_t> Numbers,
+                                  TimePoint Now) {
+  SlotOutbox &Outbox = Outboxes[Slot];
+  const auto FirstDeferrable = std::stable_partition(
+      Numbers.begin(), Numbers.end(),
+      [this](std::uint64_t Number) { return !deferrable(Number); });
+  auto Next = Numbers.begin();
+  const auto SendUntil = [&](auto End, bool Deferrable) {
+    const std::ptrdiff_t Limit = static_cast<std::ptrdiff_t>(Outbox.BatchLimit);
+    const auto BatchEnd = Next + std::min(Limit, End - Next);
+    sendTo(To, Slot, {Next, BatchEnd}, Deferrable, Now);
+    Next = BatchEnd;
+  };
+  while (Next != FirstDeferrable)
+    SendUntil(FirstDeferrable, false);
+  while (Next != Numbers.end() &&
+         Outbox.DeferrableInFlight < MaxDeferrableInFlight)
+    SendUntil(Numbers.end(), true);
+  Outbox.Numbers.insert(Outbox.Numbers.end(), Next, Numbers.end());
+}
+
+void OperationRouter::onBatchEnded(const RemoteBatch &Batch, bool Delivered,
+                                   TimePoint Now) {
+  SlotOutbox &Outbox = Outboxes[Batch.Slot];
+  Outbox.BatchLimit =
+      Delivered ? std::min(2 * Outbox.BatchLimit, MaxBatch) : MinBatch;
+  if (!Batch.Deferrable)
+    return;
+  --Outbox.DeferrableInFlight;
+  if (!Outbox.Numbers.empty())
+    scheduleFlush(Batch.Slot, Now + ForwardDelay);
 }
 
 InstanceId OperationRouter::committerFor(SlotId Slot, TimePoint Now) const {
@@ -186,7 +244,7 @@
 
 void OperationRouter::sendTo(const InstanceId &To, SlotId Slot,
                              const std::vector<std::uint64_t> &Numbers,
-                             TimePoint Now) {
+                             bool Deferrable, TimePoint Now) {
   SubmitOperations Message;
   Message.Number = ++LastBatch;
   Message.Slot = Slot;
@@ -195,7 +253,8 @@
     Item.EverSent = true;
     Message.Operations.push_back(Item.Change);
   }
-  RemoteBatch Batch{To, Slot, Numbers, {}};
+  Outboxes[Slot].DeferrableInFlight += Deferrable ? 1 : 0;
+  RemoteBatch Batch{To, Slot, Numbers, {}, Deferrable};
   Batch.Timeout = Deps.Timers.schedule(
       Now + Deps.Policy.CommitterTimeout,
       [this, Number = Message.Number](TimePoint At) { expire(Number, At); });
@@ -209,6 +268,7 @@
     return;
   const RemoteBatch Batch = std::move(Found->second);
   Remote.erase(Found);
+  onBatchEnded(Batch, false, Now);
   sendToNextChoice(Batch, Now);
 }
 
@@ -299,6 +359,7 @@
   const RemoteBatch Batch = std::move(Found->second);
   Remote.erase(Found);
   Deps.Timers.cancel(Batch.Timeout);
+  onBatchEnded(Batch, true, Now);
   if (!Message.Committed || Message.Results.size() != Batch.Numbers.size()) {
     onNotCommitted(Batch, Now);
     return;
--- a/bronzeward/src/Budget/OperationRouter.h
+++ b/bronzeward/src/Budget/OperationRouter.h
@@ -84,21 +84,41 @@
   /// Numbers of operations to send, and of those that wait for a retry.
   struct SlotOutbox {
     std::vector<std::uint64_t> Numbers;
-    bool FlushScheduled = false;
+    /// Time of the next scheduled flush.
+    std::optional<TimePoint> NextFlush;
     std::vector<std::uint64_t> Backlog;
     bool RetryScheduled = false;
     int Failures = 0;
+    /// Batches of deferrable operations that a peer has not confirmed.
+    std::size_t DeferrableInFlight = 0;
+    /// Largest number of operations in the next message.
+    std::size_t BatchLimit = MinBatch;
   };
   struct RemoteBatch {
     InstanceId To;
     SlotId Slot;
     std::vector<std::uint64_t> Numbers;
     TimerQueue::Handle Timeout;
+    bool Deferrable = false;
   };
   struct ServedBatch;
 
+  /// Number of operations in the first message to a peer and after one was
+  /// lost. Each confirmed message doubles the next one, up to MaxBatch.
+  static constexpr std::size_t MinBatch = 32;
+  static constexpr std::size_t MaxBatch = 256;
+
   void enqueue(SlotId Slot, std::uint64_t Number, TimePoint Now);
+  void scheduleFlush(SlotId Slot, TimePoint When);
   void flush(SlotId Slot, TimePoint Now);
+  /// Sends operations to a peer in messages of limited size. Deferrable
+  /// operations beyond the limit of unconfirmed messages stay in the outbox.
+  void sendBatches(const InstanceId &To, SlotId Slot,
+                   std::vector<std::uint64_t> Numbers, TimePoint Now);
+  /// Updates the outbox after a peer confirmed or lost a batch.
+  void onBatchEnded(const RemoteBatch &Batch, bool Delivered, TimePoint Now);
+  /// \returns whether no request waits for the result of an operation.
+  [[nodiscard]] bool deferrable(std::uint64_t Number) const;
   /// \returns whether operations wait because no member list with this instance
   /// was read yet. Without it, each instance of a starting fleet would commit
   /// by itself.
@@ -113,7 +133,8 @@
   void commitHere(SlotId Slot, const std::vector<std::uint64_t> &Numbers,
                   TimePoint Now);
   void sendTo(const InstanceId &To, SlotId Slot,
-              const std::vector<std::uint64_t> &Numbers, TimePoint Now);
+              const std::vector<std::uint64_t> &Numbers, bool Deferrable,
+              TimePoint Now);
   void finish(std::uint64_t Number, const OperationResult &Outcome,
               TimePoint Now);
   void retryLater(std::uint64_t Number, TimePoint Now);
