Search the whole fleet for a loan while a request waits

While the store was away, callers of a large fleet were refused although peers held enough budget (SHORT). Cause: a loan was asked of seven peers drawn at random, once while a request waited; in a fleet of 91, few of them hold a grant of the workspace. Now a search continues every 40 ms with seven peers that were not asked yet, until a loan comes or the request's wait ends, and begins with the peer that lent last. A fleet of eight is asked as before.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -17,10 +17,13 @@
 /// Requests are refused without waiting for this time after neither a draw nor
 /// a loan succeeded: half of the delay that refused callers are asked to wait.
 constexpr Duration RefusalTime = 250ms;
-/// Minimum time between two loan requests of a workspace.
+/// Minimum time between two searches for a loan of a workspace.
 constexpr Duration LoanRequestPause = 100ms;
-/// Peers that receive a loan request: all of a small fleet.
+/// Peers that receive a loan request at once: all of a small fleet.
 constexpr std::size_t LoanFanout = 7;
+/// Time after which a search continues with further peers: a round trip between
+/// failure domains and the peers' event loops.
+constexpr Duration LoanRoundTime = 40ms;
 /// While the store is unreachable, an instance requests a loan below the
 /// low-water mark divided by this.
 constexpr std::int64_t LoanTriggerDivisor = 3;
@@ -163,15 +166,30 @@
   Book &Budget = Books[Workspace];
   if (!Policy.Lending || Draining || Now < Budget.NextLoanRequest)
     return;
-  Budget.NextLoanRequest = Now + LoanRequestPause;
-  std::vector<InstanceId> Others = otherMembers();
-  Deps.Source.shuffle(Others);
-  Others.resize(std::min(Others.size(), LoanFanout));
-  LoanCounts.Requested += Others.size();
-  for (const InstanceId &Peer : Others)
+  const std::vector<InstanceId> Lenders = nextLenders(Budget);
+  const bool Exhausted = Budget.NotAsked.empty();
+  Budget.NextLoanRequest = Now + (Exhausted ? LoanRequestPause : LoanRoundTime);
+  LoanCounts.Requested += Lenders.size();
+  for (const InstanceId &Peer : Lenders)
     Deps.Peers.send(Peer, LoanRequest{Workspace, Minimum, Wanted});
 }
 
+std::vector<InstanceId> BudgetAgent::nextLenders(Book &Budget) {
+  if (Budget.NotAsked.empty()) {
+    Budget.NotAsked = otherMembers();
+    Deps.Source.shuffle(Budget.NotAsked);
+    const auto Last = std::find(Budget.NotAsked.begin(), Budget.NotAsked.end(),
+                                Budget.LastLender);
+    if (Last != Budget.NotAsked.end())
+      std::iter_swap(Last, std::prev(Budget.NotAsked.end()));
+  }
+  const std::size_t Count = std::min(Budget.NotAsked.size(), LoanFanout);
+  const auto First = Budget.NotAsked.end() - static_cast<std::ptrdiff_t>(Count);
+  std::vector<InstanceId> Next(First, Budget.NotAsked.end());
+  Budget.NotAsked.erase(First, Budget.NotAsked.end());
+  return Next;
+}
+
 void BudgetAgent::requestLoanForWaiting(const WorkspaceId &Workspace,
                                         TimePoint Now) {
   const Book &Budget = Books[Workspace];
@@ -179,6 +197,10 @@
     return;
   const Money Bound = Budget.Waiting.front().Bound;
   requestLoan(Workspace, Bound, scaled(Bound, LoanMultiple), Now);
+  if (!Budget.NotAsked.empty())
+    Deps.Timers.schedule(Now + LoanRoundTime, [this, Workspace](TimePoint At) {
+      requestLoanForWaiting(Workspace, At);
+    });
 }
 
 void BudgetAgent::onLoanRequest(const InstanceId &From,
@@ -205,9 +227,13 @@
                   loanOf(Message.Workspace, *Borrowed, Message.Minimum, Now));
 }
 
-void BudgetAgent::onLoan(const Loan &Message, TimePoint Now) {
+void BudgetAgent::onLoan(const InstanceId &From, const Loan &Message,
+                         TimePoint Now) {
   Book &Budget = Books[Message.Workspace];
   ++LoanCounts.Received;
+  Budget.LastLender = From;
+  // The next search begins with this lender.
+  Budget.NotAsked.clear();
   if (Message.Lender == holder(Budget))
     Budget.Grant.loanReturned(Message.Amount);
   else if (!isOwnIncarnation(Message.Lender))
@@ -925,7 +951,7 @@
   } else if (const auto *Requested = std::get_if<LoanRequest>(&Message)) {
     onLoanRequest(From, *Requested, Now);
   } else if (const auto *Received = std::get_if<Loan>(&Message)) {
-    onLoan(*Received, Now);
+    onLoan(From, *Received, Now);
   } else if (const auto *Digest = std::get_if<PeerDigest>(&Message)) {
     if (Digest->Draining)
       DrainingPeers.insert(From);
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -195,6 +195,11 @@
     Money TargetPrepaid;
     /// Earliest time of the next loan request to peers.
     TimePoint NextLoanRequest;
+    /// Peers that were not asked yet in the current search for a loan; the next
+    /// ones are at the end.
+    std::vector<InstanceId> NotAsked;
+    /// Sender of the last loan, which may have more.
+    InstanceId LastLender;
     /// Requests are refused without waiting until this time, because neither
     /// the ledger nor the peers had budget left.
     TimePoint RefuseUntil;
@@ -275,7 +280,10 @@
   void requestLoanForWaiting(const WorkspaceId &Workspace, TimePoint Now);
   void onLoanRequest(const InstanceId &From, const LoanRequest &Message,
                      TimePoint Now);
-  void onLoan(const Loan &Message, TimePoint Now);
+  void onLoan(const InstanceId &From, const Loan &Message, TimePoint Now);
+  /// \returns the next peers to ask for a loan. Successive calls return all
+  /// peers before any is returned again.
+  [[nodiscard]] std::vector<InstanceId> nextLenders(Book &Budget);
   void draw(const WorkspaceId &Workspace, TimePoint Now);
   /// \returns the divisor of the free budget that limits one draw.
   [[nodiscard]] std::uint32_t drawDivisor(const Book &Budget) const;
