--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -7,6 +7,7 @@
 #include <capnp/serialize.h>
 
 #include <algorithm>
+#include <sstream>
 
 namespace bronzeward::fakes {
 
@@ -27,6 +28,11 @@
 constexpr Duration StoreCallTimeout = 900ms;
 /// Time from the dispatch of a call to its answer.
 constexpr Duration UpstreamAnswerTime = 60ms;
+/// Time for which an upstream writes the answer to a prompt that has parts.
+constexpr Duration UpstreamWritingTime = 500ms;
+/// Time from a crash until the upstream's entry lapses, and until it is back.
+constexpr Duration UpstreamLapseTime = 1s;
+constexpr Duration UpstreamRestartTime = 2s;
 /// Bytes between two progress reports of a long reply.
 constexpr double ProgressBytes = 65536;
 /// Bytes of one reply of the store without its values.
@@ -164,19 +170,21 @@
       return Item.Instance == Index && Item.Attempt == Attempt;
     });
   }
-  void answer(CallerTicket, const Answer &Response) override {
-    CallerAnswer Given{Index, Network.Now, Response.Status, std::nullopt};
+  void answer(CallerTicket To, const Answer &Response) override {
+    CallerAnswer Given{Index, Network.Now, Response.Status, To.Number,
+                       std::nullopt};
     if (const std::string *After = findHeader(Response.Headers, "Retry-After"))
       Given.RetryAfter = std::stod(*After);
     Network.Answers.push_back(Given);
   }
   void beginStream(CallerTicket, const Answer &) override {}
   void sendPart(CallerTicket, const std::string &) override {}
-  void endStream(CallerTicket, const std::string &) override {
-    Network.Answers.push_back({Index, Network.Now, 200, std::nullopt});
+  void endStream(CallerTicket To, const std::string &) override {
+    Network.Answers.push_back(
+        {Index, Network.Now, 200, To.Number, std::nullopt});
   }
-  void disconnect(CallerTicket) override {
-    Network.Answers.push_back({Index, Network.Now, 0, std::nullopt});
+  void disconnect(CallerTicket To) override {
+    Network.Answers.push_back({Index, Network.Now, 0, To.Number, std::nullopt});
   }
 
   FleetNetwork &Network;
@@ -296,7 +304,8 @@
   Nodes[Index]->Core->start(Now);
 }
 
-void FleetNetwork::request(std::size_t Index) {
+std::uint64_t FleetNetwork::request(std::size_t Index,
+                                    const std::vector<std::string> &Parts) {
   const std::string Name = routeName(0);
   CallerRequest In;
   In.Ticket = CallerTicket{++LastTicket};
@@ -304,7 +313,14 @@
   In.Target = "/p" + Name + "/";
   In.Host = "h" + Name + ".example";
   In.Headers = {{"X-Attempt-Id", std::to_string(LastTicket)}};
+  if (!Parts.empty()) {
+    std::string List;
+    for (const std::string &Part : Parts)
+      List += (List.empty() ? "" : ",") + Part + ":100";
+    In.Headers.push_back({"X-Prompt-Prefix", List});
+  }
   Nodes[Index]->Core->onCallerRequest(std::move(In), Now);
+  return LastTicket;
 }
 
 void FleetNetwork::stateRateLimit(const std::string &Upstream,
@@ -313,9 +329,67 @@
 }
 
 void FleetNetwork::callUpstream(std::size_t From, const UpstreamCall &Call) {
-  Arrivals.push_back({Call.Upstream, From, Now});
+  std::vector<std::string> Parts;
+  if (const std::string *List = findHeader(Call.Headers, "X-Prompt-Prefix")) {
+    std::istringstream In(*List);
+    for (std::string Part; std::getline(In, Part, ',');)
+      Parts.push_back(Part.substr(0, Part.find(':')));
+  }
+  // A process that has ended refuses connections.
+  if (isDown(Call.Upstream)) {
+    RefusedAttempts.push_back({From, Call.Attempt});
+    return;
+  }
+  Arrivals.push_back({Call.Upstream, From, Now, Parts});
   PendingAnswers.push_back({Now + UpstreamAnswerTime, From, Starts[From],
-                            Call.Attempt, Call.Upstream});
+                            Call.Attempt, Call.Upstream, std::move(Parts)});
+}
+
+void FleetNetwork::refuseAttempts() {
+  std::vector<std::pair<std::size_t, AttemptId>> Due;
+  Due.swap(RefusedAttempts);
+  for (const auto &[Instance, Attempt] : Due)
+    if (Nodes[Instance]->Core)
+      Nodes[Instance]->Core->onUpstreamFailure(Attempt,
+                                               UpstreamFailure::NotSent, Now);
+}
+
+bool FleetNetwork::isDown(const UpstreamName &Upstream) const {
+  return EndedUpstreams.contains(Upstream);
+}
+
+void FleetNetwork::crash(const UpstreamName &Upstream) {
+  if (!EndedUpstreams.insert(Upstream).second)
+    return;
+  Crashes.push_back(Now);
+  DownUpstreams.push_back(
+      {Upstream, Now + UpstreamLapseTime, Now + UpstreamRestartTime});
+  std::vector<PendingAnswer> Broken;
+  std::erase_if(PendingAnswers, [&](const PendingAnswer &Item) {
+    if (Item.Upstream != Upstream)
+      return false;
+    Broken.push_back(Item);
+    return true;
+  });
+  for (const PendingAnswer &Item : Broken)
+    if (Starts[Item.Instance] == Item.Start)
+      Nodes[Item.Instance]->Core->onUpstreamFailure(
+          Item.Attempt, UpstreamFailure::Closed, Now);
+}
+
+void FleetNetwork::restartUpstreams() {
+  for (DownUpstream &Item : DownUpstreams) {
+    if (Item.Removed || Now < Item.RemovedAt)
+      continue;
+    Item.Removed = true;
+    removeUpstream(Item.Name.Value);
+  }
+  std::erase_if(DownUpstreams, [&](const DownUpstream &Item) {
+    if (Now < Item.ReturnsAt)
+      return false;
+    writeUpstream(Item.Name.Value + "x");
+    return true;
+  });
 }
 
 void FleetNetwork::answerCalls() {
@@ -329,17 +403,43 @@
   for (const PendingAnswer &Item : Due) {
     if (Starts[Item.Instance] != Item.Start)
       continue;
-    HttpHead Head{200, {{"Content-Type", "text/event-stream"}}};
-    const std::string &Limit = StatedLimits[Item.Upstream];
-    if (!Limit.empty())
-      Head.Headers.push_back({"Server-Limit", Limit});
+    if (isDown(Item.Upstream)) {
+      // Broken by a crash of this very step.
+      Nodes[Item.Instance]->Core->onUpstreamFailure(
+          Item.Attempt, UpstreamFailure::Closed, Now);
+      continue;
+    }
+    const bool Crashing = std::find(Item.Parts.begin(), Item.Parts.end(),
+                                    CrashingPart) != Item.Parts.end();
+    if (Crashing && !Item.Begun) {
+      PendingAnswers.push_back(Item);
+      crash(Item.Upstream);
+      continue;
+    }
+    if (!Item.Begun)
+      beginAnswer(Item);
+    if (!Item.Begun && !Item.Parts.empty()) {
+      PendingAnswers.push_back(Item);
+      PendingAnswers.back().Begun = true;
+      PendingAnswers.back().Due = Now + UpstreamWritingTime;
+      continue;
+    }
     FleetCore &Core = *Nodes[Item.Instance]->Core;
-    Core.onUpstreamHead(Item.Attempt, Head, Now);
-    Core.onUpstreamBytes(Item.Attempt, "id: 1\ndata: a\n\n", Now);
+    Core.onUpstreamBytes(Item.Attempt, "id: 2\ndata: b\n\n", Now);
     Core.onUpstreamEnd(Item.Attempt, Now);
   }
 }
 
+void FleetNetwork::beginAnswer(const PendingAnswer &Item) {
+  HttpHead Head{200, {{"Content-Type", "text/event-stream"}}};
+  const std::string &Limit = StatedLimits[Item.Upstream];
+  if (!Limit.empty())
+    Head.Headers.push_back({"Server-Limit", Limit});
+  FleetCore &Core = *Nodes[Item.Instance]->Core;
+  Core.onUpstreamHead(Item.Attempt, Head, Now);
+  Core.onUpstreamBytes(Item.Attempt, "id: 1\ndata: a\n\n", Now);
+}
+
 std::uint64_t FleetNetwork::version(std::size_t Index) const {
   return Nodes[Index]->Core->status(Now).Configuration.Number;
 }
@@ -476,7 +576,9 @@
   for (std::size_t To = 0; To < size(); ++To)
     moveBytes(To);
   reportUnreachable();
+  refuseAttempts();
   answerCalls();
+  restartUpstreams();
   for (const std::unique_ptr<Node> &Item : Nodes)
     if (Item->Core)
       Item->Core->runTimers(Now);
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -79,6 +79,8 @@
   UpstreamName Upstream;
   std::size_t Instance = 0;
   TimePoint At;
+  /// Names of the prompt's parts.
+  std::vector<std::string> Parts;
 };
 
 /// \brief The final answer that an instance gave to a caller.
@@ -86,6 +88,7 @@
   std::size_t Instance = 0;
   TimePoint At;
   std::uint16_t Status = 0;
+  std::uint64_t Ticket = 0;
   /// Seconds in the Retry-After header; empty if there is none.
   std::optional<double> RetryAfter;
 };
@@ -124,7 +127,19 @@
   /// \brief Removes an instance's entry, as when its lease expires.
   void expireEntry(std::size_t Index);
   /// \brief Sends a caller's request for the first route to an instance.
-  void request(std::size_t Index);
+  /// \param Parts names of the prompt's parts.
+  /// \returns the number of the request's ticket.
+  std::uint64_t request(std::size_t Index,
+                        const std::vector<std::string> &Parts = {});
+  /// \brief Lets every upstream crash that begins an answer on a prompt with
+  /// this part. It returns under another name after some seconds.
+  void crashOnPart(const std::string &Part) { CrashingPart = Part; }
+  /// \brief Lets an upstream crash now.
+  void crash(const UpstreamName &Upstream);
+  /// \returns the times at which upstreams crashed.
+  [[nodiscard]] const std::vector<TimePoint> &crashes() const {
+    return Crashes;
+  }
   /// \brief Sets the rate limit that an upstream states in its answers from
   /// now on; empty if it states none.
   void stateRateLimit(const std::string &Upstream, const std::string &Limit);
@@ -171,6 +186,16 @@
     std::size_t Start = 0;
     AttemptId Attempt;
     UpstreamName Upstream;
+    std::vector<std::string> Parts;
+    /// Whether the head and the first event were sent.
+    bool Begun = false;
+  };
+  /// An upstream that has crashed and the name under which it returns.
+  struct DownUpstream {
+    UpstreamName Name;
+    TimePoint RemovedAt;
+    TimePoint ReturnsAt;
+    bool Removed = false;
   };
   /// Transfers to one instance by the sender's index; the index of the store is
   /// \ref size.
@@ -178,6 +203,13 @@
 
   void callUpstream(std::size_t From, const UpstreamCall &Call);
   void answerCalls();
+  /// Sends the head and the first event of an answer.
+  void beginAnswer(const PendingAnswer &Item);
+  /// Reports attempts whose connections were refused.
+  void refuseAttempts();
+  [[nodiscard]] bool isDown(const UpstreamName &Upstream) const;
+  /// Removes the entries of crashed upstreams and registers their successors.
+  void restartUpstreams();
   void sendToPeer(std::size_t From, const InstanceId &To,
                   const PeerMessage &Message);
   void callStore(std::size_t From, StoreCallId Id, const StoreCall &Call);
@@ -208,6 +240,11 @@
   std::vector<std::pair<std::size_t, std::size_t>> Refused;
   std::map<UpstreamName, std::string> StatedLimits;
   std::vector<PendingAnswer> PendingAnswers;
+  std::string CrashingPart;
+  std::vector<DownUpstream> DownUpstreams;
+  std::vector<std::pair<std::size_t, AttemptId>> RefusedAttempts;
+  std::set<UpstreamName> EndedUpstreams;
+  std::vector<TimePoint> Crashes;
   std::vector<UpstreamArrival> Arrivals;
   std::vector<CallerAnswer> Answers;
   std::uint64_t LastTicket = 0;
