--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -88,6 +88,11 @@
       delays @46 :List(UInt32);
       untilNextFreeMs @47 :UInt32;
     }
+    partNews :group {
+      crashes @48 :List(CrashNotice);
+      answered @49 :List(PartNotice);
+      quarantined @50 :List(PartNotice);
+    }
   }
 }
 
@@ -118,6 +123,20 @@
   ageMs @4 :Int64;
 }
 
+struct CrashNotice {
+  # Name and start in ms since 1970 of the upstream that crashed.
+  name @0 :Text;
+  startedMs @1 :Int64;
+  ageMs @2 :UInt32;
+  # Ids of the prompt parts of the interrupted calls.
+  parts @3 :List(UInt64);
+}
+
+struct PartNotice {
+  part @0 :UInt64;
+  ageMs @1 :UInt32;
+}
+
 interface Peer {
   deliver @0 (message :PeerMessage) -> ();
 }
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -35,10 +35,13 @@
 CAPNP_DECLARE_SCHEMA(f2ce49b5c678cb68);
 CAPNP_DECLARE_SCHEMA(b843d455b333d498);
 CAPNP_DECLARE_SCHEMA(9f6b067c67c5c9cb);
+CAPNP_DECLARE_SCHEMA(fb6580084318f392);
 CAPNP_DECLARE_SCHEMA(9d060d71e7b95fd9);
 CAPNP_DECLARE_SCHEMA(898b99c3e9530d15);
 CAPNP_DECLARE_SCHEMA(bc099fee27c4c59b);
 CAPNP_DECLARE_SCHEMA(bc2f790bbc8e6211);
+CAPNP_DECLARE_SCHEMA(b8f3e0453cc79827);
+CAPNP_DECLARE_SCHEMA(fb9cb2fd7197e461);
 CAPNP_DECLARE_SCHEMA(aeb0e4be9a88795a);
 CAPNP_DECLARE_SCHEMA(b815e66954940e26);
 CAPNP_DECLARE_SCHEMA(e4374e7f84e9ff83);
@@ -73,6 +76,7 @@
     CONFIGURATION_OFFER,
     PERMIT_REQUEST,
     PERMIT_REPLY,
+    PART_NEWS,
   };
   struct Submit;
   struct Results;
@@ -88,6 +92,7 @@
   struct Handover;
   struct PermitRequest;
   struct PermitReply;
+  struct PartNews;
 
   struct _capnpPrivate {
     CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 3, 4)
@@ -307,6 +312,21 @@
   };
 };
 
+struct PeerMessage::PartNews {
+  PartNews() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb6580084318f392, 3, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SlotOperation {
   SlotOperation() = delete;
 
@@ -367,6 +387,36 @@
   };
 };
 
+struct CrashNotice {
+  CrashNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8f3e0453cc79827, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartNotice {
+  PartNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb9cb2fd7197e461, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Peer {
   Peer() = delete;
 
@@ -490,6 +540,9 @@
   inline bool isPermitReply() const;
   inline typename PermitReply::Reader getPermitReply() const;
 
+  inline bool isPartNews() const;
+  inline typename PartNews::Reader getPartNews() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -594,6 +647,10 @@
   inline typename PermitReply::Builder getPermitReply();
   inline typename PermitReply::Builder initPermitReply();
 
+  inline bool isPartNews();
+  inline typename PartNews::Builder getPartNews();
+  inline typename PartNews::Builder initPartNews();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1942,6 +1999,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class PeerMessage::PartNews::Reader {
+public:
+  typedef PartNews Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline bool hasAnswered() const;
+  inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader getAnswered() const;
+
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PeerMessage::PartNews::Builder {
+public:
+  typedef PartNews Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasAnswered();
+  inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder getAnswered();
+  inline void setAnswered( ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder initAnswered(unsigned int size);
+  inline void adoptAnswered(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>> disownAnswered();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PeerMessage::PartNews::Pipeline {
+public:
+  typedef PartNews Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SlotOperation::Reader {
 public:
   typedef SlotOperation Reads;
@@ -2322,6 +2480,189 @@
 };
 #endif  // !CAPNP_LITE
 
+class CrashNotice::Reader {
+public:
+  typedef CrashNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline  ::int64_t getStartedMs() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashNotice::Builder {
+public:
+  typedef CrashNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline  ::int64_t getStartedMs();
+  inline void setStartedMs( ::int64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashNotice::Pipeline {
+public:
+  typedef CrashNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PartNotice::Reader {
+public:
+  typedef PartNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PartNotice::Builder {
+public:
+  typedef PartNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PartNotice::Pipeline {
+public:
+  typedef PartNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Peer::Client
     : public virtual ::capnp::Capability::Client {
@@ -2989,6 +3330,30 @@
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::PermitReply::Builder(_builder);
 }
+inline bool PeerMessage::Reader::isPartNews() const {
+  return which() == PeerMessage::PART_NEWS;
+}
+inline bool PeerMessage::Builder::isPartNews() {
+  return which() == PeerMessage::PART_NEWS;
+}
+inline typename PeerMessage::PartNews::Reader PeerMessage::Reader::getPartNews() const {
+  KJ_IREQUIRE((which() == PeerMessage::PART_NEWS),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::PartNews::Reader(_reader);
+}
+inline typename PeerMessage::PartNews::Builder PeerMessage::Builder::getPartNews() {
+  KJ_IREQUIRE((which() == PeerMessage::PART_NEWS),
+              "Must check which() before get()ing a union member.");
+  return typename PeerMessage::PartNews::Builder(_builder);
+}
+inline typename PeerMessage::PartNews::Builder PeerMessage::Builder::initPartNews() {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::PART_NEWS);
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
+  return typename PeerMessage::PartNews::Builder(_builder);
+}
 inline  ::uint64_t PeerMessage::Submit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4042,6 +4407,108 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerMessage::PartNews::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PartNews::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Reader PeerMessage::PartNews::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PartNews::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PartNews::Builder::setCrashes( ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PartNews::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::PartNews::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>> PeerMessage::PartNews::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::CrashNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::PartNews::Reader::hasAnswered() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PartNews::Builder::hasAnswered() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader PeerMessage::PartNews::Reader::getAnswered() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PartNews::Builder::getAnswered() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PartNews::Builder::setAnswered( ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PartNews::Builder::initAnswered(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::PartNews::Builder::adoptAnswered(
+    ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>> PeerMessage::PartNews::Builder::disownAnswered() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool PeerMessage::PartNews::Reader::hasQuarantined() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::PartNews::Builder::hasQuarantined() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader PeerMessage::PartNews::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PartNews::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::PartNews::Builder::setQuarantined( ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>::Builder PeerMessage::PartNews::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::PartNews::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>> PeerMessage::PartNews::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::bronzeward::schema::PartNotice,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t SlotOperation::Reader::getSlot() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4343,6 +4810,134 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool CrashNotice::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CrashNotice::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CrashNotice::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CrashNotice::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CrashNotice::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t CrashNotice::Reader::getStartedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t CrashNotice::Builder::getStartedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashNotice::Builder::setStartedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t CrashNotice::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t CrashNotice::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void CrashNotice::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashNotice::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashNotice::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashNotice::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashNotice::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashNotice::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashNotice::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashNotice::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashNotice::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashNotice::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PartNotice::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PartNotice::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PartNotice::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PartNotice::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PartNotice::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PartNotice::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -81,6 +81,28 @@
   std::chrono::milliseconds UntilNextFree{0};
 };
 
+/// \brief Prompt parts of calls that the crash of an upstream interrupted.
+struct CrashNotice {
+  UpstreamRun Upstream;
+  /// Time since the crash.
+  std::chrono::milliseconds Age{0};
+  std::vector<std::uint64_t> Parts;
+};
+
+/// \brief A prompt part and the time since something happened to it.
+struct PartNotice {
+  std::uint64_t Part = 0;
+  std::chrono::milliseconds Age{0};
+};
+
+/// \brief What the sender learned about prompt parts that may crash upstreams.
+struct PartNews {
+  std::vector<CrashNotice> Crashes;
+  /// Suspects on which an upstream wrote an answer.
+  std::vector<PartNotice> Answered;
+  std::vector<PartNotice> Quarantined;
+};
+
 /// \brief State that peers send each other periodically.
 struct PeerDigest {
   ConfigurationVersion Configuration;
@@ -181,7 +203,7 @@
                  BillCarried, ForgetBills, PeerDigest, ConfigurationText,
                  ConfigurationOffer, ConfigurationRequest, UpstreamList,
                  LoanRequest, Loan, LoadNotice, OperationsHandover,
-                 PermitRequest, PermitReply>;
+                 PermitRequest, PermitReply, PartNews>;
 
 /// \brief Sends messages to other instances, without a delivery guarantee.
 class PeerPort {
--- a/bronzeward/src/Net/CoreThread.cpp
+++ b/bronzeward/src/Net/CoreThread.cpp
@@ -74,6 +74,8 @@
     Core->onUpstreamFailure(Failed->Attempt, Failed->How, Now);
   else if (const auto *Load = std::get_if<UpstreamLoad>(&Event))
     Core->onLoadReport(Load->Name, Load->Report, Load->Leaving);
+  else if (const auto *Refused = std::get_if<UpstreamRefused>(&Event))
+    Core->onUpstreamRefused(Refused->Name, Now);
 }
 
 void CoreThread::armTimer() {
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -157,6 +157,33 @@
       static_cast<std::uint32_t>(In.UntilNextFree.count()));
 }
 
+template <typename Builder>
+static void writeParts(Builder List, const std::vector<PartNotice> &In) {
+  for (unsigned Index = 0; Index < In.size(); ++Index) {
+    List[Index].setPart(In[Index].Part);
+    List[Index].setAgeMs(static_cast<std::uint32_t>(In[Index].Age.count()));
+  }
+}
+
+static void writeOne(Builder Out, const PartNews &In) {
+  schema::PeerMessage::PartNews::Builder Group = Out.initPartNews();
+  auto Crashes = Group.initCrashes(In.Crashes.size());
+  for (unsigned Index = 0; Index < In.Crashes.size(); ++Index) {
+    const CrashNotice &Item = In.Crashes[Index];
+    Crashes[Index].setName(Item.Upstream.Name.Value);
+    Crashes[Index].setStartedMs(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Item.Upstream.Started.time_since_epoch())
+            .count());
+    Crashes[Index].setAgeMs(static_cast<std::uint32_t>(Item.Age.count()));
+    auto Parts = Crashes[Index].initParts(Item.Parts.size());
+    for (unsigned At = 0; At < Item.Parts.size(); ++At)
+      Parts.set(At, Item.Parts[At]);
+  }
+  writeParts(Group.initAnswered(In.Answered.size()), In.Answered);
+  writeParts(Group.initQuarantined(In.Quarantined.size()), In.Quarantined);
+}
+
 void write(Builder Out, const InstanceId &Sender, const PeerMessage &In) {
   Out.setSender(Sender.Value);
   std::visit([&](const auto &Item) { writeOne(Out, Item); }, In);
@@ -278,6 +305,31 @@
   return Out;
 }
 
+static std::vector<PartNotice>
+readParts(capnp::List<schema::PartNotice>::Reader In) {
+  std::vector<PartNotice> Out;
+  for (schema::PartNotice::Reader Item : In)
+    Out.push_back({Item.getPart(), std::chrono::milliseconds(Item.getAgeMs())});
+  return Out;
+}
+
+static PeerMessage readPartNews(schema::PeerMessage::PartNews::Reader In) {
+  PartNews Out;
+  for (schema::CrashNotice::Reader Item : In.getCrashes()) {
+    CrashNotice Crash;
+    Crash.Upstream.Name.Value = Item.getName().cStr();
+    Crash.Upstream.Started =
+        WallTime(std::chrono::milliseconds(Item.getStartedMs()));
+    Crash.Age = std::chrono::milliseconds(Item.getAgeMs());
+    for (const std::uint64_t Part : Item.getParts())
+      Crash.Parts.push_back(Part);
+    Out.Crashes.push_back(std::move(Crash));
+  }
+  Out.Answered = readParts(In.getAnswered());
+  Out.Quarantined = readParts(In.getQuarantined());
+  return Out;
+}
+
 PeerMessage read(schema::PeerMessage::Reader In) {
   switch (In.which()) {
   case schema::PeerMessage::SUBMIT:
@@ -319,6 +371,8 @@
     return readPermitRequest(In.getPermitRequest());
   case schema::PeerMessage::PERMIT_REPLY:
     return readPermitReply(In.getPermitReply());
+  case schema::PeerMessage::PART_NEWS:
+    return readPartNews(In.getPartNews());
   }
   // A message of a later version is unknown to this one; an empty list of bills
   // has no effect.
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -2,6 +2,8 @@
 
 #include "bronzeward/src/Net/SystemClock.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/json.hpp>
 
 namespace bronzeward {
@@ -15,6 +17,9 @@
 /// Maximum time without a byte within the answer of an upstream.
 constexpr Duration AnswerIdleTimeout = 600s;
 
+/// Maximum time for the connection of a probe to open.
+constexpr Duration ProbeTimeout = 1s;
+
 class UpstreamClient::AttemptListener : public HttpListener {
 public:
   AttemptListener(UpstreamClient &Client, AttemptId Id)
@@ -118,6 +123,27 @@
                     [this, Attempt] { cancelRunning(Attempt); });
 }
 
+void UpstreamClient::probe(const UpstreamProbe &Probe) { Ring.push(Probe); }
+
+void UpstreamClient::startProbe(const UpstreamProbe &Probe) {
+  using Tcp = boost::asio::ip::tcp;
+  boost::system::error_code ParseFailure;
+  const Tcp::endpoint Peer(
+      boost::asio::ip::make_address(Probe.Host, ParseFailure), Probe.Port);
+  if (ParseFailure)
+    return;
+  const auto Stream =
+      std::make_shared<boost::beast::tcp_stream>(Thread.context());
+  Stream->expires_after(ProbeTimeout);
+  Stream->async_connect(Peer, [this, Stream, Name = Probe.Upstream](
+                                  boost::system::error_code Failure) {
+    // A timeout may be due to the network, and a local failure tells nothing.
+    if (Failure == boost::asio::error::connection_refused ||
+        Failure == boost::asio::error::connection_reset)
+      Handler(UpstreamRefused{Name});
+  });
+}
+
 void UpstreamClient::cancelRunning(AttemptId Attempt) {
   const auto Found = Running.find(Attempt);
   if (Found == Running.end())
@@ -137,6 +163,8 @@
     startCall(*Call);
   } else if (const auto *Cancelled = std::get_if<Cancel>(&Item)) {
     cancelRunning(Cancelled->Attempt);
+  } else if (const auto *Probe = std::get_if<UpstreamProbe>(&Item)) {
+    startProbe(*Probe);
   } else if (auto *NewSet = std::get_if<SetPolled>(&Item)) {
     const bool WasIdle = PolledUpstreams.empty();
     PolledUpstreams = std::move(NewSet->Upstreams);
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -37,8 +37,13 @@
   LoadReport Report;
   bool Leaving = false;
 };
-using UpstreamEvent = std::variant<UpstreamHead, UpstreamBytes, UpstreamEnded,
-                                   UpstreamFailed, UpstreamLoad>;
+/// \brief An upstream refused the connection of a probe.
+struct UpstreamRefused {
+  UpstreamName Name;
+};
+using UpstreamEvent =
+    std::variant<UpstreamHead, UpstreamBytes, UpstreamEnded, UpstreamFailed,
+                 UpstreamLoad, UpstreamRefused>;
 
 /// \brief Sends requests to upstreams and polls their load reports, in a
 /// separate thread or a shared loop.
@@ -57,6 +62,8 @@
   /// sent.
   void dispatch(const UpstreamCall &Call) override;
   void cancel(AttemptId Attempt) override;
+  /// If the ring is full, nothing is tested.
+  void probe(const UpstreamProbe &Probe) override;
   /// \brief Sets the upstreams whose load reports are polled periodically.
   void setPolledUpstreams(std::vector<UpstreamSpec> Upstreams);
 
@@ -79,13 +86,14 @@
   struct SetPolled {
     std::vector<UpstreamSpec> Upstreams;
   };
-  using Command = std::variant<UpstreamCall, Cancel, SetPolled>;
+  using Command = std::variant<UpstreamCall, Cancel, SetPolled, UpstreamProbe>;
   class AttemptListener;
   class LoadListener;
 
   void execute(Command &Item);
   void startCall(const UpstreamCall &Call);
   void cancelRunning(AttemptId Attempt);
+  void startProbe(const UpstreamProbe &Probe);
   void pollLoads();
 
   EventHandler Handler;
--- a/bronzeward/src/Relay/CrashEvidence.cpp
+++ b/bronzeward/src/Relay/CrashEvidence.cpp
@@ -9,6 +9,8 @@
 /// are attributed to the same crash. Later ones were sent to the restarted
 /// upstream.
 constexpr Duration CrashAftermath = 300ms;
+/// Minimum time between two tests of an upstream.
+constexpr Duration ProbePause = 500ms;
 /// Number of upstreams above which outdated histories are removed.
 constexpr std::size_t MaxHistories = 4096;
 
@@ -23,31 +25,39 @@
   });
 }
 
-std::vector<ContentFingerprint>
-CrashEvidence::onInterrupted(const UpstreamName &Upstream,
-                             const ContentFingerprint &Content, TimePoint Now) {
+std::vector<InterruptedCall>
+CrashEvidence::onInterrupted(const InterruptedCall &Call, TimePoint Now) {
   prune(Now);
-  UpstreamHistory &History = Histories[Upstream];
+  UpstreamHistory &History = Histories[Call.Upstream.Name];
   if (History.WasDown && Now < History.DownAt + CrashAftermath)
-    return {Content};
+    return {Call};
   while (!History.Calls.empty() &&
          Now > History.Calls.front().At + DetectionTime)
     History.Calls.pop_front();
-  History.Calls.push_back({Content, Now});
+  History.Calls.push_back(Call);
   return {};
 }
 
-std::vector<ContentFingerprint>
-CrashEvidence::onDown(const UpstreamName &Upstream, TimePoint Now) {
+std::vector<InterruptedCall> CrashEvidence::onDown(const UpstreamName &Upstream,
+                                                   TimePoint Now) {
   UpstreamHistory &History = Histories[Upstream];
   History.WasDown = true;
   History.DownAt = Now;
-  std::vector<ContentFingerprint> Contents;
+  std::vector<InterruptedCall> Calls;
   for (const InterruptedCall &Call : History.Calls)
     if (Now <= Call.At + DetectionTime)
-      Contents.push_back(Call.Content);
+      Calls.push_back(Call);
   History.Calls.clear();
-  return Contents;
+  return Calls;
+}
+
+bool CrashEvidence::beginProbe(const UpstreamName &Upstream, TimePoint Now) {
+  UpstreamHistory &History = Histories[Upstream];
+  const bool Known = History.WasDown && Now < History.DownAt + CrashAftermath;
+  if (Known || (History.ProbedAt && Now < *History.ProbedAt + ProbePause))
+    return false;
+  History.ProbedAt = Now;
+  return true;
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/CrashEvidence.h
+++ b/bronzeward/src/Relay/CrashEvidence.h
@@ -4,39 +4,50 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bronzeward {
 
 /// \ingroup Relay
-/// \brief Finds the request contents that were running when an upstream
-/// crashed.
+/// \brief A call whose answer was interrupted.
+struct InterruptedCall {
+  ContentFingerprint Content;
+  /// Parts of its prompt on which the upstream may have begun an answer just
+  /// then. Empty if it had been writing the answer for some time.
+  std::vector<std::uint64_t> Parts;
+  UpstreamRun Upstream;
+  TimePoint At;
+};
+
+/// \ingroup Relay
+/// \brief Finds the calls that were running when an upstream crashed.
 ///
-/// A call whose connection broke counts against its content only if the
-/// upstream is found to be down or restarted at about the same time. Otherwise
-/// reset connections or lost answers would quarantine harmless contents.
+/// A call whose connection broke counts against its content and its parts only
+/// if the upstream is found to be down or restarted at about the same time.
+/// Otherwise reset connections or lost answers would quarantine harmless calls.
 class CrashEvidence {
 public:
   /// \brief Records that the answer to a call was interrupted.
-  /// \returns the content if the upstream was found down shortly before; empty
+  /// \returns the call if the upstream was found down shortly before; empty
   /// otherwise.
-  [[nodiscard]] std::vector<ContentFingerprint>
-  onInterrupted(const UpstreamName &Upstream, const ContentFingerprint &Content,
-                TimePoint Now);
+  [[nodiscard]] std::vector<InterruptedCall>
+  onInterrupted(const InterruptedCall &Call, TimePoint Now);
   /// \brief Records that an upstream refuses connections or has restarted.
-  /// \returns the contents of calls that were interrupted there shortly before.
-  [[nodiscard]] std::vector<ContentFingerprint>
+  /// \returns the calls that were interrupted there shortly before.
+  [[nodiscard]] std::vector<InterruptedCall>
   onDown(const UpstreamName &Upstream, TimePoint Now);
+  /// \brief Decides whether to test if an upstream accepts connections, after a
+  /// call was interrupted there.
+  /// \returns false if the result is known or a test was begun shortly before.
+  [[nodiscard]] bool beginProbe(const UpstreamName &Upstream, TimePoint Now);
 
 private:
-  struct InterruptedCall {
-    ContentFingerprint Content;
-    TimePoint At;
-  };
   struct UpstreamHistory {
     std::deque<InterruptedCall> Calls;
     TimePoint DownAt;
     bool WasDown = false;
+    std::optional<TimePoint> ProbedAt;
   };
   void prune(TimePoint Now);
 
--- /dev/null
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -0,0 +1,242 @@
+#include "bronzeward/src/Relay/PartQuarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace bronzeward {
+
+/// Crashes at different times after which a part is quarantined, and after
+/// which a call with it is not repeated.
+constexpr std::size_t CrashesToQuarantine = 3;
+constexpr std::size_t CrashesToSuspect = 2;
+/// Crashes within this time of each other have a common cause.
+constexpr Duration CommonCauseTime = 250ms;
+/// Time after a crash was learned from which it counts. Until then, an instance
+/// that met an answer on the part since can report it.
+constexpr Duration ObjectionTime = 700ms;
+/// Length of a quarantine, and time for which evidence counts.
+constexpr Duration QuarantineTime = 10min;
+/// Time for which news is repeated to peers.
+constexpr Duration NewsLifetime = 5s;
+/// Maximum number of parts stored, and of crashes stored for each.
+constexpr std::size_t MaxEntries = 2048;
+constexpr std::size_t MaxCrashes = 8;
+/// Maximum number of parts in one message, over all its lists.
+constexpr std::size_t MaxPartsInMessage = 512;
+/// Prefix of the name under which operators see a part.
+constexpr std::string_view PartPrefix = "part-";
+
+static std::chrono::milliseconds ageOf(TimePoint At, TimePoint Now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(Duration(), Now - At));
+}
+
+static void addCrashNotice(PartNews &News, const UpstreamRun &Upstream,
+                           PartId Part, std::chrono::milliseconds Age) {
+  const auto Found = std::find_if(News.Crashes.begin(), News.Crashes.end(),
+                                  [&Upstream](const CrashNotice &Item) {
+                                    return Item.Upstream == Upstream;
+                                  });
+  if (Found == News.Crashes.end())
+    News.Crashes.push_back({Upstream, Age, {Part}});
+  else
+    Found->Parts.push_back(Part);
+}
+
+static std::size_t partsIn(const PartNews &News) {
+  std::size_t Count = News.Answered.size() + News.Quarantined.size();
+  for (const CrashNotice &Item : News.Crashes)
+    Count += Item.Parts.size();
+  return Count;
+}
+
+PartQuarantine::Entry *PartQuarantine::entryFor(PartId Part, TimePoint Now) {
+  const auto Found = Entries.find(Part);
+  if (Found != Entries.end())
+    return &Found->second;
+  if (Entries.size() >= MaxEntries)
+    std::erase_if(Entries, [Now](const auto &Item) {
+      const Entry &Stored = Item.second;
+      const bool NoRecentCrash =
+          Stored.Crashes.empty() ||
+          Now > Stored.Crashes.back().LearnedAt + NewsLifetime;
+      return !Stored.QuarantinedAt && Now >= Stored.LiftedUntil &&
+             Stored.Crashes.size() < CrashesToSuspect && NoRecentCrash;
+    });
+  return Entries.size() < MaxEntries ? &Entries[Part] : nullptr;
+}
+
+bool PartQuarantine::addCrash(PartId Part, const UpstreamRun &Upstream,
+                              TimePoint At, TimePoint Now) {
+  Entry *Item = entryFor(Part, Now);
+  if (Item == nullptr || Now < Item->LiftedUntil ||
+      (Item->AnsweredAt && At <= *Item->AnsweredAt))
+    return false;
+  const bool Counted = std::any_of(
+      Item->Crashes.begin(), Item->Crashes.end(), [&](const Crash &Stored) {
+        const Duration Apart = At < Stored.At ? Stored.At - At : At - Stored.At;
+        return Stored.Upstream == Upstream || Apart < CommonCauseTime;
+      });
+  if (Counted || Item->Crashes.size() >= MaxCrashes)
+    return false;
+  Item->Crashes.push_back({Upstream, At, Now});
+  return true;
+}
+
+bool PartQuarantine::addAnswer(PartId Part, TimePoint At, TimePoint Now) {
+  Entry *Item = entryFor(Part, Now);
+  if (Item == nullptr || (Item->AnsweredAt && At <= *Item->AnsweredAt))
+    return false;
+  Item->AnsweredAt = At;
+  Item->AnswerLearnedAt = Now;
+  std::erase_if(Item->Crashes,
+                [At](const Crash &Stored) { return Stored.At <= At; });
+  if (Item->QuarantinedAt && *Item->QuarantinedAt <= At)
+    Item->QuarantinedAt.reset();
+  return true;
+}
+
+void PartQuarantine::addQuarantine(PartId Part, TimePoint At, TimePoint Now) {
+  Entry *Item = entryFor(Part, Now);
+  if (Item == nullptr || Item->QuarantinedAt || Now < Item->LiftedUntil ||
+      (Item->AnsweredAt && At <= *Item->AnsweredAt) ||
+      Now >= At + QuarantineTime)
+    return;
+  Item->QuarantinedAt = At;
+}
+
+void PartQuarantine::onCrash(const UpstreamRun &Upstream,
+                             const std::vector<PartId> &Parts,
+                             TimePoint CrashedAt, TimePoint Now) {
+  for (const PartId Part : Parts)
+    if (addCrash(Part, Upstream, CrashedAt, Now))
+      addCrashNotice(Unsent, Upstream, Part, ageOf(CrashedAt, Now));
+}
+
+void PartQuarantine::onAnswered(const std::vector<PartId> &Parts,
+                                TimePoint Now) {
+  for (const PartId Part : Parts) {
+    const auto Found = Entries.find(Part);
+    if (Found == Entries.end() ||
+        (Found->second.Crashes.empty() && !Found->second.QuarantinedAt))
+      continue;
+    if (addAnswer(Part, Now, Now))
+      Unsent.Answered.push_back({Part, {}});
+  }
+}
+
+void PartQuarantine::onNews(const PartNews &News, TimePoint Now) {
+  for (const PartNotice &Item : News.Answered)
+    if (addAnswer(Item.Part, Now - Item.Age, Now))
+      Unsent.Answered.push_back(Item);
+  for (const CrashNotice &Item : News.Crashes)
+    for (const PartId Part : Item.Parts)
+      if (addCrash(Part, Item.Upstream, Now - Item.Age, Now))
+        addCrashNotice(Unsent, Item.Upstream, Part, Item.Age);
+  for (const PartNotice &Item : News.Quarantined)
+    addQuarantine(Item.Part, Now - Item.Age, Now);
+}
+
+std::vector<std::string> PartQuarantine::review(TimePoint Now) {
+  std::vector<std::string> Begun;
+  for (auto &[Part, Item] : Entries) {
+    const bool Over =
+        Item.QuarantinedAt && Now >= *Item.QuarantinedAt + QuarantineTime;
+    if (Item.QuarantinedAt && !Over)
+      continue;
+    std::erase_if(Item.Crashes, [Now](const Crash &Stored) {
+      return Now >= Stored.At + QuarantineTime;
+    });
+    // After a quarantine, a single further crash restores it.
+    const std::size_t Required = Over ? 1 : CrashesToQuarantine;
+    const auto Counting = std::count_if(
+        Item.Crashes.begin(), Item.Crashes.end(), [Now](const Crash &Stored) {
+          return Now >= Stored.LearnedAt + ObjectionTime;
+        });
+    if (static_cast<std::size_t>(Counting) < Required)
+      continue;
+    Item.QuarantinedAt = Now;
+    std::string Upstreams;
+    for (const Crash &Stored : Item.Crashes)
+      Upstreams += " " + Stored.Upstream.Name.Value;
+    Begun.push_back(fingerprintOf(Part).Value + " after crashes of" +
+                    Upstreams);
+  }
+  return Begun;
+}
+
+void PartQuarantine::lift(PartId Part, TimePoint Now) {
+  Entry &Item = Entries[Part];
+  Item.Crashes.clear();
+  Item.QuarantinedAt.reset();
+  Item.LiftedUntil = Now + QuarantineTime;
+}
+
+PartNews PartQuarantine::takeUnsent() {
+  PartNews News;
+  std::swap(News, Unsent);
+  return News;
+}
+
+bool PartQuarantine::quarantined(PartId Part, TimePoint Now) const {
+  const auto Found = Entries.find(Part);
+  return Found != Entries.end() && Found->second.QuarantinedAt &&
+         Now < *Found->second.QuarantinedAt + QuarantineTime;
+}
+
+bool PartQuarantine::suspected(PartId Part) const {
+  const auto Found = Entries.find(Part);
+  return Found != Entries.end() &&
+         Found->second.Crashes.size() >= CrashesToSuspect;
+}
+
+std::vector<PartId> PartQuarantine::quarantinedParts(TimePoint Now) const {
+  std::vector<PartId> Parts;
+  for (const auto &[Part, Item] : Entries)
+    if (quarantined(Part, Now))
+      Parts.push_back(Part);
+  return Parts;
+}
+
+bool PartQuarantine::hasUnsent() const { return partsIn(Unsent) > 0; }
+
+PartNews PartQuarantine::recentNews(TimePoint Now) const {
+  PartNews News;
+  for (const auto &[Part, Item] : Entries)
+    if (quarantined(Part, Now))
+      News.Quarantined.push_back({Part, ageOf(*Item.QuarantinedAt, Now)});
+  for (const auto &[Part, Item] : Entries) {
+    if (partsIn(News) >= MaxPartsInMessage)
+      break;
+    if (Item.AnsweredAt && Now < Item.AnswerLearnedAt + NewsLifetime)
+      News.Answered.push_back({Part, ageOf(*Item.AnsweredAt, Now)});
+    for (const Crash &Stored : Item.Crashes)
+      if (Now < Stored.LearnedAt + NewsLifetime)
+        addCrashNotice(News, Stored.Upstream, Part, ageOf(Stored.At, Now));
+  }
+  return News;
+}
+
+ContentFingerprint fingerprintOf(PartId Part) {
+  std::array<char, 16> Digits{};
+  const std::to_chars_result End =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Part, 16);
+  return ContentFingerprint{std::string(PartPrefix) +
+                            std::string(Digits.data(), End.ptr)};
+}
+
+std::optional<PartId> partOf(const ContentFingerprint &Fingerprint) {
+  const std::string_view Text = Fingerprint.Value;
+  if (!Text.starts_with(PartPrefix))
+    return std::nullopt;
+  PartId Part = 0;
+  const char *End = Text.data() + Text.size();
+  const std::from_chars_result Parsed =
+      std::from_chars(Text.data() + PartPrefix.size(), End, Part, 16);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Part;
+}
+
+} // namespace bronzeward
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -49,6 +49,22 @@
 /// connection can be reused.
 constexpr std::size_t MaxRejectionBytes = 65536;
 
+/// An upstream that goes on writing an answer for this time after its first
+/// event has not crashed on the call's parts.
+constexpr Duration WritingProof = 300ms;
+/// Maximum number of parts of one call that are checked and recorded.
+constexpr std::size_t MaxSharedParts = 64;
+
+/// \returns the parts that other calls may share: all but the last, which
+/// belongs to the call or its session.
+static std::vector<PartId> sharedPartsOf(const std::vector<PromptPart> &Parts) {
+  std::vector<PartId> Shared;
+  for (std::size_t Index = 0;
+       Index + 1 < Parts.size() && Index < MaxSharedParts; ++Index)
+    Shared.push_back(Parts[Index].Id);
+  return Shared;
+}
+
 /// \returns whether a caller takes an answer with a status as a promise that
 /// its call has not run. An upstream promises it by other means.
 static bool promisesNotRun(std::uint16_t Status) {
@@ -146,7 +162,11 @@
   ContentFingerprint Content{sha256Hex(Call.Method + " " + Call.Target + " " +
                                        Admitted.Workspace.Value + "\n" +
                                        Call.Body)};
-  if (CrashQuarantine.quarantined(Content, Now)) {
+  std::vector<PartId> SharedParts = sharedPartsOf(Call.Parts);
+  const bool PartQuarantined = std::any_of(
+      SharedParts.begin(), SharedParts.end(),
+      [this, Now](PartId Part) { return Parts.quarantined(Part, Now); });
+  if (PartQuarantined || CrashQuarantine.quarantined(Content, Now)) {
     refuse(Call.Ticket, &Call, Reason::Quarantined);
     return;
   }
@@ -156,6 +176,7 @@
   ActiveCall Item;
   Item.Id = Id;
   Item.Content = std::move(Content);
+  Item.SharedParts = std::move(SharedParts);
   Item.Accepted = Deps.Wall.wallNow();
   Item.AcceptedAt = Now;
   Item.ExpiresAt = Now + Admitted.TimeLimit;
@@ -354,6 +375,8 @@
   Item.Attempt = AttemptId{++LastAttempt};
   Item.UpstreamStarted = Pool.find(Upstream)->Started;
   Item.SentAt = Now;
+  Item.FirstEventAt.reset();
+  Item.PartsProven = false;
   Item.Dispatched = Deps.Wall.wallNow();
   Item.Head.reset();
   Item.Body.clear();
@@ -539,6 +562,7 @@
   if (Events.empty())
     return;
   Pool.onFirstByte(Item.Attempt, Now);
+  onWriting(Item, Now);
   Item.Lifecycle.process(RequestEvent::FirstByte);
   if (!Item.StreamBegun) {
     Item.StreamBegun = true;
@@ -549,6 +573,20 @@
   Deps.Callers.sendPart(Item.Call.Ticket, Events);
 }
 
+void RelayEngine::onWriting(ActiveCall &Item, TimePoint Now) {
+  if (!Item.FirstEventAt)
+    Item.FirstEventAt = Now;
+  if (Item.PartsProven || Now < *Item.FirstEventAt + WritingProof)
+    return;
+  Item.PartsProven = true;
+  recordAnsweredParts(Item, Now);
+}
+
+void RelayEngine::recordAnsweredParts(ActiveCall &Item, TimePoint Now) {
+  Parts.onAnswered(Item.SharedParts, Now);
+  announcePartNews(Now);
+}
+
 void RelayEngine::endAttempt(ActiveCall &Item, AttemptEnd End, TimePoint Now) {
   if (ByAttempt.erase(Item.Attempt) > 0) {
     Pool.onEnded(Item.Attempt, End, Now);
@@ -587,6 +625,8 @@
     return;
   }
   CrashQuarantine.onCompleted(Item->Content);
+  if (Success)
+    recordAnsweredParts(*Item, Now);
   deliver(*Item, Now);
 }
 
@@ -628,7 +668,7 @@
   if (Failure != UpstreamFailure::NotSent &&
       Failure != UpstreamFailure::ConnectTimedOut) {
     Deps.Upstreams.cancel(Attempt);
-    onBrokenAnswer(*Item, Now);
+    onBrokenAnswer(*Item, Failure, Now);
     return;
   }
   if (Failure == UpstreamFailure::ConnectTimedOut && Now < Item->ExpiresAt) {
@@ -655,9 +695,16 @@
                                       std::to_string(Active.size()));
 }
 
-void RelayEngine::onBrokenAnswer(ActiveCall &Item, TimePoint Now) {
+void RelayEngine::onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure,
+                                 TimePoint Now) {
   endAttempt(Item, AttemptEnd::Broken, Now);
-  recordCrashes(Evidence.onInterrupted(Item.Upstream, Item.Content, Now), Now);
+  InterruptedCall Interrupted{
+      Item.Content, {}, {Item.Upstream, Item.UpstreamStarted}, Now};
+  if (!Item.PartsProven)
+    Interrupted.Parts = Item.SharedParts;
+  recordCrashes(Evidence.onInterrupted(Interrupted, Now), Now);
+  if (Failure == UpstreamFailure::Closed && !Interrupted.Parts.empty())
+    probe(Item.Upstream, Now);
   const bool Retry = acquireRetry(Item, Now);
   ++Item.PossibleRuns;
   if (Retry)
@@ -672,6 +719,8 @@
          Now + MinTimeLeft < Item.ExpiresAt &&
          Item.Query.Excluded.size() < MaxDispatches &&
          !CrashQuarantine.quarantined(Item.Content, Now) &&
+         std::none_of(Item.SharedParts.begin(), Item.SharedParts.end(),
+                      [this](PartId Part) { return Parts.suspected(Part); }) &&
          retryBudgetOf(Item.Admitted.Service)
              .takeRetry(Deps.Members.members().size(), Now);
 }
@@ -818,11 +867,48 @@
   recordCrashes(Evidence.onDown(Upstream, Now), Now);
 }
 
-void RelayEngine::recordCrashes(const std::vector<ContentFingerprint> &Contents,
+void RelayEngine::recordCrashes(const std::vector<InterruptedCall> &Calls,
                                 TimePoint Now) {
-  for (const ContentFingerprint &Content : Contents)
-    if (CrashQuarantine.onCrash(Content, Now))
+  if (Calls.empty())
+    return;
+  for (const InterruptedCall &Call : Calls) {
+    if (CrashQuarantine.onCrash(Call.Content, Now))
       ++Counters.Quarantined;
+    Parts.onCrash(Call.Upstream, Call.Parts, Call.At, Now);
+  }
+  Deps.Log.onEvent("upstream-crashed",
+                   "upstream " + Calls.front().Upstream.Name.Value +
+                       ", interrupted calls " + std::to_string(Calls.size()));
+  announcePartNews(Now);
+}
+
+void RelayEngine::probe(const UpstreamName &Upstream, TimePoint Now) {
+  const UpstreamEntry *Entry = Pool.find(Upstream);
+  if (Entry != nullptr && Evidence.beginProbe(Upstream, Now))
+    Deps.Upstreams.probe({Upstream, Entry->Host, Entry->Port});
+}
+
+void RelayEngine::onUpstreamRefused(const UpstreamName &Upstream,
+                                    TimePoint Now) {
+  Pool.onRefused(Upstream, Now);
+  recordDown(Upstream, Now);
+}
+
+void RelayEngine::onPartNews(const PartNews &News, TimePoint Now) {
+  Parts.onNews(News, Now);
+  announcePartNews(Now);
+}
+
+void RelayEngine::announcePartNews(TimePoint Now) {
+  if (NewsListener != nullptr && Parts.hasUnsent())
+    NewsListener->onPartNewsLearned(Now);
+}
+
+void RelayEngine::reviewParts(TimePoint Now) {
+  for (const std::string &Description : Parts.review(Now)) {
+    ++Counters.Quarantined;
+    Deps.Log.onEvent("part-quarantined", Description);
+  }
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Relay/CrashEvidence.h"
 #include "bronzeward/src/Relay/EventStream.h"
 #include "bronzeward/src/Relay/LocalCongestion.h"
+#include "bronzeward/src/Relay/PartQuarantine.h"
 #include "bronzeward/src/Relay/RateLimitAgent.h"
 #include "bronzeward/src/Relay/RelayAdmission.h"
 #include "bronzeward/src/Relay/SharedRetryBudget.h"
@@ -36,6 +37,13 @@
   RateLimitAgent &Limits;
 };
 
+/// \brief Is told when there is news about prompt parts for the peers.
+class PartNewsListener {
+public:
+  virtual ~PartNewsListener() = default;
+  virtual void onPartNewsLearned(TimePoint Now) = 0;
+};
+
 /// \brief Forwards routed calls to upstreams unchanged and tells each caller
 /// whether its call may have run.
 ///
@@ -57,6 +65,9 @@
   /// \brief Replaces the set of upstreams that may receive new calls.
   void setUsable(const std::vector<UpstreamEntry> &Usable, TimePoint Now);
 
+  /// \brief Sets who is told about news for the peers.
+  void notify(PartNewsListener &Listener) { NewsListener = &Listener; }
+
   /// \brief Admits a call and dispatches it, or refuses it.
   void onCallerRequest(CallerRequest In, TimePoint Now);
   /// \brief Cancels a call whose caller disconnected.
@@ -73,6 +84,13 @@
   void onUpstreamFailure(AttemptId Attempt, UpstreamFailure Failure,
                          TimePoint Now);
 
+  /// \brief Handles a probe's result: the upstream refuses connections.
+  void onUpstreamRefused(const UpstreamName &Upstream, TimePoint Now);
+  /// \brief Applies what a peer learned about prompt parts.
+  void onPartNews(const PartNews &News, TimePoint Now);
+  /// \brief Quarantines prompt parts; called periodically.
+  void reviewParts(TimePoint Now);
+
   void onReserved(const RequestId &Request, ReserveOutcome Reserved,
                   TimePoint Now) override;
   void onClaimed(const RequestId &, ClaimOutcome,
@@ -97,6 +115,9 @@
   [[nodiscard]] const UpstreamPool &upstreams() const { return Pool; }
   UpstreamPool &upstreams() { return Pool; }
   Quarantine &quarantine() { return CrashQuarantine; }
+  PartQuarantine &partQuarantine() { return Parts; }
+  [[nodiscard]] const Quarantine &quarantine() const { return CrashQuarantine; }
+  [[nodiscard]] const PartQuarantine &partQuarantine() const { return Parts; }
 
 private:
   /// \brief An admitted call until its caller has an answer or is gone.
@@ -105,6 +126,8 @@
     RelayCall Call;
     AdmittedCall Admitted;
     ContentFingerprint Content;
+    /// Parts of the prompt that other calls may share.
+    std::vector<PartId> SharedParts;
     RequestLifecycle Lifecycle;
     WallTime Accepted;
     WallTime Dispatched;
@@ -123,6 +146,10 @@
     /// Start time of the upstream when the attempt was sent to it.
     WallTime UpstreamStarted;
     TimePoint SentAt;
+    /// When the first event of the attempt's stream arrived.
+    std::optional<TimePoint> FirstEventAt;
+    /// Whether the upstream has been writing the answer for some time.
+    bool PartsProven = false;
     /// Attempts that may have run at an upstream.
     int PossibleRuns = 0;
     /// Attempts that upstreams rejected for lack of capacity.
@@ -199,7 +226,10 @@
   /// Records that the connection to the call's upstream timed out.
   void recordConnectTimeout(const ActiveCall &Item, TimePoint Now);
   /// Retries or ends a call whose answer was interrupted.
-  void onBrokenAnswer(ActiveCall &Item, TimePoint Now);
+  void onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure, TimePoint Now);
+  /// Records that the upstream goes on writing the call's answer.
+  void onWriting(ActiveCall &Item, TimePoint Now);
+  void recordAnsweredParts(ActiveCall &Item, TimePoint Now);
   /// \returns whether a call that may have run can be retried; if so, a retry
   /// is taken from the service's budget.
   [[nodiscard]] bool acquireRetry(ActiveCall &Item, TimePoint Now);
@@ -220,8 +250,11 @@
   void finish(const RequestId &Id);
 
   void recordDown(const UpstreamName &Upstream, TimePoint Now);
-  void recordCrashes(const std::vector<ContentFingerprint> &Contents,
-                     TimePoint Now);
+  void recordCrashes(const std::vector<InterruptedCall> &Calls, TimePoint Now);
+  /// Tests whether an upstream that interrupted a call has ended.
+  void probe(const UpstreamName &Upstream, TimePoint Now);
+  /// Tells the listener if there is news about prompt parts.
+  void announcePartNews(TimePoint Now);
   ActiveCall *find(const RequestId &Id);
   ActiveCall *find(AttemptId Attempt);
   SharedRetryBudget &retryBudgetOf(const ServiceName &Service);
@@ -234,6 +267,8 @@
   UpstreamPool Pool;
   LocalCongestion Congestion;
   Quarantine CrashQuarantine;
+  PartQuarantine Parts;
+  PartNewsListener *NewsListener = nullptr;
   CrashEvidence Evidence;
   std::map<ServiceName, SharedRetryBudget> RetryBudgets;
   std::map<RequestId, ActiveCall> Active;
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -248,6 +248,11 @@
   Item.Prefixes.clear();
 }
 
+void UpstreamPool::onRefused(const UpstreamName &Name, TimePoint Now) {
+  if (State *Item = state(Name))
+    eject(*Item, Now);
+}
+
 void UpstreamPool::onLoad(const UpstreamName &Name, const ReportedLoad &Load,
                           TimePoint Now) {
   State *Item = state(Name);
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -70,6 +70,8 @@
   void onFirstByte(AttemptId Attempt, TimePoint Now);
   /// \brief Records the end of an attempt and updates the upstream's health.
   void onEnded(AttemptId Attempt, AttemptEnd End, TimePoint Now);
+  /// \brief Records that an upstream refuses connections.
+  void onRefused(const UpstreamName &Name, TimePoint Now);
   /// \brief Records the load that an upstream reported in an answer.
   void onLoad(const UpstreamName &Name, const ReportedLoad &Load,
               TimePoint Now);
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -111,6 +111,14 @@
   Invalid,
 };
 
+/// \brief Tests whether an upstream accepts connections.
+struct UpstreamProbe {
+  UpstreamName Upstream;
+  /// IP address.
+  std::string Host;
+  std::uint16_t Port = 0;
+};
+
 /// \brief Sends requests to upstreams.
 class UpstreamPort {
 public:
@@ -118,6 +126,9 @@
   virtual void dispatch(const UpstreamCall &Call) = 0;
   /// \brief Cancels an attempt; no callback follows for it.
   virtual void cancel(AttemptId Attempt) = 0;
+  /// \brief Opens a connection and closes it again. Only a refusal is reported,
+  /// as a sign that the upstream's process has ended.
+  virtual void probe(const UpstreamProbe &Probe) = 0;
 };
 
 /// \brief The choice of an upstream for one attempt, for the decision log.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -33,6 +33,12 @@
 /// Number of peers to which an instance of a large fleet sends digests. The set
 /// is fixed, so that each instance keeps few connections.
 constexpr std::size_t MaxGossipPeers = 8;
+/// Number of peers to which news about prompt parts is passed on at once: all
+/// of a small fleet, and enough for the news to reach every instance of a large
+/// one in a few steps.
+constexpr std::size_t PartNewsFanout = 4;
+/// Time for which news about prompt parts is collected before it is sent.
+constexpr Duration PartNewsDelay = 20ms;
 /// Most quarantined contents in one digest.
 constexpr std::size_t MaxDigestSuspects = 16;
 /// Longest value of an entry that cannot be read that is sent to peers; of a
@@ -78,6 +84,7 @@
                                Dependencies.Log, Dependencies.Wall, Timers,
                                RandomSource, PlatformCodecs.Calls, Members,
                                Limits}) {
+  Engine.notify(*this);
   for (const std::string &Address : Policy.PeerSeeds)
     if (Address != Identity.PeerAddress)
       UnlistedPeers[InstanceId{"seed-" + Address}] = Member{
@@ -465,12 +472,17 @@
   Digest.Suspects = Engine.quarantine().quarantinedContents(Now);
   Digest.Suspects.resize(std::min(Digest.Suspects.size(), MaxDigestSuspects));
   Digest.RateLimits = Limits.news(Now);
+  const PartNews News = Engine.partQuarantine().recentNews(Now);
+  const bool HasNews = !News.Crashes.empty() || !News.Answered.empty() ||
+                       !News.Quarantined.empty();
   std::vector<InstanceId> Others = gossipPeers();
   const std::size_t Fanout =
       Digest.StoreUnreachable ? UrgentGossipFanout : GossipFanout;
   for (std::size_t Sent = 0; Sent < Fanout && !Others.empty(); ++Sent) {
     const std::size_t Index = RandomSource.below(Others.size());
     Deps.Peers.send(Others[Index], Digest);
+    if (HasNews)
+      Deps.Peers.send(Others[Index], News);
     Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Index));
   }
   const Duration Period =
@@ -478,6 +490,24 @@
   Timers.schedule(Now + Period, [this](TimePoint At) { gossip(At); });
 }
 
+void FleetCore::sendPartNews() {
+  PartNewsScheduled = false;
+  const PartNews News = Engine.partQuarantine().takeUnsent();
+  std::vector<InstanceId> Others = gossipPeers();
+  RandomSource.shuffle(Others);
+  if (Members.members().size() > SmallFleet)
+    Others.resize(std::min(Others.size(), PartNewsFanout));
+  for (const InstanceId &Peer : Others)
+    Deps.Peers.send(Peer, News);
+}
+
+void FleetCore::onPartNewsLearned(TimePoint Now) {
+  if (PartNewsScheduled)
+    return;
+  PartNewsScheduled = true;
+  Timers.schedule(Now + PartNewsDelay, [this](TimePoint) { sendPartNews(); });
+}
+
 void FleetCore::sendLoad(TimePoint Now) {
   // Instances of large fleets place calls by the loads that upstreams report.
   if (Members.members().size() > SmallFleet + 1) {
@@ -579,6 +609,8 @@
     onUpstreamList(*List, Now);
   else if (const auto *Load = std::get_if<LoadNotice>(&Message))
     Engine.upstreams().onPeerLoad(From, *Load, Now);
+  else if (const auto *News = std::get_if<PartNews>(&Message))
+    Engine.onPartNews(*News, Now);
   Limits.onPeerMessage(From, Message, Now);
   if (Budgets)
     Budgets->onPeerMessage(From, Message, Now);
@@ -669,6 +701,7 @@
   reportStoreCalls(Now);
   checkStore(Now);
   confirmMembershipByPeers(Now);
+  Engine.reviewParts(Now);
   updateWatchRole(Now);
   if (NextLapse && Now >= *NextLapse)
     updateUsableUpstreams(Now);
@@ -682,7 +715,10 @@
 
 void FleetCore::liftQuarantine(const ContentFingerprint &Content,
                                TimePoint Now) {
-  Engine.quarantine().lift(Content, Now);
+  if (const std::optional<PartId> Part = partOf(Content))
+    Engine.partQuarantine().lift(*Part, Now);
+  else
+    Engine.quarantine().lift(Content, Now);
 }
 
 // Stopping.
@@ -748,6 +784,9 @@
   Status.Requests = Engine.counters();
   Status.FirstByte = Engine.firstByteLatency();
   Status.Whole = Engine.wholeLatency();
+  Status.Quarantined = Engine.quarantine().quarantinedContents(Now);
+  for (const PartId Part : Engine.partQuarantine().quarantinedParts(Now))
+    Status.Quarantined.push_back(fingerprintOf(Part));
   if (Budgets)
     addBudgetStatus(Status, *Budgets);
   return Status;
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -46,7 +46,7 @@
 ///
 /// Some instances watch the store's keys and send the changes to the others. An
 /// instance that cannot reach the store gets them from peers too.
-class FleetCore : public InstanceCore {
+class FleetCore : public InstanceCore, private PartNewsListener {
 public:
   FleetCore(RouterIdentity Who, FleetPolicy Settings,
             RouterDependencies Dependencies, FleetCodecs Codecs);
@@ -76,6 +76,9 @@
                          TimePoint Now) override {
     Engine.onUpstreamFailure(Attempt, How, Now);
   }
+  void onUpstreamRefused(const UpstreamName &Name, TimePoint Now) override {
+    Engine.onUpstreamRefused(Name, Now);
+  }
   void onLoadReport(const UpstreamName &, const LoadReport &, bool) override {}
   void onStoreReply(StoreCallId Id, const StoreReply &Reply,
                     TimePoint Now) override;
@@ -125,6 +128,7 @@
     FleetCore &Owner;
   };
 
+  void onPartNewsLearned(TimePoint Now) override;
   void onRegistered(const Incarnation &Registered, TimePoint Now);
   void onMembersListed(std::vector<Member> Listed, TimePoint Now);
   /// Updates the instances among which issuers of permits are selected.
@@ -168,6 +172,9 @@
   void readNewerConfiguration(ConfigurationVersion Required, TimePoint Now);
 
   void gossip(TimePoint Now);
+  /// Sends what was learned about prompt parts to some peers at once, so that
+  /// it spreads from peer to peer.
+  void sendPartNews();
   void sendLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
@@ -250,6 +257,7 @@
   TimePoint NextExcessReturn;
   TimePoint NextStoreReport;
   std::optional<TimePoint> HousekeepingDue;
+  bool PartNewsScheduled = false;
   LoadNotice SentLoad;
   TimePoint SentLoadAt;
   std::optional<TimePoint> StartedAt;
--- a/bronzeward/src/Router/InstanceCore.h
+++ b/bronzeward/src/Router/InstanceCore.h
@@ -64,6 +64,8 @@
   virtual void onUpstreamEnd(AttemptId Attempt, TimePoint Now) = 0;
   virtual void onUpstreamFailure(AttemptId Attempt, UpstreamFailure How,
                                  TimePoint Now) = 0;
+  /// \brief Called when an upstream refused the connection of a probe.
+  virtual void onUpstreamRefused(const UpstreamName &Name, TimePoint Now) = 0;
   virtual void onLoadReport(const UpstreamName &Name, const LoadReport &Report,
                             bool Leaving) = 0;
   virtual void onStoreReply(StoreCallId Id, const StoreReply &Reply,
--- a/bronzeward/src/Router/RouterCore.h
+++ b/bronzeward/src/Router/RouterCore.h
@@ -42,6 +42,7 @@
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now) override;
   void onPeerUnreachable(const InstanceId &Peer, TimePoint Now) override;
+  void onUpstreamRefused(const UpstreamName &, TimePoint) override {}
   void onLoadReport(const UpstreamName &Name, const LoadReport &Report,
                     bool Leaving) override;
 
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -657,5 +657,36 @@
   CHECK(MaxBuffered <= 44 * Mebibyte);
 }
 
+// Load pattern: connections that merely break, beside upstreams that crash.
+TEST_CASE("A broken answer is a crash only if the upstream refuses connections",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/stream/x", "", {{"Parts", "p,own"}});
+  Fixture.head(200);
+  Fixture.fail(UpstreamFailure::Closed);
+  REQUIRE(Fixture.Probes ==
+          std::vector<UpstreamName>{Fixture.Calls.back().Upstream});
+  CHECK_FALSE(Fixture.Engine.partQuarantine().hasUnsent());
+  Fixture.Engine.onUpstreamRefused(Fixture.Probes.back(), Fixture.Now);
+  const PartNews News = Fixture.Engine.partQuarantine().takeUnsent();
+  REQUIRE(News.Crashes.size() == 1);
+  CHECK(News.Crashes.front().Upstream.Name == Fixture.Probes.back());
+  // The last part belongs to the call.
+  CHECK(News.Crashes.front().Parts.size() == 1);
+}
+
+TEST_CASE("A call whose answer was being written is no suspect",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/stream/x", "", {{"Parts", "p,own"}});
+  Fixture.head(200);
+  Fixture.bytes("id: 1\n\n");
+  Fixture.wait(400ms);
+  Fixture.bytes("id: 2\n\n");
+  Fixture.fail(UpstreamFailure::Closed);
+  Fixture.Engine.onUpstreamRefused(Fixture.Calls.back().Upstream, Fixture.Now);
+  CHECK_FALSE(Fixture.Engine.partQuarantine().hasUnsent());
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/support/EngineMocks.h
+++ b/test/support/EngineMocks.h
@@ -22,6 +22,7 @@
 public:
   MAKE_MOCK1(dispatch, void(const UpstreamCall &), override);
   MAKE_MOCK1(cancel, void(AttemptId), override);
+  MAKE_MOCK1(probe, void(const UpstreamProbe &), override);
 };
 
 /// Discards all log entries.
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -165,6 +165,10 @@
   void dispatch(const UpstreamCall &Call) override {
     Network.callUpstream(Index, Call);
   }
+  void probe(const UpstreamProbe &Probe) override {
+    if (Network.isDown(Probe.Upstream))
+      Network.RefusedProbes.emplace_back(Index, Probe.Upstream);
+  }
   void cancel(AttemptId Attempt) override {
     std::erase_if(Network.PendingAnswers, [&](const PendingAnswer &Item) {
       return Item.Instance == Index && Item.Attempt == Attempt;
@@ -318,6 +322,8 @@
     for (const std::string &Part : Parts)
       List += (List.empty() ? "" : ",") + Part + ":100";
     In.Headers.push_back({"X-Prompt-Prefix", List});
+    // No two prompts are alike.
+    In.Body = In.Headers.front().Value;
   }
   Nodes[Index]->Core->onCallerRequest(std::move(In), Now);
   return LastTicket;
@@ -346,6 +352,11 @@
 }
 
 void FleetNetwork::refuseAttempts() {
+  std::vector<std::pair<std::size_t, UpstreamName>> Probes;
+  Probes.swap(RefusedProbes);
+  for (const auto &[Instance, Upstream] : Probes)
+    if (Nodes[Instance]->Core)
+      Nodes[Instance]->Core->onUpstreamRefused(Upstream, Now);
   std::vector<std::pair<std::size_t, AttemptId>> Due;
   Due.swap(RefusedAttempts);
   for (const auto &[Instance, Attempt] : Due)
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -205,7 +205,7 @@
   void answerCalls();
   /// Sends the head and the first event of an answer.
   void beginAnswer(const PendingAnswer &Item);
-  /// Reports attempts whose connections were refused.
+  /// Reports attempts and probes whose connections were refused.
   void refuseAttempts();
   [[nodiscard]] bool isDown(const UpstreamName &Upstream) const;
   /// Removes the entries of crashed upstreams and registers their successors.
@@ -243,6 +243,7 @@
   std::string CrashingPart;
   std::vector<DownUpstream> DownUpstreams;
   std::vector<std::pair<std::size_t, AttemptId>> RefusedAttempts;
+  std::vector<std::pair<std::size_t, UpstreamName>> RefusedProbes;
   std::set<UpstreamName> EndedUpstreams;
   std::vector<TimePoint> Crashes;
   std::vector<UpstreamArrival> Arrivals;
