Report not ready while the own link is congested

Cause: a few large workspaces stick to one instance with a link of 10 Mbit/s, whose callers fill it; it saw that connections to several upstreams timed out, and still told the load balancer that it was ready, so that 4,363 of 21,800 calls came there and replies of the store, of committers and of lenders did not get through (one draw took 31 s). Now it is not ready from the first sign of congestion until 3 s after the last.

--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -101,6 +101,11 @@
   /// \brief Refuses new calls from now on. Calls in flight are completed.
   void stopAdmitting() { Admitting = false; }
 
+  /// \returns whether connections wait for this instance's own link or
+  /// processor.
+  [[nodiscard]] bool congested(TimePoint Now) const {
+    return Congestion.congested(Now);
+  }
   /// \returns the number of calls that are admitted and not finished.
   [[nodiscard]] std::size_t inFlight() const { return Active.size(); }
   [[nodiscard]] const RequestCounters &counters() const { return Counters; }
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -37,6 +37,10 @@
 /// of a small fleet, and enough for the news to reach every instance of a large
 /// one in a few steps.
 constexpr std::size_t PartNewsFanout = 4;
+/// Time after its last sign for which congestion makes an instance unready: the
+/// load balancer needs about two seconds to notice, and takes as long to return
+/// new connections to the instance.
+constexpr Duration CongestionRest = 3s;
 /// Time for which news about prompt parts is collected before it is sent.
 constexpr Duration PartNewsDelay = 20ms;
 /// Most quarantined contents in one digest.
@@ -702,6 +706,8 @@
   checkStore(Now);
   confirmMembershipByPeers(Now);
   Engine.reviewParts(Now);
+  if (Engine.congested(Now))
+    CongestedUntil = Now + CongestionRest;
   updateWatchRole(Now);
   if (NextLapse && Now >= *NextLapse)
     updateUsableUpstreams(Now);
@@ -766,6 +772,8 @@
     return "no configuration";
   if (Engine.upstreams().size() == 0)
     return "no upstreams";
+  if (Now < CongestedUntil)
+    return "own link or processor congested";
   if (!OwnIncarnation && StartedAt && Now < *StartedAt + RegistrationTimeout)
     return "not registered: the store does not answer";
   return "";
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -258,6 +258,8 @@
   TimePoint NextStoreReport;
   std::optional<TimePoint> HousekeepingDue;
   bool PartNewsScheduled = false;
+  /// Until then, the instance is not ready because of its own congestion.
+  TimePoint CongestedUntil;
   LoadNotice SentLoad;
   TimePoint SentLoadAt;
   std::optional<TimePoint> StartedAt;
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -341,6 +341,10 @@
     for (std::string Part; std::getline(In, Part, ',');)
       Parts.push_back(Part.substr(0, Part.find(':')));
   }
+  if (FullLinks.contains(From)) {
+    TimingOut.emplace_back(Now + Call.ConnectTimeout, From, Call.Attempt);
+    return;
+  }
   // A process that has ended refuses connections.
   if (isDown(Call.Upstream)) {
     RefusedAttempts.push_back({From, Call.Attempt});
@@ -365,6 +369,27 @@
                                                UpstreamFailure::NotSent, Now);
 }
 
+void FleetNetwork::setLinkFull(std::size_t Index, bool IsFull) {
+  if (IsFull)
+    FullLinks.insert(Index);
+  else
+    FullLinks.erase(Index);
+}
+
+bool FleetNetwork::ready(std::size_t Index) const {
+  return Nodes[Index]->Core->status(Now).Ready;
+}
+
+void FleetNetwork::timeOutAttempts() {
+  while (!TimingOut.empty() && Now >= std::get<TimePoint>(TimingOut.front())) {
+    const auto [At, Instance, Attempt] = TimingOut.front();
+    TimingOut.pop_front();
+    if (Nodes[Instance]->Core)
+      Nodes[Instance]->Core->onUpstreamFailure(
+          Attempt, UpstreamFailure::ConnectTimedOut, Now);
+  }
+}
+
 bool FleetNetwork::isDown(const UpstreamName &Upstream) const {
   return EndedUpstreams.contains(Upstream);
 }
@@ -588,6 +613,7 @@
     moveBytes(To);
   reportUnreachable();
   refuseAttempts();
+  timeOutAttempts();
   answerCalls();
   restartUpstreams();
   for (const std::unique_ptr<Node> &Item : Nodes)
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace bronzeward::fakes {
@@ -120,6 +121,9 @@
   /// them again.
   void setPeersUnreachable(std::size_t Index, bool IsUnreachable);
 
+  /// \brief Lets an instance's connections to upstreams time out, as behind a
+  /// full link.
+  void setLinkFull(std::size_t Index, bool IsFull);
   /// \brief Replaces an instance by one that has just started.
   void restart(std::size_t Index);
   /// \brief Stops an instance without notice. Its entry in the store stays.
@@ -151,6 +155,9 @@
   }
   [[nodiscard]] TimePoint now() const { return Now; }
 
+  /// \returns whether an instance reports to the load balancer that it is
+  /// ready.
+  [[nodiscard]] bool ready(std::size_t Index) const;
   [[nodiscard]] std::uint64_t version(std::size_t Index) const;
   [[nodiscard]] std::size_t upstreams(std::size_t Index) const;
   /// \returns the number of bytes that an instance received from its peers.
@@ -205,6 +212,7 @@
   void answerCalls();
   /// Sends the head and the first event of an answer.
   void beginAnswer(const PendingAnswer &Item);
+  void timeOutAttempts();
   /// Reports attempts and probes whose connections were refused.
   void refuseAttempts();
   [[nodiscard]] bool isDown(const UpstreamName &Upstream) const;
@@ -235,6 +243,9 @@
   std::vector<Connections> Links;
   std::set<std::size_t> WithoutStore;
   std::set<std::size_t> WithoutPeers;
+  std::set<std::size_t> FullLinks;
+  /// Attempts behind a full link, and when they time out.
+  std::deque<std::tuple<TimePoint, std::size_t, AttemptId>> TimingOut;
   std::vector<UnansweredCall> Unanswered;
   /// Sender and receiver of messages to instances that do not run.
   std::vector<std::pair<std::size_t, std::size_t>> Refused;
