Show that an answer with a truncated head is never complete

Operators of other systems saw a 200 with an empty or short body after an upstream had stopped in the middle of its answer's head.

--- a/test/HttpExchangeTest.cpp
+++ b/test/HttpExchangeTest.cpp
@@ -113,9 +113,10 @@
 /// \brief How a server ends its connection.
 enum class ConnectionEnd { Close, Reset };
 
-/// Sends one request to a server that answers Text and ends the connection.
-/// \returns the body; empty if the exchange failed.
-std::optional<std::string> bodyOf(const std::string &Text, ConnectionEnd How) {
+/// Sends one request to a server that answers Text and ends the connection
+/// after a pause. \returns the body; empty if the exchange failed.
+std::optional<std::string> bodyOf(const std::string &Text, ConnectionEnd How,
+                                  Duration Pause = 100ms) {
   boost::asio::io_context ServerIo;
   Tcp::acceptor Acceptor(ServerIo,
                          {boost::asio::ip::make_address("127.0.0.1"), 0});
@@ -127,7 +128,7 @@
                             "\r\n\r\n", Failure);
     boost::asio::write(Socket, boost::asio::buffer(Text), Failure);
     // A reset discards what the peer has not read yet.
-    std::this_thread::sleep_for(100ms);
+    std::this_thread::sleep_for(Pause);
     if (How == ConnectionEnd::Reset)
       Socket.set_option(boost::asio::socket_base::linger(true, 0));
     // The destructor would not reset the connection.
@@ -165,5 +166,35 @@
   CHECK_FALSE(bodyOf(Endless, ConnectionEnd::Reset));
 }
 
+// Guards against an answer that seems whole although its server stopped in the
+// middle of the head, whose framing is then missing.
+TEST_CASE("An answer whose head is cut off anywhere is not complete",
+          "[HttpExchange]") {
+  const std::string Interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  for (const std::string &Framing :
+       {std::string("Content-Length: 12\r\n"),
+        std::string("Transfer-Encoding: chunked\r\n"),
+        std::string("Connection: close\r\n"), std::string()})
+    for (const std::string &Before : {std::string(), Interim}) {
+      const std::string Head = Before + "HTTP/1.1 200 OK\r\n" + Framing +
+                               "Signature: s\r\nId: second\r\n\r\n";
+      for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+        const std::string Cut = Head.substr(0, Length);
+        CAPTURE(Cut);
+        CHECK_FALSE(bodyOf(Cut, ConnectionEnd::Close, 1ms));
+        CHECK_FALSE(bodyOf(Cut, ConnectionEnd::Reset, 1ms));
+      }
+    }
+}
+
+TEST_CASE("A head that is cut off on a reused connection is not complete",
+          "[HttpExchange]") {
+  const std::string First = answer("Id: first\r\n", "one");
+  const std::string Second = answer("Id: second\r\n", "two");
+  const std::size_t HeadLength = Second.find("\r\n\r\n") + 4;
+  for (std::size_t Length = 0; Length < HeadLength; Length += 3)
+    CHECK_FALSE(secondBody(First, Second.substr(0, Length)));
+}
+
 } // namespace
 } // namespace bronzeward
