Answer the calls that a planned stop would cut off

Now every call is admitted for a third of the time to stop, at most 2.75 s, later ones only if their time limit ends before it, and what still runs 0.6 s before the end gets an answer that says whether it may have run.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -135,8 +135,8 @@
   ++Counters.Accepted;
   const CallerTicket Ticket = In.Ticket;
   std::shared_ptr<const CallerPresence> Presence = In.Presence;
-  if (!Routes || !Admitting) {
-    refuse(Ticket, nullptr, Admitting ? Reason::NotReady : Reason::Draining);
+  if (!Routes) {
+    refuse(Ticket, nullptr, Reason::NotReady);
     return;
   }
   Result<RelayCall> Parsed = Deps.Codec.parseCall(std::move(In));
@@ -151,6 +151,10 @@
     refuse(Ticket, &Call, Admitted.error());
     return;
   }
+  if (AdmittedUntil && Now + Admitted.value().TimeLimit > *AdmittedUntil) {
+    refuse(Ticket, &Call, Reason::Draining);
+    return;
+  }
   if (Admitted.value().Metered && Budgets == nullptr) {
     refuse(Ticket, &Call, Reason::StoreUnavailable);
     return;
@@ -787,6 +791,24 @@
                 Now);
 }
 
+void RelayEngine::endAll(TimePoint Now) {
+  std::vector<RequestId> Ids;
+  for (const auto &[Id, Item] : Active)
+    Ids.push_back(Id);
+  for (const RequestId &Id : Ids) {
+    ActiveCall *Item = find(Id);
+    // Ending one call may have ended others.
+    if (Item == nullptr)
+      continue;
+    if (ByAttempt.contains(Item->Attempt)) {
+      Deps.Upstreams.cancel(Item->Attempt);
+      endAttempt(*Item, AttemptEnd::Cancelled, Now);
+      ++Item->PossibleRuns;
+    }
+    refuseOrAbort(*Item, Reason::Draining, Now);
+  }
+}
+
 void RelayEngine::onCallerGone(CallerTicket Ticket, TimePoint Now) {
   const auto Found = ByTicket.find(Ticket);
   if (Found == ByTicket.end())
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -98,8 +98,12 @@
   void onSettled(const RequestId &, const Settlement &, TimePoint) override {}
   void onPermitsChanged(TimePoint Now) override;
 
-  /// \brief Refuses new calls from now on. Calls in flight are completed.
-  void stopAdmitting() { Admitting = false; }
+  /// \brief Refuses new calls that may last beyond a time from now on. Calls in
+  /// flight are completed.
+  void admitOnlyUntil(TimePoint End) { AdmittedUntil = End; }
+  /// \brief Ends every call in flight, with an answer unless its stream has
+  /// begun.
+  void endAll(TimePoint Now);
 
   /// \returns whether connections wait for this instance's own link or
   /// processor.
@@ -284,7 +288,8 @@
   /// Bytes of all unfinished answers that are buffered, which are those of all
   /// calls but successful streams.
   std::size_t BufferedBytes = 0;
-  bool Admitting = true;
+  /// Set while only calls that end by then are admitted.
+  std::optional<TimePoint> AdmittedUntil;
   std::uint64_t LastRequest = 0;
   std::uint64_t LastAttempt = 0;
   RequestCounters Counters;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -56,12 +56,30 @@
 constexpr Duration StoreReportPeriod = 10s;
 /// Time between two returns of excess budget.
 constexpr Duration ReturnPeriod = 1s;
+/// Time after the start of a drain, at most, for which all calls are admitted.
+/// Later ones only if their time limit ends before the instance stops: callers
+/// can still reach other instances.
+constexpr Duration MaxFullAdmission = 2750ms;
+/// The same as a part of the time to stop.
+constexpr int FullAdmissionDivisor = 3;
+/// Time before the end of the process at which the remaining calls are ended,
+/// so that their answers are written and their bills committed.
+constexpr Duration LastAnswersTime = 600ms;
+/// Time before the end of the process from which it no longer waits for its
+/// grants to be returned.
+constexpr Duration LastReturnsTime = 1500ms;
 /// Time between two checks whether a drain is complete.
 constexpr Duration DrainCheckPeriod = 50ms;
 /// Time after which an instance that never reached the store admits requests,
 /// with the configuration and upstreams that peers sent.
 constexpr Duration RegistrationTimeout = 5s;
 
+/// \returns the time after the start of a drain for which all calls are
+/// admitted.
+static Duration fullAdmissionTime(Duration StopLimit) {
+  return std::min(MaxFullAdmission, StopLimit / FullAdmissionDivisor);
+}
+
 static Member ownMember(const RouterIdentity &Who) {
   return Member{Incarnation{Who.Instance, 0}, Who.Domain, Who.PeerAddress,
                 false, Who.Capacity};
@@ -735,6 +753,11 @@
   DrainingSince = Now;
   Limits.stopIssuingAt(Now);
   Registry.leave(Now);
+  Timers.schedule(Now + fullAdmissionTime(Policy.StopLimit), [this](TimePoint) {
+    Engine.admitOnlyUntil(*DrainingSince + Policy.StopLimit - LastAnswersTime);
+  });
+  Timers.schedule(Now + Policy.StopLimit - LastAnswersTime,
+                  [this](TimePoint At) { endLastCalls(At); });
   Timers.schedule(Now + Policy.UnreadyNotice, [this](TimePoint At) {
     Closing = true;
     finishDrain(At);
@@ -742,18 +765,16 @@
 }
 
 void FleetCore::finishDrain(TimePoint Now) {
-  // Calls still arrive where the load balancer has no other instance, so that
-  // admission ends by time.
-  const bool Admitting = Now < *DrainingSince + Policy.AdmitWhileDraining;
-  if (!Admitting)
-    Engine.stopAdmitting();
+  const bool AdmitsAll =
+      Now < *DrainingSince + fullAdmissionTime(Policy.StopLimit);
   const bool Idle = Engine.inFlight() == 0;
   // Grants are returned while long calls still run, since these may outlast the
   // time to stop.
-  if (Budgets && (Idle || !Admitting))
+  if (Budgets && (Idle || !AdmitsAll))
     Budgets->drain(Now);
   const bool GrantsReturned = !Budgets || Budgets->drained();
-  const bool PastLimit = Now >= *DrainingSince + Policy.DrainLimit;
+  const bool PastLimit =
+      Now >= *DrainingSince + Policy.StopLimit - LastReturnsTime;
   if (Idle && (GrantsReturned || PastLimit)) {
     Registry.remove(Now);
     DrainDone = true;
@@ -763,6 +784,13 @@
                   [this](TimePoint At) { finishDrain(At); });
 }
 
+void FleetCore::endLastCalls(TimePoint Now) {
+  if (Engine.inFlight() > 0)
+    Deps.Log.onEvent("drain-ends-calls",
+                     std::to_string(Engine.inFlight()) + " calls in flight");
+  Engine.endAll(Now);
+}
+
 // Queries.
 
 std::string FleetCore::notReadyReason(TimePoint Now) const {
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -24,12 +24,8 @@
   std::chrono::milliseconds WatchWait{1500};
   /// Time for the load balancer to notice that the instance is not ready.
   Duration UnreadyNotice = 2600ms;
-  /// Time after the start of a drain for which calls are still admitted; later
-  /// ones might not end before the instance stops.
-  Duration AdmitWhileDraining = 3500ms;
-  /// Time after the start of a drain after which the instance no longer waits
-  /// for its grants to be returned.
-  Duration DrainLimit = 6500ms;
+  /// Time after the start of a drain at which the process is ended.
+  Duration StopLimit = 8s;
   /// Addresses of peers, "ip:port", for an instance that cannot reach the
   /// store.
   std::vector<std::string> PeerSeeds;
@@ -203,6 +199,8 @@
   void reportDelay(TimePoint Now);
   void housekeeping(TimePoint Now);
   void finishDrain(TimePoint Now);
+  /// Ends the calls that the end of the process would cut off.
+  void endLastCalls(TimePoint Now);
   [[nodiscard]] bool storeUnreachable() const;
   [[nodiscard]] std::string notReadyReason(TimePoint Now) const;
 
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -147,6 +147,8 @@
   const Result<FleetPolicy> Policy = readFleetPolicy();
   if (!Policy)
     return reportFailure(Policy.error());
+  FleetPolicy Stopping = Policy.value();
+  Stopping.StopLimit = Settings.value().DrainTimeout;
   Settings.value().SharedLoop = FLAGS_shared_loop;
   const RouterIdentity Identity = Settings.value().Identity;
   const platform::PlatformStoreCodec Store;
@@ -155,7 +157,7 @@
   InstanceProcess Process(
       std::move(Settings).value(), Store,
       [&](RouterDependencies Parts) {
-        return std::make_unique<FleetCore>(Identity, Policy.value(), Parts,
+        return std::make_unique<FleetCore>(Identity, Stopping, Parts,
                                            FleetCodecs{Deployment, Calls});
       },
       reload);
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -490,7 +490,7 @@
 TEST_CASE("A stopping instance refuses new calls", "[RelayEngine]") {
   RelayFixture Fixture;
   Fixture.request("/stream/x");
-  Fixture.Engine.stopAdmitting();
+  Fixture.Engine.admitOnlyUntil(Fixture.Now);
   Fixture.request("/stream/y");
   CHECK(Fixture.Calls.size() == 1);
   REQUIRE(Fixture.Answers.size() == 1);
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -28,8 +28,6 @@
 constexpr Duration StoreCallTimeout = 900ms;
 /// Time from the dispatch of a call to its answer.
 constexpr Duration UpstreamAnswerTime = 60ms;
-/// Time for which an upstream writes the answer to a prompt that has parts.
-constexpr Duration UpstreamWritingTime = 500ms;
 /// Time from a crash until the upstream's entry lapses, and until it is back.
 constexpr Duration UpstreamLapseTime = 1s;
 constexpr Duration UpstreamRestartTime = 2s;
@@ -309,14 +307,16 @@
 }
 
 std::uint64_t FleetNetwork::request(std::size_t Index,
-                                    const std::vector<std::string> &Parts) {
+                                    const std::vector<std::string> &Parts,
+                                    std::chrono::milliseconds TimeLimit) {
   const std::string Name = routeName(0);
   CallerRequest In;
   In.Ticket = CallerTicket{++LastTicket};
   In.Method = "POST";
   In.Target = "/p" + Name + "/";
   In.Host = "h" + Name + ".example";
-  In.Headers = {{"X-Attempt-Id", std::to_string(LastTicket)}};
+  In.Headers = {{"X-Attempt-Id", std::to_string(LastTicket)},
+                {"X-Deadline-Ms", std::to_string(TimeLimit.count())}};
   if (!Parts.empty()) {
     std::string List;
     for (const std::string &Part : Parts)
@@ -390,6 +390,12 @@
   }
 }
 
+void FleetNetwork::drain(std::size_t Index) { Nodes[Index]->Core->drain(Now); }
+
+bool FleetNetwork::drained(std::size_t Index) const {
+  return Nodes[Index]->Core->drained();
+}
+
 bool FleetNetwork::isDown(const UpstreamName &Upstream) const {
   return EndedUpstreams.contains(Upstream);
 }
@@ -457,7 +463,7 @@
     if (!Item.Begun && !Item.Parts.empty()) {
       PendingAnswers.push_back(Item);
       PendingAnswers.back().Begun = true;
-      PendingAnswers.back().Due = Now + UpstreamWritingTime;
+      PendingAnswers.back().Due = Now + WritingTime;
       continue;
     }
     FleetCore &Core = *Nodes[Item.Instance]->Core;
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -134,7 +134,15 @@
   /// \param Parts names of the prompt's parts.
   /// \returns the number of the request's ticket.
   std::uint64_t request(std::size_t Index,
-                        const std::vector<std::string> &Parts = {});
+                        const std::vector<std::string> &Parts = {},
+                        std::chrono::milliseconds TimeLimit = 12s);
+  /// \brief Begins a graceful stop of an instance.
+  void drain(std::size_t Index);
+  /// \returns whether an instance's graceful stop is complete.
+  [[nodiscard]] bool drained(std::size_t Index) const;
+  /// \brief Sets for how long upstreams write the answer to a prompt with
+  /// parts.
+  void setWritingTime(Duration Time) { WritingTime = Time; }
   /// \brief Lets every upstream crash that begins an answer on a prompt with
   /// this part. It returns under another name after some seconds.
   void crashOnPart(const std::string &Part) { CrashingPart = Part; }
@@ -252,6 +260,7 @@
   std::map<UpstreamName, std::string> StatedLimits;
   std::vector<PendingAnswer> PendingAnswers;
   std::string CrashingPart;
+  Duration WritingTime = 500ms;
   std::vector<DownUpstream> DownUpstreams;
   std::vector<std::pair<std::size_t, AttemptId>> RefusedAttempts;
   std::vector<std::pair<std::size_t, UpstreamName>> RefusedProbes;
