Schedule one step of a search for a loan at a time

Found by reading: every request that waited for a grant scheduled its own next step of the search, all of the same workspace (SHORT). Now one step is scheduled a workspace. A test of 400 waiting requests did not fail before, since a search ends soon where no peer can lend; it is not kept.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -192,15 +192,18 @@
 
 void BudgetAgent::requestLoanForWaiting(const WorkspaceId &Workspace,
                                         TimePoint Now) {
-  const Book &Budget = Books[Workspace];
+  Book &Budget = Books[Workspace];
   if (Budget.Waiting.empty())
     return;
   const Money Bound = Budget.Waiting.front().Bound;
   requestLoan(Workspace, Bound, scaled(Bound, LoanMultiple), Now);
-  if (!Budget.NotAsked.empty())
-    Deps.Timers.schedule(Now + LoanRoundTime, [this, Workspace](TimePoint At) {
-      requestLoanForWaiting(Workspace, At);
-    });
+  if (Budget.NotAsked.empty() || Budget.LoanRoundScheduled)
+    return;
+  Budget.LoanRoundScheduled = true;
+  Deps.Timers.schedule(Now + LoanRoundTime, [this, Workspace](TimePoint At) {
+    Books[Workspace].LoanRoundScheduled = false;
+    requestLoanForWaiting(Workspace, At);
+  });
 }
 
 void BudgetAgent::onLoanRequest(const InstanceId &From,
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -198,6 +198,8 @@
     /// Peers that were not asked yet in the current search for a loan; the next
     /// ones are at the end.
     std::vector<InstanceId> NotAsked;
+    /// Whether the current search is scheduled to go on.
+    bool LoanRoundScheduled = false;
     /// Sender of the last loan, which may have more.
     InstanceId LastLender;
     /// Requests are refused without waiting until this time, because neither
