Review case 1: a TRACE with a body ends the process

Cause: Exchange::write() calls prepare_payload(), which throws for a TRACE with a body; nothing catches it, and CallerServer lets such a request pass.

Case: review/1 sends one such request with a valid key beside 16 consumers on kept channels at two instances. The stand-ins for store, engines and consumers are in review/harness and are built by review/build.sh.

--- /dev/null
+++ b/review/harness/Store.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "review/harness/Http.h"
+
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+namespace review {
+
+/// \brief Stand-in for the platform's metadata store.
+class Store {
+public:
+  Store(std::string Ip, std::uint16_t Port);
+  ~Store();
+  Store(const Store &) = delete;
+  Store &operator=(const Store &) = delete;
+
+  [[nodiscard]] bool listening() const { return Listener.open(); }
+  /// \brief Writes a key as the operator or an engine.
+  void put(const std::string &Key, const std::string &Value);
+  /// \brief Removes a key as an engine that leaves.
+  void remove(const std::string &Key);
+  /// \returns the keys that begin with a prefix.
+  [[nodiscard]] std::size_t count(const std::string &Prefix);
+  /// \brief Cuts the watches that wait.
+  void cutWatches();
+
+private:
+  struct Item {
+    std::string Value;
+    std::uint64_t Revision = 0;
+    std::uint64_t Created = 0;
+    std::int64_t Lease = 0;
+  };
+  struct Change {
+    std::string Key;
+    std::uint64_t Revision = 0;
+    std::optional<Item> Written;
+  };
+  struct Lease {
+    std::chrono::milliseconds Length{0};
+    Clock::time_point Ends;
+  };
+  struct Reply {
+    int Status = 200;
+    boost::json::object Body;
+    bool Cut = false;
+  };
+
+  void acceptLoop();
+  void expireLoop();
+  void serve(Socket Connection);
+  Reply handle(const Message &Request);
+  Reply readKey(const std::map<std::string, std::string> &Query);
+  Reply readRange(const std::map<std::string, std::string> &Query);
+  Reply watch(const std::map<std::string, std::string> &Query);
+  Reply commit(const Message &Request);
+  Reply grantLease(const Message &Request);
+  Reply keepLease(std::int64_t Number);
+  void write(const std::string &Key, const std::string &Value,
+             std::int64_t LeaseNumber);
+  void erase(const std::string &Key);
+  static boost::json::object describe(const std::string &Key, const Item &Held);
+
+  std::string Ip;
+  std::uint16_t Port;
+  Socket Listener;
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::map<std::string, Item> Items;
+  std::vector<Change> History;
+  std::map<std::int64_t, Lease> Leases;
+  std::uint64_t Revision = 100;
+  std::int64_t LastLease = 70000;
+  std::uint64_t CutCount = 0;
+  std::atomic<bool> Stopping = false;
+  std::mutex ThreadsLock;
+  std::list<std::thread> Threads;
+};
+
+} // namespace review
