Review case 1: a store restored from a copy lets a tenant overspend

Cause: nothing reads Store-Era; bills committed in the lost seconds are kept by no instance, and grants drawn since are granted again.

The stand-ins learn streams, the store's rates and the restore.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,19 +3,23 @@
 # the compiler and libraries that the deploy file names.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p target/review
-for file in review/harness/*.cpp; do
-  name=$(basename "$file" .cpp)
-  g++ -std=c++20 -O1 -pthread -I. -c "$file" -o "target/review/$name.o" &
+out=target/review
+rm -rf "$out"
+mkdir -p "$out"
+compile() { g++ -std=c++20 -O1 -pthread -I. "$@"; }
+
+jobs=()
+for name in Http Store Engine Fleet; do
+  compile -c "review/harness/$name.cpp" -o "$out/$name.o" &
+  jobs+=($!)
 done
-wait
+for job in "${jobs[@]}"; do wait "$job"; done
+
+jobs=()
 for file in review/[1-5]/Case.cpp; do
-  [ -e "$file" ] || continue
   number=$(basename "$(dirname "$file")")
-  g++ -std=c++20 -O1 -pthread -I. "$file" target/review/{Http,Store,Engine,Fleet}.o \
-    -lboost_json -o "target/review/case-$number" &
-done
-wait
-for file in review/[1-5]/Case.cpp; do
-  [ ! -e "$file" ] || [ -x "target/review/case-$(basename "$(dirname "$file")")" ]
+  compile "$file" "$out"/{Http,Store,Engine,Fleet}.o -lboost_json \
+    -o "$out/case-$number" &
+  jobs+=($!)
 done
+for job in "${jobs[@]}"; do wait "$job"; done
--- a/review/harness/Engine.cpp
+++ b/review/harness/Engine.cpp
@@ -1,5 +1,8 @@
 #include "review/harness/Engine.h"
 
+#include <array>
+#include <charconv>
+
 namespace review {
 
 namespace json = boost::json;
@@ -152,6 +155,25 @@
     Connection.reset();
 }
 
+bool Engine::sendEvents(const Socket &Connection, const std::string &Attempt,
+                        int Count) {
+  std::string Text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+                     "\r\nX-Response-Signature: sig-" + Attempt +
+                     "\r\nContent-Type: text/event-stream\r\n"
+                     "Keep-Alive: timeout=30\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n";
+  for (int Number = 1; Number <= Count; ++Number) {
+    const std::string Event =
+        "id: " + std::to_string(Number) + "\ndata: three tokens\n\n";
+    std::array<char, 16> Size{};
+    const std::to_chars_result End =
+        std::to_chars(Size.data(), Size.data() + Size.size(), Event.size(), 16);
+    Text.append(Size.data(), End.ptr).append("\r\n").append(Event);
+    Text += "\r\n";
+  }
+  return sendAll(Connection, Text + "0\r\n\r\n");
+}
+
 bool Engine::run(const Socket &Connection, const Message &Request,
                  std::uint64_t Boot, const std::string &Id) {
   const std::string Attempt = Request.field("X-Attempt-Id");
@@ -189,6 +211,8 @@
     return false;
   }
   Log.line("engine", Id + " ran " + Attempt);
+  if (Chosen.Events > 0)
+    return sendEvents(Connection, Attempt, Chosen.Events);
   return sendAll(
       Connection,
       answerText(200,
--- a/review/harness/Engine.h
+++ b/review/harness/Engine.h
@@ -10,6 +10,8 @@
   std::chrono::milliseconds Work{15};
   /// Whether the request crashes the engine when it begins to run.
   bool Crashes = false;
+  /// Number of events, if the answer is a stream.
+  int Events = 0;
 };
 
 /// \brief Description of an engine.
@@ -51,6 +53,8 @@
   /// \returns whether the connection can be used on.
   bool run(const Socket &Connection, const Message &Request, std::uint64_t Boot,
            const std::string &Id);
+  static bool sendEvents(const Socket &Connection, const std::string &Attempt,
+                         int Count);
   void boot();
   void beat();
 
--- a/review/harness/Fleet.cpp
+++ b/review/harness/Fleet.cpp
@@ -74,7 +74,8 @@
   return ip(Machine + 1);
 }
 
-void Fleet::configure(const std::vector<RouteSpec> &Routes) {
+void Fleet::configure(const std::vector<RouteSpec> &Routes,
+                      std::int64_t Prepaid) {
   json::array Listed;
   json::array Services;
   std::vector<std::string> Named;
@@ -94,11 +95,18 @@
     if (std::find(Named.begin(), Named.end(), Route.Service) != Named.end())
       continue;
     Named.push_back(Route.Service);
-    Services.push_back(json::object{{"name", Route.Service},
-                                    {"health_path", "/health"},
-                                    {"max_connections", 110},
-                                    {"protocol", "h1"},
-                                    {"tls", false}});
+    json::object Service{{"name", Route.Service},
+                         {"health_path", "/health"},
+                         {"max_connections", 110},
+                         {"protocol", "h1"},
+                         {"tls", false}};
+    if (Route.TokensPerEvent > 0)
+      Service["engine"] =
+          json::object{{"capacity", 64},
+                       {"kv_capacity", 536439},
+                       {"stride", Route.TokensPerEvent},
+                       {"models", json::array{json::object{{"name", "m"}}}}};
+    Services.push_back(std::move(Service));
   }
   const json::object State{
       {"version", 7},
@@ -111,7 +119,7 @@
       {"tenants", json::array{json::object{{"name", "hule930"},
                                            {"api_keys", json::array{Key}},
                                            {"priority", 1},
-                                           {"prepaid", 7561307}}}}};
+                                           {"prepaid", Prepaid}}}}};
   Platform->put("op/config", json::serialize(State));
 }
 
@@ -244,7 +252,7 @@
 
 Outcome Channel::call(const std::string &Method, const std::string &Target,
                       const std::string &Attempt, const std::string &Body,
-                      milliseconds Limit) {
+                      milliseconds Limit, const Headers &More) {
   const Clock::time_point Begin = Clock::now();
   Outcome Result;
   if (!Connection.open() || closedByPeer(Connection))
@@ -255,10 +263,11 @@
   }
   Log.line("consumer", Attempt + " sends " + Method + " " + Target + " with " +
                            std::to_string(Body.size()) + " bytes to " + Ip);
-  const Headers Fields{{"Host", Fleet::HostName},
-                       {"X-Attempt-Id", Attempt},
-                       {"X-Deadline-Ms", std::to_string(Limit.count())},
-                       {"Authorization", std::string("Bearer ") + Fleet::Key}};
+  Headers Fields{{"Host", Fleet::HostName},
+                 {"X-Attempt-Id", Attempt},
+                 {"X-Deadline-Ms", std::to_string(Limit.count())},
+                 {"Authorization", std::string("Bearer ") + Fleet::Key}};
+  Fields.insert(Fields.end(), More.begin(), More.end());
   const Clock::time_point Until = Begin + Limit + seconds(1);
   Reader From(Connection, [Until] { return Clock::now() >= Until; });
   if (sendAll(Connection, requestText(Method, Target, Fields, Body)))
--- a/review/harness/Fleet.h
+++ b/review/harness/Fleet.h
@@ -20,6 +20,8 @@
   int Attempts = 1;
   int TimeoutMs = 3000;
   int ObjectiveMs = 300;
+  /// Tokens in an event of a stream; zero if the service is no model engine.
+  int TokensPerEvent = 0;
 };
 
 /// \brief A small deployment on loopback addresses of its own: the platform's
@@ -33,7 +35,9 @@
   Fleet &operator=(const Fleet &) = delete;
 
   /// \brief Writes the desired state.
-  void configure(const std::vector<RouteSpec> &Routes);
+  /// \param Prepaid tokens that the tenant may consume.
+  void configure(const std::vector<RouteSpec> &Routes,
+                 std::int64_t Prepaid = 7561307);
   Engine &addEngine(const std::string &Service, const Engine::Decision &Decide,
                     int Capacity = 6);
   /// \brief Starts the instances and waits until all are ready.
@@ -91,7 +95,8 @@
   /// \param Attempt the request's id; also written to the record.
   Outcome call(const std::string &Method, const std::string &Target,
                const std::string &Attempt, const std::string &Body = "",
-               std::chrono::milliseconds Limit = std::chrono::seconds(3));
+               std::chrono::milliseconds Limit = std::chrono::seconds(3),
+               const Headers &More = {});
   void close() { Connection.close(); }
 
 private:
--- a/review/harness/Store.cpp
+++ b/review/harness/Store.cpp
@@ -7,6 +7,9 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
+/// Calls that all machines may make in a second.
+constexpr int WritesPerSecond = 400;
+constexpr int ReadsPerSecond = 2000;
 /// Number of items in one page of a range.
 constexpr std::size_t PageItems = 500;
 
@@ -117,15 +120,56 @@
       }));
 }
 
-void Store::cutWatches() {
-  const std::lock_guard<std::mutex> Guard(Lock);
-  ++CutCount;
+/// \returns whether the system cannot write a key.
+static bool isForeign(const std::string &Key) {
+  return Key.starts_with("op/") || Key.starts_with("servers/");
+}
+
+void Store::restoreCopy(milliseconds Age, milliseconds Away) {
+  IsAway = true;
   Changed.notify_all();
+  std::this_thread::sleep_for(Away);
+  const std::lock_guard<std::mutex> Guard(Lock);
+  const Clock::time_point Now = Clock::now();
+  const Clock::time_point Copied = Now - Away - Age;
+  std::map<std::string, Item> Foreign;
+  for (const auto &[Key, Held] : Items)
+    if (isForeign(Key))
+      Foreign.emplace(Key, Held);
+  std::erase_if(History,
+                [Copied](const Change &Made) { return Made.At > Copied; });
+  Items.clear();
+  Revision = FirstRevision;
+  for (const Change &Made : History) {
+    Revision = Made.Revision;
+    if (Made.Written)
+      Items[Made.Key] = *Made.Written;
+    else
+      Items.erase(Made.Key);
+  }
+  std::erase_if(Leases, [Copied](const auto &Held) {
+    return Held.second.Granted > Copied;
+  });
+  for (auto &[Number, Held] : Leases)
+    Held.Ends = Now + Held.Length;
+  ++Era;
+  std::vector<std::string> Gone;
+  for (const auto &[Key, Held] : Items)
+    if (isForeign(Key) && !Foreign.contains(Key))
+      Gone.push_back(Key);
+  for (const std::string &Key : Gone)
+    erase(Key);
+  for (const auto &[Key, Held] : Foreign)
+    if (!Items.contains(Key) || Items[Key].Value != Held.Value)
+      write(Key, Held.Value, 0);
+  IsAway = false;
 }
 
 void Store::acceptLoop() {
   while (!Stopping) {
     Socket Next = acceptFrom(Listener, milliseconds(20));
+    if (IsAway)
+      Next.reset();
     if (!Next.open())
       continue;
     const std::lock_guard<std::mutex> Guard(ThreadsLock);
@@ -157,24 +201,43 @@
 }
 
 void Store::serve(Socket Connection) {
-  Reader From(Connection, [this] { return Stopping.load(); });
+  Reader From(Connection, [this] { return Stopping || IsAway; });
   while (!Stopping) {
     const Message Request = From.readRequest();
     if (!Request.Whole)
       return;
     const Reply Made = handle(Request);
-    if (Made.Cut ||
-        !sendAll(Connection,
-                 answerText(Made.Status, {{"Content-Type", "application/json"}},
-                            json::serialize(Made.Body))))
+    ++Calls;
+    if (IsAway ||
+        !sendAll(Connection, answerText(Made.Status,
+                                        {{"Content-Type", "application/json"},
+                                         {"Store-Era", std::to_string(Era)}},
+                                        json::serialize(Made.Body))))
       return;
   }
 }
 
+bool Store::exceedsRate(bool Writes) {
+  const std::lock_guard<std::mutex> Guard(Lock);
+  const Clock::time_point Now = Clock::now();
+  if (Now >= SecondBegin + std::chrono::seconds(1)) {
+    SecondBegin = Now;
+    ReadsInSecond = 0;
+    WritesInSecond = 0;
+  }
+  return Writes ? ++WritesInSecond > WritesPerSecond
+                : ++ReadsInSecond > ReadsPerSecond;
+}
+
 Store::Reply Store::handle(const Message &Request) {
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   const std::map<std::string, std::string> Query = queryOf(Request.Target);
   const std::string Keep = "/bronzeward/kv-keep/";
+  // A renewal counts as a read.
+  const bool Writes = Request.Method == "POST" && !Path.starts_with(Keep);
+  const bool Uncounted = Query.contains("allow_stale");
+  if (!Uncounted && exceedsRate(Writes))
+    return {429, {}};
   if (Path == "/bronzeward/kv-key")
     return readKey(Query);
   if (Path == "/bronzeward/kv-range")
@@ -187,7 +250,7 @@
     return grantLease(Request);
   if (Path.starts_with(Keep))
     return keepLease(std::stoll(Path.substr(Keep.size())));
-  return {404, {}, false};
+  return {404, {}};
 }
 
 json::object Store::describe(const std::string &Key, const Item &Held) {
@@ -202,8 +265,8 @@
   const std::lock_guard<std::mutex> Guard(Lock);
   const auto Found = Items.find(Query.at("key"));
   if (Found == Items.end())
-    return {404, {{"store_revision", Revision}}, false};
-  Reply Made{200, describe(Found->first, Found->second), false};
+    return {404, {{"store_revision", Revision}}};
+  Reply Made{200, describe(Found->first, Found->second)};
   Made.Body["store_revision"] = Revision;
   return Made;
 }
@@ -224,8 +287,7 @@
   return {200,
           {{"items", std::move(Listed)},
            {"has_more", More},
-           {"store_revision", Revision}},
-          false};
+           {"store_revision", Revision}}};
 }
 
 Store::Reply Store::watch(const std::map<std::string, std::string> &Query) {
@@ -234,7 +296,6 @@
   const std::uint64_t After = std::stoull(Query.at("after"));
   const Clock::time_point Until =
       Clock::now() + milliseconds(std::stoll(Query.at("wait_ms")));
-  const std::uint64_t CutsBefore = CutCount;
   while (true) {
     json::array Events;
     for (const Change &Made : History)
@@ -243,12 +304,11 @@
                                       : json::object{{"key", Made.Key},
                                                      {"rev", Made.Revision},
                                                      {"deleted", true}});
-    if (CutCount != CutsBefore)
-      return {200, {}, true};
-    if (!Events.empty() || Stopping || Clock::now() >= Until)
+    if (After > Revision)
+      return {410, {}};
+    if (!Events.empty() || Stopping || IsAway || Clock::now() >= Until)
       return {200,
-              {{"events", std::move(Events)}, {"store_revision", Revision}},
-              false};
+              {{"events", std::move(Events)}, {"store_revision", Revision}}};
     Changed.wait_until(Guard, Until);
   }
 }
@@ -261,14 +321,14 @@
     const std::uint64_t Present =
         Found == Items.end() ? 0 : Found->second.Revision;
     if (Present != Row.at("rev").to_number<std::uint64_t>())
-      return {412, {{"items", json::array{}}}, false};
+      return {412, {{"items", json::array{}}}};
   }
   for (const json::value &Row : Parsed.at("writes").as_array()) {
     const json::value *Under = Row.as_object().if_contains("lease");
     const std::int64_t Number =
         Under == nullptr ? 0 : Under->to_number<std::int64_t>();
     if (Number != 0 && !Leases.contains(Number))
-      return {404, {}, false};
+      return {404, {}};
   }
   for (const json::value &Row : Parsed.at("writes").as_array()) {
     const json::value *Under = Row.as_object().if_contains("lease");
@@ -278,24 +338,25 @@
   }
   for (const json::value &Key : Parsed.at("remove").as_array())
     erase(std::string(Key.as_string()));
-  return {200, {{"rev", Revision}}, false};
+  return {200, {{"rev", Revision}}};
 }
 
 Store::Reply Store::grantLease(const Message &Request) {
   const json::value Parsed = json::parse(Request.Body);
   const milliseconds Length(Parsed.at("ttl_ms").to_number<std::int64_t>());
   const std::lock_guard<std::mutex> Guard(Lock);
-  Leases[++LastLease] = {Length, Clock::now() + Length};
-  return {200, {{"lease", LastLease}, {"ttl_ms", Length.count()}}, false};
+  const Clock::time_point Now = Clock::now();
+  Leases[++LastLease] = {Length, Now, Now + Length};
+  return {200, {{"lease", LastLease}, {"ttl_ms", Length.count()}}};
 }
 
 Store::Reply Store::keepLease(std::int64_t Number) {
   const std::lock_guard<std::mutex> Guard(Lock);
   const auto Found = Leases.find(Number);
   if (Found == Leases.end())
-    return {404, {}, false};
+    return {404, {}};
   Found->second.Ends = Clock::now() + Found->second.Length;
-  return {200, {{"ttl_ms", Found->second.Length.count()}}, false};
+  return {200, {{"ttl_ms", Found->second.Length.count()}}};
 }
 
 void Store::write(const std::string &Key, const std::string &Value,
@@ -305,14 +366,14 @@
   Held.Revision = ++Revision;
   Held.Created = Held.Created == 0 ? Revision : Held.Created;
   Held.Lease = LeaseNumber;
-  History.push_back({Key, Revision, Held});
+  History.push_back({Key, Revision, Held, Clock::now()});
   Changed.notify_all();
 }
 
 void Store::erase(const std::string &Key) {
   if (Items.erase(Key) == 0)
     return;
-  History.push_back({Key, ++Revision, std::nullopt});
+  History.push_back({Key, ++Revision, std::nullopt, Clock::now()});
   Changed.notify_all();
 }
 
--- a/review/harness/Store.h
+++ b/review/harness/Store.h
@@ -29,8 +29,14 @@
   void remove(const std::string &Key);
   /// \returns the keys that begin with a prefix.
   [[nodiscard]] std::size_t count(const std::string &Prefix);
-  /// \brief Cuts the watches that wait.
-  void cutWatches();
+  /// \brief Is away for a moment and comes back from an old copy: what the
+  /// system wrote since is lost, what the operator and the engines wrote is
+  /// written again.
+  /// \param Age age of the copy.
+  void restoreCopy(std::chrono::milliseconds Age,
+                   std::chrono::milliseconds Away);
+  /// \returns the number of calls answered so far.
+  [[nodiscard]] std::uint64_t calls() const { return Calls; }
 
 private:
   struct Item {
@@ -43,21 +49,24 @@
     std::string Key;
     std::uint64_t Revision = 0;
     std::optional<Item> Written;
+    Clock::time_point At;
   };
   struct Lease {
     std::chrono::milliseconds Length{0};
+    Clock::time_point Granted;
     Clock::time_point Ends;
   };
   struct Reply {
     int Status = 200;
     boost::json::object Body;
-    bool Cut = false;
   };
 
   void acceptLoop();
   void expireLoop();
   void serve(Socket Connection);
   Reply handle(const Message &Request);
+  /// \returns whether a call exceeds the rates of the platform's store.
+  bool exceedsRate(bool Writes);
   Reply readKey(const std::map<std::string, std::string> &Query);
   Reply readRange(const std::map<std::string, std::string> &Query);
   Reply watch(const std::map<std::string, std::string> &Query);
@@ -77,9 +86,15 @@
   std::map<std::string, Item> Items;
   std::vector<Change> History;
   std::map<std::int64_t, Lease> Leases;
-  std::uint64_t Revision = 100;
+  static constexpr std::uint64_t FirstRevision = 100;
+  std::uint64_t Revision = FirstRevision;
   std::int64_t LastLease = 70000;
-  std::uint64_t CutCount = 0;
+  std::atomic<std::uint64_t> Era = 1;
+  std::atomic<std::uint64_t> Calls = 0;
+  Clock::time_point SecondBegin;
+  int ReadsInSecond = 0;
+  int WritesInSecond = 0;
+  std::atomic<bool> IsAway = false;
   std::atomic<bool> Stopping = false;
   std::mutex ThreadsLock;
   std::list<std::thread> Threads;
