--- a/review/harness/Engine.cpp
+++ b/review/harness/Engine.cpp
@@ -139,6 +139,8 @@
             serve(std::move(Connection), Boot, Id);
           });
     }
+    Listener.close();
+    ClosedBoot = Boot;
   }
 }
 
@@ -151,27 +153,45 @@
     if (!Request.Whole || !run(Connection, Request, Boot, Id))
       break;
   }
+  // A process that ends refuses connections once it resets the open ones.
+  while (CurrentBoot != Boot && ClosedBoot < Boot && !Stopping)
+    std::this_thread::sleep_for(milliseconds(1));
   if (CurrentBoot != Boot)
     Connection.reset();
 }
 
-bool Engine::sendEvents(const Socket &Connection, const std::string &Attempt,
-                        int Count) {
-  std::string Text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
-                     "\r\nX-Response-Signature: sig-" + Attempt +
-                     "\r\nContent-Type: text/event-stream\r\n"
-                     "Keep-Alive: timeout=30\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n";
-  for (int Number = 1; Number <= Count; ++Number) {
-    const std::string Event =
-        "id: " + std::to_string(Number) + "\ndata: three tokens\n\n";
-    std::array<char, 16> Size{};
-    const std::to_chars_result End =
-        std::to_chars(Size.data(), Size.data() + Size.size(), Event.size(), 16);
-    Text.append(Size.data(), End.ptr).append("\r\n").append(Event);
-    Text += "\r\n";
+static std::string streamHead(const std::string &Attempt) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+         "\r\nX-Response-Signature: sig-" + Attempt +
+         "\r\nContent-Type: text/event-stream\r\nKeep-Alive: timeout=30\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// \returns an event in a chunk of its own.
+static std::string eventChunk(int Number) {
+  const std::string Event =
+      "id: " + std::to_string(Number) + "\ndata: three tokens\n\n";
+  std::array<char, 16> Size{};
+  const std::to_chars_result End =
+      std::to_chars(Size.data(), Size.data() + Size.size(), Event.size(), 16);
+  return std::string(Size.data(), End.ptr) + "\r\n" + Event + "\r\n";
+}
+
+static std::string wholeStream(const std::string &Attempt, int Events) {
+  std::string Text = streamHead(Attempt);
+  for (int Number = 1; Number <= Events; ++Number)
+    Text += eventChunk(Number);
+  return Text + "0\r\n\r\n";
+}
+
+void Engine::writeBeforeCrash(const Socket &Connection,
+                              const std::string &Attempt, int Events) const {
+  if (Events > 0)
+    sendAll(Connection, streamHead(Attempt));
+  for (int Number = 1; Number <= Events && !Stopping; ++Number) {
+    sendAll(Connection, eventChunk(Number));
+    std::this_thread::sleep_for(EventGap);
   }
-  return sendAll(Connection, Text + "0\r\n\r\n");
 }
 
 bool Engine::run(const Socket &Connection, const Message &Request,
@@ -194,6 +214,7 @@
   Log.line("engine", Id + " runs " + Attempt + " " + Request.Method + " " +
                          Request.Target);
   if (Chosen.Crashes) {
+    writeBeforeCrash(Connection, Attempt, Chosen.EventsBeforeCrash);
     std::this_thread::sleep_for(Step);
     crash();
     return false;
@@ -212,7 +233,7 @@
   }
   Log.line("engine", Id + " ran " + Attempt);
   if (Chosen.Events > 0)
-    return sendEvents(Connection, Attempt, Chosen.Events);
+    return sendAll(Connection, wholeStream(Attempt, Chosen.Events));
   return sendAll(
       Connection,
       answerText(200,
--- a/review/harness/Engine.h
+++ b/review/harness/Engine.h
@@ -10,10 +10,14 @@
   std::chrono::milliseconds Work{15};
   /// Whether the request crashes the engine when it begins to run.
   bool Crashes = false;
+  /// Events that are written, one each EventGap, before the crash.
+  int EventsBeforeCrash = 0;
   /// Number of events, if the answer is a stream.
   int Events = 0;
 };
 
+constexpr std::chrono::milliseconds EventGap{40};
+
 /// \brief Description of an engine.
 struct EngineSpec {
   std::string Label;
@@ -53,8 +57,9 @@
   /// \returns whether the connection can be used on.
   bool run(const Socket &Connection, const Message &Request, std::uint64_t Boot,
            const std::string &Id);
-  static bool sendEvents(const Socket &Connection, const std::string &Attempt,
-                         int Count);
+  /// Begins a stream and writes events until the crash.
+  void writeBeforeCrash(const Socket &Connection, const std::string &Attempt,
+                        int Events) const;
   void boot();
   void beat();
 
@@ -68,6 +73,8 @@
   std::atomic<std::uint64_t> CurrentBoot = 0;
   std::atomic<int> Running = 0;
   std::atomic<bool> Up = false;
+  /// Boot whose listener was closed last.
+  std::atomic<std::uint64_t> ClosedBoot = 0;
   std::mutex Lock;
   std::string CurrentId;
   std::int64_t Born = 0;
