--- a/cmake/BronzewardTargets.cmake
+++ b/cmake/BronzewardTargets.cmake
@@ -34,7 +34,8 @@
 endfunction()
 
 # bronzeward_process_test(<Feature>): process/<Feature>Test.py on real
-# processes; left out of sanitizer builds, which build the tests only.
+# processes; runs alone, since its deadlines are in real time. Left out of
+# sanitizer builds, which build the tests only.
 function(bronzeward_process_test Feature)
   if(BRONZEWARD_SANITIZE)
     return()
@@ -42,5 +43,6 @@
   add_test(NAME ${Feature} COMMAND python3
            ${CMAKE_CURRENT_SOURCE_DIR}/process/${Feature}Test.py)
   set_tests_properties(${Feature} PROPERTIES ENVIRONMENT
-                       "BRONZEWARD_BIN=${CMAKE_BINARY_DIR}/bin")
+                       "BRONZEWARD_BIN=${CMAKE_BINARY_DIR}/bin"
+                       RUN_SERIAL TRUE)
 endfunction()
