Count crashes of upstreams by run against contents and prompt parts alike

Cause: the relay had two mechanisms. Contents were counted at each instance and by interrupted calls, without a probe: one request crashed an upstream at every instance it came to, and one crash convicted a content that several callers had sent. Prompt parts were pooled over the fleet, but 0.2 s of writing counted as an answer, so a part that crashes upstreams later cleared itself. Parts seen at several crashes of one outage also stopped retries.

Change: the content of a call is one more suspect of PartQuarantine. One run of an upstream that crashes, at any point of an answer, counts once; only a complete answer clears. An outage within a second does not stop retries. Some seconds after a quarantine began, instances take turns to send one call as a trial, whose answer ends it everywhere. News is collected for 0.2 s instead of 0.1 s, to stay within the bytes that control may use. The product's own interface counts calls that end at one upstream within a second as one crash.

The stand-in upstreams write an event every 0.1 s and resume streams after the caller's last event.

--- a/bronzeward/src/Relay/CrashEvidence.h
+++ b/bronzeward/src/Relay/CrashEvidence.h
@@ -12,10 +12,9 @@
 /// \ingroup Relay
 /// \brief A call whose answer was interrupted.
 struct InterruptedCall {
-  ContentFingerprint Content;
-  /// Parts of its prompt on which the upstream may have begun an answer just
-  /// then. Empty if it had been writing the answer for some time.
-  std::vector<std::uint64_t> Parts;
+  /// What may have crashed the upstream: the call's content and the parts of
+  /// its prompt.
+  std::vector<std::uint64_t> Suspects;
   UpstreamRun Upstream;
   TimePoint At;
 };
@@ -23,7 +22,7 @@
 /// \ingroup Relay
 /// \brief Finds the calls that were running when an upstream crashed.
 ///
-/// A call whose connection broke counts against its content and its parts only
+/// A call whose connection broke counts against its suspects only
 /// if the upstream is found to be down or restarted at about the same time.
 /// Otherwise reset connections or lost answers would quarantine harmless calls.
 class CrashEvidence {
--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -6,12 +6,25 @@
 
 namespace bronzeward {
 
+/// Set in suspects that are whole contents.
+constexpr PartId ContentBit = PartId{1} << 63U;
 /// Crashes at different times after which a part is quarantined, and after
 /// which a call with it is not repeated.
 constexpr std::size_t CrashesToQuarantine = 3;
 constexpr std::size_t CrashesToSuspect = 2;
 /// Crashes within this time of each other have a common cause.
 constexpr Duration CommonCauseTime = 250ms;
+/// Crashes within this time of each other may belong to one outage of several
+/// upstreams, whose calls are to be repeated elsewhere.
+constexpr Duration OutageTime = 1s;
+/// Trials during a quarantine, the time before each, and the length of the
+/// turns in which instances may begin one.
+constexpr int MaxTrials = 2;
+constexpr Duration TrialDelay = 3s;
+constexpr Duration TrialTurn = 500ms;
+/// Instances begin one quarantine within this time of each other. A later
+/// report tells of a trial.
+constexpr Duration QuarantineSkew = 2s;
 /// Time after a crash was learned from which it counts. Until then, an instance
 /// that met an answer on the part since can report it.
 constexpr Duration ObjectionTime = 700ms;
@@ -22,12 +35,21 @@
 constexpr Duration NewsLifetime = 5s;
 constexpr Duration AnswerNewsLifetime = 300ms;
 /// Maximum number of parts stored, and of crashes stored for each.
-constexpr std::size_t MaxEntries = 2048;
+constexpr std::size_t MaxEntries = 4096;
 constexpr std::size_t MaxCrashes = 8;
 /// Maximum number of parts in one message, over all its lists.
 constexpr std::size_t MaxPartsInMessage = 256;
-/// Prefix of the name under which operators see a part.
+/// Prefixes of the names under which operators see suspects.
 constexpr std::string_view PartPrefix = "part-";
+constexpr std::string_view ContentPrefix = "content-";
+
+PartId suspectOfPart(std::uint64_t Part) { return Part & ~ContentBit; }
+
+PartId suspectOfContent(const ContentFingerprint &Content) {
+  return hash64(Content.Value) | ContentBit;
+}
+
+bool isContent(PartId Suspect) { return (Suspect & ContentBit) != 0; }
 
 static std::chrono::milliseconds ageOf(TimePoint At, TimePoint Now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -83,6 +105,10 @@
   if (Item == nullptr || Now < Item->LiftedUntil ||
       (Item->AnsweredAt && At <= *Item->AnsweredAt))
     return false;
+  // A crash under a trial confirms the quarantine.
+  if (Item->QuarantinedAt && Item->TrialsLeft < MaxTrials &&
+      At >= *Item->QuarantinedAt)
+    Item->TrialsLeft = 0;
   const bool Counted = std::any_of(
       Item->Crashes.begin(), Item->Crashes.end(), [&](const Crash &Stored) {
         const Duration Apart = At < Stored.At ? Stored.At - At : At - Stored.At;
@@ -112,11 +138,47 @@
 
 void PartQuarantine::addQuarantine(PartId Part, TimePoint At, TimePoint Now) {
   Entry *Item = entryFor(Part, Now);
-  if (Item == nullptr || Item->QuarantinedAt || Now < Item->LiftedUntil ||
+  if (Item == nullptr || Now < Item->LiftedUntil ||
       (Item->AnsweredAt && At <= *Item->AnsweredAt) ||
       Now >= At + QuarantineTime)
     return;
+  if (Item->QuarantinedAt) {
+    const bool Trial =
+        Item->TrialsLeft > 0 && At > *Item->QuarantinedAt + QuarantineSkew;
+    if (Trial)
+      recordTrial(Part, *Item, At, Now);
+    return;
+  }
   Item->QuarantinedAt = At;
+  // An instance that has not seen the crashes does not know of earlier trials.
+  Item->TrialsLeft =
+      Item->Crashes.size() >= CrashesToQuarantine ? MaxTrials : 0;
+}
+
+void PartQuarantine::recordTrial(PartId Part, Entry &Item, TimePoint At,
+                                 TimePoint Now) {
+  Item.QuarantinedAt = At;
+  --Item.TrialsLeft;
+  if (UnsentParts >= MaxPartsInMessage)
+    return;
+  Unsent.Quarantined.push_back({Part, ageOf(At, Now)});
+  ++UnsentParts;
+}
+
+void PartQuarantine::beginTrial(PartId Part, TimePoint Now) {
+  recordTrial(Part, Entries.at(Part), Now, Now);
+}
+
+std::optional<std::uint64_t> PartQuarantine::trialTurn(PartId Part,
+                                                       TimePoint Now) const {
+  const auto Found = Entries.find(Part);
+  if (Found == Entries.end() || Found->second.TrialsLeft <= 0 ||
+      !quarantined(Part, Now))
+    return std::nullopt;
+  const Duration Due = Now - *Found->second.QuarantinedAt - TrialDelay;
+  if (Due < Duration())
+    return std::nullopt;
+  return static_cast<std::uint64_t>(Due / TrialTurn);
 }
 
 void PartQuarantine::onCrash(const UpstreamRun &Upstream,
@@ -151,8 +213,8 @@
     addQuarantine(Item.Part, Now - Item.Age, Now);
 }
 
-std::vector<std::string> PartQuarantine::review(TimePoint Now) {
-  std::vector<std::string> Begun;
+std::vector<PartQuarantine::Begun> PartQuarantine::review(TimePoint Now) {
+  std::vector<Begun> All;
   for (auto &[Part, Item] : Entries) {
     const bool Over =
         Item.QuarantinedAt && Now >= *Item.QuarantinedAt + QuarantineTime;
@@ -170,13 +232,13 @@
     if (static_cast<std::size_t>(Counting) < Required)
       continue;
     Item.QuarantinedAt = Now;
-    std::string Upstreams;
+    Item.TrialsLeft = MaxTrials;
+    Begun New{Part, {}};
     for (const Crash &Stored : Item.Crashes)
-      Upstreams += " " + Stored.Upstream.Name.Value;
-    Begun.push_back(fingerprintOf(Part).Value + " after crashes of" +
-                    Upstreams);
+      New.Crashed.push_back(Stored.Upstream.Name);
+    All.push_back(std::move(New));
   }
-  return Begun;
+  return All;
 }
 
 void PartQuarantine::lift(PartId Part, TimePoint Now) {
@@ -201,8 +263,21 @@
 
 bool PartQuarantine::suspected(PartId Part) const {
   const auto Found = Entries.find(Part);
-  return Found != Entries.end() &&
-         Found->second.Crashes.size() >= CrashesToSuspect;
+  if (Found == Entries.end() || Found->second.Crashes.empty())
+    return false;
+  std::vector<TimePoint> Times;
+  for (const Crash &Stored : Found->second.Crashes)
+    Times.push_back(Stored.At);
+  std::sort(Times.begin(), Times.end());
+  std::size_t Separate = 1;
+  TimePoint Last = Times.front();
+  for (const TimePoint At : Times) {
+    if (At < Last + OutageTime)
+      continue;
+    Last = At;
+    ++Separate;
+  }
+  return Separate >= CrashesToSuspect;
 }
 
 std::vector<PartId> PartQuarantine::quarantinedParts(TimePoint Now) const {
@@ -237,24 +312,28 @@
 }
 
 ContentFingerprint fingerprintOf(PartId Part) {
+  const std::string_view Prefix = isContent(Part) ? ContentPrefix : PartPrefix;
   std::array<char, 16> Digits{};
-  const std::to_chars_result End =
-      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Part, 16);
-  return ContentFingerprint{std::string(PartPrefix) +
+  const std::to_chars_result End = std::to_chars(
+      Digits.data(), Digits.data() + Digits.size(), Part & ~ContentBit, 16);
+  return ContentFingerprint{std::string(Prefix) +
                             std::string(Digits.data(), End.ptr)};
 }
 
 std::optional<PartId> partOf(const ContentFingerprint &Fingerprint) {
   const std::string_view Text = Fingerprint.Value;
-  if (!Text.starts_with(PartPrefix))
+  const bool Content = Text.starts_with(ContentPrefix);
+  if (!Content && !Text.starts_with(PartPrefix))
     return std::nullopt;
+  const std::size_t Skipped =
+      Content ? ContentPrefix.size() : PartPrefix.size();
   PartId Part = 0;
   const char *End = Text.data() + Text.size();
   const std::from_chars_result Parsed =
-      std::from_chars(Text.data() + PartPrefix.size(), End, Part, 16);
+      std::from_chars(Text.data() + Skipped, End, Part, 16);
   if (Parsed.ec != std::errc() || Parsed.ptr != End)
     return std::nullopt;
-  return Part;
+  return Content ? Part | ContentBit : Part;
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -11,35 +11,62 @@
 namespace bronzeward {
 
 /// \ingroup Relay
-/// \brief Identifier of a prompt part, as in \ref PromptPart.
+/// \brief Identifier of a suspect: a prompt part or a whole content, told apart
+/// by the highest bit.
 using PartId = std::uint64_t;
 
 /// \ingroup Relay
-/// \brief Finds prompt parts that crash every upstream that begins to answer
-/// on them, from the crashes that all instances of the fleet met.
+/// \returns the suspect for a prompt part, see \ref PromptPart.
+[[nodiscard]] PartId suspectOfPart(std::uint64_t Part);
+
+/// \ingroup Relay
+/// \returns the suspect for the whole content of a call.
+[[nodiscard]] PartId suspectOfContent(const ContentFingerprint &Content);
+
+/// \ingroup Relay
+/// \returns whether a suspect is the whole content of a call.
+[[nodiscard]] bool isContent(PartId Suspect);
+
+/// \ingroup Relay
+/// \brief Finds prompt parts and contents that crash every upstream that
+/// answers on them, from the crashes that all instances of the fleet met.
 ///
-/// Handles the load pattern of calls that share one part and nothing else, come
-/// to any instance, and run beside sound calls that share all their other
-/// parts. A crash makes the parts of every interrupted call suspects. An answer
-/// that an upstream wrote on a part afterwards clears it, wherever that was. A
-/// part is quarantined after several crashes at different times without such an
-/// answer. Crashes at the same time count as one, since they have a common
-/// cause that lies outside the calls.
+/// Handles the load patterns of calls that share one part and nothing else,
+/// come to any instance, and run beside sound calls that share all their other
+/// parts, and of one content that comes again at any instance. The crash of an
+/// upstream makes the parts and the content of every interrupted call suspects,
+/// and counts once against each. A complete answer afterwards clears them,
+/// wherever that was. A suspect is quarantined after several crashes at
+/// different times without such an answer. Crashes at the same time count as
+/// one, since they have a common cause that lies outside the calls.
 ///
-/// Instances exchange what they learn; every instance judges for itself.
+/// Instances exchange what they learn; every instance judges for itself. After
+/// some seconds of quarantine, instances may by turns send a single call as a
+/// trial, whose answer ends the quarantine everywhere.
 class PartQuarantine {
 public:
-  /// \brief Records parts of calls that the crash of an upstream interrupted.
+  /// \brief A quarantine that was begun and the upstreams whose crashes led to
+  /// it.
+  struct Begun {
+    PartId Suspect = 0;
+    std::vector<UpstreamName> Crashed;
+  };
+
+  /// \brief Records suspects of calls that the crash of an upstream
+  /// interrupted.
   void onCrash(const UpstreamRun &Upstream, const std::vector<PartId> &Parts,
                TimePoint CrashedAt, TimePoint Now);
-  /// \brief Records that an upstream wrote an answer on these parts.
+  /// \brief Records that an upstream answered completely on these suspects.
   void onAnswered(const std::vector<PartId> &Parts, TimePoint Now);
   /// \brief Applies what a peer learned.
   void onNews(const PartNews &News, TimePoint Now);
   /// \brief Quarantines the parts against which the evidence suffices, and ends
   /// quarantines that are over.
-  /// \returns a description of each new quarantine, for the log.
-  std::vector<std::string> review(TimePoint Now);
+  /// \returns the new quarantines, for the log.
+  std::vector<Begun> review(TimePoint Now);
+  /// \brief Records that this instance sends a call with a quarantined suspect
+  /// as a trial, and tells the peers.
+  void beginTrial(PartId Part, TimePoint Now);
   /// \brief Ends a quarantine at an operator's request. For a while, neither
   /// crashes nor reports of peers restore it.
   void lift(PartId Part, TimePoint Now);
@@ -48,8 +75,13 @@
 
   /// \returns whether calls with the part must not be sent to an upstream.
   [[nodiscard]] bool quarantined(PartId Part, TimePoint Now) const;
+  /// \returns the number of the current turn for a trial with a quarantined
+  /// suspect; nothing if no trial is due.
+  [[nodiscard]] std::optional<std::uint64_t> trialTurn(PartId Part,
+                                                       TimePoint Now) const;
   /// \returns whether a call with the part should not be repeated, since the
-  /// part was in several crashes and in no answer since.
+  /// part was in several crashes and in no answer since. An outage of several
+  /// upstreams counts as one crash.
   [[nodiscard]] bool suspected(PartId Part) const;
   [[nodiscard]] std::vector<PartId> quarantinedParts(TimePoint Now) const;
   [[nodiscard]] bool hasUnsent() const { return UnsentParts > 0; }
@@ -69,8 +101,10 @@
     std::vector<Crash> Crashes;
     std::optional<TimePoint> AnsweredAt;
     TimePoint AnswerLearnedAt;
-    /// Set once the part was quarantined, also after the quarantine's end.
+    /// Time of the quarantine or of its last trial. Set once the part was
+    /// quarantined, also after the quarantine's end.
     std::optional<TimePoint> QuarantinedAt;
+    int TrialsLeft = 0;
     TimePoint LiftedUntil;
   };
 
@@ -83,6 +117,8 @@
   /// it passed on; otherwise every instance would tell all others of its own.
   bool addAnswer(PartId Part, TimePoint At, TimePoint Now);
   void addQuarantine(PartId Part, TimePoint At, TimePoint Now);
+  /// Records a trial and tells the peers.
+  void recordTrial(PartId Part, Entry &Item, TimePoint At, TimePoint Now);
   /// Adds facts to the next message, which is limited in size.
   void queueCrash(const UpstreamRun &Upstream, PartId Part,
                   std::chrono::milliseconds Age);
@@ -95,11 +131,11 @@
 };
 
 /// \ingroup Relay
-/// \returns the name under which operators see a quarantined part.
+/// \returns the name under which operators see a quarantined suspect.
 [[nodiscard]] ContentFingerprint fingerprintOf(PartId Part);
 
 /// \ingroup Relay
-/// \returns the part with that name; nothing if it names no part.
+/// \returns the suspect with that name; nothing if it names none.
 [[nodiscard]] std::optional<PartId>
 partOf(const ContentFingerprint &Fingerprint);
 
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -49,20 +49,22 @@
 /// connection can be reused.
 constexpr std::size_t MaxRejectionBytes = 65536;
 
-/// An upstream that goes on writing an answer for this time after its first
-/// event has not crashed on the call's parts.
-constexpr Duration WritingProof = 200ms;
 /// Maximum number of parts of one call that are checked and recorded.
 constexpr std::size_t MaxSharedParts = 64;
 
-/// \returns the parts that other calls may share: all but the last, which
-/// belongs to the call or its session.
-static std::vector<PartId> sharedPartsOf(const std::vector<PromptPart> &Parts) {
-  std::vector<PartId> Shared;
+/// Turns until every instance may begin a trial. A suspect of many calls is
+/// tried in the first ones, by few instances.
+constexpr std::uint64_t TurnsForAll = 16;
+
+/// \returns the content, then the parts that other calls may share: all but
+/// the last, which belongs to the call or its session.
+static std::vector<PartId> suspectsOf(const ContentFingerprint &Content,
+                                      const std::vector<PromptPart> &Parts) {
+  std::vector<PartId> Suspects{suspectOfContent(Content)};
   for (std::size_t Index = 0;
        Index + 1 < Parts.size() && Index < MaxSharedParts; ++Index)
-    Shared.push_back(Parts[Index].Id);
-  return Shared;
+    Suspects.push_back(suspectOfPart(Parts[Index].Id));
+  return Suspects;
 }
 
 /// \returns whether a caller takes an answer with a status as a promise that
@@ -166,11 +168,8 @@
   ContentFingerprint Content{sha256Hex(Call.Method + " " + Call.Target + " " +
                                        Admitted.Workspace.Value + "\n" +
                                        Call.Body)};
-  std::vector<PartId> SharedParts = sharedPartsOf(Call.Parts);
-  const bool PartQuarantined = std::any_of(
-      SharedParts.begin(), SharedParts.end(),
-      [this, Now](PartId Part) { return Parts.quarantined(Part, Now); });
-  if (PartQuarantined || CrashQuarantine.quarantined(Content, Now)) {
+  std::vector<PartId> Suspects = suspectsOf(Content, Call.Parts);
+  if (holdsBack(Suspects, Now)) {
     refuse(Call.Ticket, &Call, Reason::Quarantined);
     return;
   }
@@ -180,7 +179,7 @@
   ActiveCall Item;
   Item.Id = Id;
   Item.Content = std::move(Content);
-  Item.SharedParts = std::move(SharedParts);
+  Item.Suspects = std::move(Suspects);
   Item.Accepted = Deps.Wall.wallNow();
   Item.AcceptedAt = Now;
   Item.ExpiresAt = Now + Admitted.TimeLimit;
@@ -208,6 +207,40 @@
     onReserved(Id, Reserved, Now);
 }
 
+bool RelayEngine::holdsBack(const std::vector<PartId> &Suspects,
+                            TimePoint Now) {
+  std::vector<PartId> Held;
+  std::copy_if(Suspects.begin(), Suspects.end(), std::back_inserter(Held),
+               [&](PartId Item) { return Parts.quarantined(Item, Now); });
+  if (Held.empty())
+    return false;
+  const bool AllDue = std::all_of(Held.begin(), Held.end(), [&](PartId Item) {
+    return Parts.trialTurn(Item, Now).has_value();
+  });
+  // Suspects that always come together need a common turn.
+  const PartId First = *std::min_element(Held.begin(), Held.end());
+  if (!AllDue || !triesInTurn(First, *Parts.trialTurn(First, Now)))
+    return true;
+  for (const PartId Item : Held) {
+    Parts.beginTrial(Item, Now);
+    Deps.Log.onEvent("quarantine-trial", fingerprintOf(Item).Value);
+  }
+  announcePartNews(Now);
+  return false;
+}
+
+bool RelayEngine::triesInTurn(PartId Suspect, std::uint64_t Turn) const {
+  const std::vector<Member> &Listed = Deps.Members.members();
+  const std::uint64_t Seed = Suspect + Turn;
+  const std::uint64_t Own = hash64(OwnIncarnation.Instance.Value, Seed);
+  const auto Before =
+      std::count_if(Listed.begin(), Listed.end(), [&](const Member &Item) {
+        return hash64(Item.Identity.Instance.Value, Seed) < Own;
+      });
+  return static_cast<std::size_t>(Before) <=
+         Listed.size() * std::min(Turn, TurnsForAll) / TurnsForAll;
+}
+
 void RelayEngine::onReserved(const RequestId &Request, ReserveOutcome Reserved,
                              TimePoint Now) {
   ActiveCall *Item = find(Request);
@@ -379,8 +412,6 @@
   Item.Attempt = AttemptId{++LastAttempt};
   Item.UpstreamStarted = Pool.find(Upstream)->Started;
   Item.SentAt = Now;
-  Item.FirstEventAt.reset();
-  Item.PartsProven = false;
   Item.Dispatched = Deps.Wall.wallNow();
   Item.Head.reset();
   Item.Body.clear();
@@ -566,7 +597,6 @@
   if (Events.empty())
     return;
   Pool.onFirstByte(Item.Attempt, Now);
-  onWriting(Item, Now);
   Item.Lifecycle.process(RequestEvent::FirstByte);
   if (!Item.StreamBegun) {
     Item.StreamBegun = true;
@@ -577,17 +607,12 @@
   Deps.Callers.sendPart(Item.Call.Ticket, Events);
 }
 
-void RelayEngine::onWriting(ActiveCall &Item, TimePoint Now) {
-  if (!Item.FirstEventAt)
-    Item.FirstEventAt = Now;
-  if (Item.PartsProven || Now < *Item.FirstEventAt + WritingProof)
-    return;
-  Item.PartsProven = true;
-  recordAnsweredParts(Item, Now);
-}
-
-void RelayEngine::recordAnsweredParts(ActiveCall &Item, TimePoint Now) {
-  Parts.onAnswered(Item.SharedParts, Now);
+void RelayEngine::clearSuspects(const ActiveCall &Item, TimePoint Now) {
+  // An error may have been answered before the upstream read the parts.
+  const bool Success = Item.Head->Status < 300;
+  Parts.onAnswered(Success ? Item.Suspects
+                           : std::vector<PartId>{Item.Suspects.front()},
+                   Now);
   announcePartNews(Now);
 }
 
@@ -628,9 +653,7 @@
     refuseOrAbort(*Item, Reason::UpstreamFailed, Now);
     return;
   }
-  CrashQuarantine.onCompleted(Item->Content);
-  if (Success)
-    recordAnsweredParts(*Item, Now);
+  clearSuspects(*Item, Now);
   deliver(*Item, Now);
 }
 
@@ -702,12 +725,10 @@
 void RelayEngine::onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure,
                                  TimePoint Now) {
   endAttempt(Item, AttemptEnd::Broken, Now);
-  InterruptedCall Interrupted{
-      Item.Content, {}, {Item.Upstream, Item.UpstreamStarted}, Now};
-  if (!Item.PartsProven)
-    Interrupted.Parts = Item.SharedParts;
+  const InterruptedCall Interrupted{
+      Item.Suspects, {Item.Upstream, Item.UpstreamStarted}, Now};
   recordCrashes(Evidence.onInterrupted(Interrupted, Now), Now);
-  if (Failure == UpstreamFailure::Closed && !Interrupted.Parts.empty())
+  if (Failure == UpstreamFailure::Closed)
     probe(Item.Upstream, Now);
   const bool Retry = acquireRetry(Item, Now);
   ++Item.PossibleRuns;
@@ -722,9 +743,11 @@
          Item.PossibleRuns + 1 < Item.Admitted.Route->Attempts &&
          Now + MinTimeLeft < Item.ExpiresAt &&
          Item.Query.Excluded.size() < MaxDispatches &&
-         !CrashQuarantine.quarantined(Item.Content, Now) &&
-         std::none_of(Item.SharedParts.begin(), Item.SharedParts.end(),
-                      [this](PartId Part) { return Parts.suspected(Part); }) &&
+         std::none_of(Item.Suspects.begin(), Item.Suspects.end(),
+                      [this, Now](PartId Part) {
+                        return Parts.suspected(Part) ||
+                               Parts.quarantined(Part, Now);
+                      }) &&
          retryBudgetOf(Item.Admitted.Service)
              .takeRetry(Deps.Members.members().size(), Now);
 }
@@ -893,11 +916,8 @@
                                 TimePoint Now) {
   if (Calls.empty())
     return;
-  for (const InterruptedCall &Call : Calls) {
-    if (CrashQuarantine.onCrash(Call.Content, Now))
-      ++Counters.Quarantined;
-    Parts.onCrash(Call.Upstream, Call.Parts, Call.At, Now);
-  }
+  for (const InterruptedCall &Call : Calls)
+    Parts.onCrash(Call.Upstream, Call.Suspects, Call.At, Now);
   Deps.Log.onEvent("upstream-crashed",
                    "upstream " + Calls.front().Upstream.Name.Value +
                        ", interrupted calls " + std::to_string(Calls.size()));
@@ -927,9 +947,14 @@
 }
 
 void RelayEngine::reviewParts(TimePoint Now) {
-  for (const std::string &Description : Parts.review(Now)) {
+  for (const PartQuarantine::Begun &Item : Parts.review(Now)) {
     ++Counters.Quarantined;
-    Deps.Log.onEvent("part-quarantined", Description);
+    std::string Upstreams;
+    for (const UpstreamName &Name : Item.Crashed)
+      Upstreams += " " + Name.Value;
+    Deps.Log.onEvent(
+        isContent(Item.Suspect) ? "content-quarantined" : "part-quarantined",
+        fingerprintOf(Item.Suspect).Value + " after crashes of" + Upstreams);
   }
 }
 
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -37,7 +37,7 @@
   RateLimitAgent &Limits;
 };
 
-/// \brief Is told when there is news about prompt parts for the peers.
+/// \brief Is told when there is news about crash suspects for the peers.
 class PartNewsListener {
 public:
   virtual ~PartNewsListener() = default;
@@ -86,9 +86,9 @@
 
   /// \brief Handles a probe's result: the upstream refuses connections.
   void onUpstreamRefused(const UpstreamName &Upstream, TimePoint Now);
-  /// \brief Applies what a peer learned about prompt parts.
+  /// \brief Applies what a peer learned about crash suspects.
   void onPartNews(const PartNews &News, TimePoint Now);
-  /// \brief Quarantines prompt parts; called periodically.
+  /// \brief Quarantines suspects; called periodically.
   void reviewParts(TimePoint Now);
 
   void onReserved(const RequestId &Request, ReserveOutcome Reserved,
@@ -123,9 +123,7 @@
   [[nodiscard]] const RouteTable *routes() const { return Routes.get(); }
   [[nodiscard]] const UpstreamPool &upstreams() const { return Pool; }
   UpstreamPool &upstreams() { return Pool; }
-  Quarantine &quarantine() { return CrashQuarantine; }
   PartQuarantine &partQuarantine() { return Parts; }
-  [[nodiscard]] const Quarantine &quarantine() const { return CrashQuarantine; }
   [[nodiscard]] const PartQuarantine &partQuarantine() const { return Parts; }
 
 private:
@@ -135,8 +133,9 @@
     RelayCall Call;
     AdmittedCall Admitted;
     ContentFingerprint Content;
-    /// Parts of the prompt that other calls may share.
-    std::vector<PartId> SharedParts;
+    /// What may crash an upstream: the content, then the parts of the prompt
+    /// that other calls may share.
+    std::vector<PartId> Suspects;
     RequestLifecycle Lifecycle;
     WallTime Accepted;
     WallTime Dispatched;
@@ -155,10 +154,6 @@
     /// Start time of the upstream when the attempt was sent to it.
     WallTime UpstreamStarted;
     TimePoint SentAt;
-    /// When the first event of the attempt's stream arrived.
-    std::optional<TimePoint> FirstEventAt;
-    /// Whether the upstream has been writing the answer for some time.
-    bool PartsProven = false;
     /// Attempts that may have run at an upstream.
     int PossibleRuns = 0;
     /// Attempts that upstreams rejected for lack of capacity.
@@ -181,6 +176,12 @@
   // Arrival.
   void refuse(CallerTicket Ticket, const RelayCall *Call, Reason Why);
   void admit(RelayCall Call, AdmittedCall Admitted, TimePoint Now);
+  /// \returns whether a call must not be sent because of a quarantine, of which
+  /// it is no trial either.
+  [[nodiscard]] bool holdsBack(const std::vector<PartId> &Suspects,
+                               TimePoint Now);
+  /// \returns whether this instance may begin a trial in a turn.
+  [[nodiscard]] bool triesInTurn(PartId Suspect, std::uint64_t Turn) const;
 
   // Dispatch.
   void dispatch(ActiveCall &Item, TimePoint Now);
@@ -236,9 +237,8 @@
   void recordConnectTimeout(const ActiveCall &Item, TimePoint Now);
   /// Retries or ends a call whose answer was interrupted.
   void onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure, TimePoint Now);
-  /// Records that the upstream goes on writing the call's answer.
-  void onWriting(ActiveCall &Item, TimePoint Now);
-  void recordAnsweredParts(ActiveCall &Item, TimePoint Now);
+  /// Clears the call's suspects of which its complete answer is a proof.
+  void clearSuspects(const ActiveCall &Item, TimePoint Now);
   /// \returns whether a call that may have run can be retried; if so, a retry
   /// is taken from the service's budget.
   [[nodiscard]] bool acquireRetry(ActiveCall &Item, TimePoint Now);
@@ -262,7 +262,7 @@
   void recordCrashes(const std::vector<InterruptedCall> &Calls, TimePoint Now);
   /// Tests whether an upstream that interrupted a call has ended.
   void probe(const UpstreamName &Upstream, TimePoint Now);
-  /// Tells the listener if there is news about prompt parts.
+  /// Tells the listener if there is news about crash suspects.
   void announcePartNews(TimePoint Now);
   ActiveCall *find(const RequestId &Id);
   ActiveCall *find(AttemptId Attempt);
@@ -275,7 +275,6 @@
   std::shared_ptr<const RouteTable> Routes;
   UpstreamPool Pool;
   LocalCongestion Congestion;
-  Quarantine CrashQuarantine;
   PartQuarantine Parts;
   PartNewsListener *NewsListener = nullptr;
   CrashEvidence Evidence;
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -373,7 +373,7 @@
   Table.onFailed(Item.Upstream, Item.Suspect, Now);
   if (!Crash)
     return;
-  if (ContentQuarantine.onCrash(Item.Parsed.Content, Now))
+  if (ContentQuarantine.onCrash(Item.Parsed.Content, Item.Upstream, Now))
     ++Counters.Quarantined;
   Item.Suspect = true;
 }
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -42,9 +42,7 @@
 /// new connections to the instance.
 constexpr Duration CongestionRest = 3s;
 /// Time for which news about prompt parts is collected before it is sent.
-constexpr Duration PartNewsDelay = 100ms;
-/// Most quarantined contents in one digest.
-constexpr std::size_t MaxDigestSuspects = 16;
+constexpr Duration PartNewsDelay = 200ms;
 /// Longest value of an entry that cannot be read that is sent to peers; of a
 /// longer one they receive the key only.
 constexpr std::size_t MaxUnreadableBytes = 4096;
@@ -491,8 +489,6 @@
 
 void FleetCore::gossip(TimePoint Now) {
   PeerDigest Digest = digest();
-  Digest.Suspects = Engine.quarantine().quarantinedContents(Now);
-  Digest.Suspects.resize(std::min(Digest.Suspects.size(), MaxDigestSuspects));
   Digest.RateLimits = Limits.news(Now);
   const PartNews News = Engine.partQuarantine().recentNews(Now);
   const bool HasNews = !News.Crashes.empty() || !News.Answered.empty() ||
@@ -563,8 +559,6 @@
     PeersWithoutStore[From] = Now;
   else
     PeersWithoutStore.erase(From);
-  for (const ContentFingerprint &Content : Message.Suspects)
-    Engine.quarantine().onReported(Content, Now);
   compareConfigurations(From, Message, Now);
   compareUpstreams(From, Message, Now);
 }
@@ -741,8 +735,6 @@
                                TimePoint Now) {
   if (const std::optional<PartId> Part = partOf(Content))
     Engine.partQuarantine().lift(*Part, Now);
-  else
-    Engine.quarantine().lift(Content, Now);
 }
 
 // Stopping.
@@ -820,7 +812,6 @@
   Status.Requests = Engine.counters();
   Status.FirstByte = Engine.firstByteLatency();
   Status.Whole = Engine.wholeLatency();
-  Status.Quarantined = Engine.quarantine().quarantinedContents(Now);
   for (const PartId Part : Engine.partQuarantine().quarantinedParts(Now))
     Status.Quarantined.push_back(fingerprintOf(Part));
   if (Budgets)
--- a/bronzeward/src/Routing/Quarantine.cpp
+++ b/bronzeward/src/Routing/Quarantine.cpp
@@ -6,6 +6,8 @@
 constexpr int CrashesToQuarantine = 2;
 /// Time after which a suspect or a quarantine expires.
 constexpr Duration QuarantineTime = 10min;
+/// Calls that break at one upstream within this time broke at the same crash.
+constexpr Duration CrashSpan = 1s;
 /// Maximum number of contents stored.
 constexpr std::size_t MaxEntries = 4096;
 
@@ -19,12 +21,18 @@
     Entries.erase(Entries.begin());
 }
 
-bool Quarantine::onCrash(const ContentFingerprint &Content, TimePoint Now) {
+bool Quarantine::onCrash(const ContentFingerprint &Content,
+                         const UpstreamName &Upstream, TimePoint Now) {
   prune(Now);
   Entry &Item = Entries[Content];
   if (Now >= Item.Until)
     Item.Crashes = 0;
-  ++Item.Crashes;
+  const bool Known = Item.Crashes > 0 && Item.LastCrashed == Upstream &&
+                     Now < Item.LastCrashAt + CrashSpan;
+  if (!Known)
+    ++Item.Crashes;
+  Item.LastCrashed = Upstream;
+  Item.LastCrashAt = Now;
   Item.Until = Now + QuarantineTime;
   return Item.Crashes >= CrashesToQuarantine;
 }
--- a/bronzeward/src/Routing/Quarantine.h
+++ b/bronzeward/src/Routing/Quarantine.h
@@ -17,8 +17,10 @@
 class Quarantine {
 public:
   /// \brief Records that an upstream crashed with this content in flight.
+  /// Several calls with the content that one crash interrupts count once.
   /// \returns whether the content is now quarantined.
-  bool onCrash(const ContentFingerprint &Content, TimePoint Now);
+  bool onCrash(const ContentFingerprint &Content, const UpstreamName &Upstream,
+               TimePoint Now);
   /// \brief Clears a suspect after its request completed; a quarantine stays.
   void onCompleted(const ContentFingerprint &Content);
   /// \brief Quarantines a content that a peer reported.
@@ -39,6 +41,8 @@
 private:
   struct Entry {
     int Crashes = 0;
+    UpstreamName LastCrashed;
+    TimePoint LastCrashAt;
     TimePoint Until;
     /// Until then, peers' reports of this lifted content are ignored.
     TimePoint LiftedUntil;
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -82,6 +82,7 @@
   TimePoint At;
   /// Names of the prompt's parts.
   std::vector<std::string> Parts;
+  std::string Body;
 };
 
 /// \brief The final answer that an instance gave to a caller.
@@ -136,6 +137,10 @@
   std::uint64_t request(std::size_t Index,
                         const std::vector<std::string> &Parts = {},
                         std::chrono::milliseconds TimeLimit = 12s);
+  /// \brief Sends a request without prompt parts and with a given body.
+  std::uint64_t requestWithBody(std::size_t Index, const std::string &Body);
+  /// \brief Lets the routes of later configurations repeat and resume calls.
+  void setAttempts(int Count) { Attempts = Count; }
   /// \brief Begins a graceful stop of an instance.
   void drain(std::size_t Index);
   /// \returns whether an instance's graceful stop is complete.
@@ -143,9 +148,16 @@
   /// \brief Sets for how long upstreams write the answer to a prompt with
   /// parts.
   void setWritingTime(Duration Time) { WritingTime = Time; }
+  /// \brief Sets the time from the dispatch of a call to its first event.
+  void setAnswerTime(Duration Time) { AnswerTime = Time; }
   /// \brief Lets every upstream crash that begins an answer on a prompt with
   /// this part. It returns under another name after some seconds.
   void crashOnPart(const std::string &Part) { CrashingPart = Part; }
+  /// \brief Lets every upstream crash that begins an answer to this body.
+  void crashOnBody(const std::string &Body) { CrashingBody = Body; }
+  /// \brief Lets upstreams crash that long after an answer's first event
+  /// instead of before it.
+  void setCrashDelay(Duration Delay) { CrashDelay = Delay; }
   /// \brief Lets an upstream crash now.
   void crash(const UpstreamName &Upstream);
   /// \returns the times at which upstreams crashed.
@@ -202,6 +214,11 @@
     AttemptId Attempt;
     UpstreamName Upstream;
     std::vector<std::string> Parts;
+    bool Crashing = false;
+    /// Id of the next event. The first one follows the caller's last.
+    int NextEvent = 1;
+    /// When the answer ends; set once it has begun.
+    TimePoint EndsAt{};
     /// Whether the head and the first event were sent.
     bool Begun = false;
   };
@@ -216,6 +233,8 @@
   /// \ref size.
   using Connections = std::map<std::size_t, std::deque<Transfer>>;
 
+  std::uint64_t send(std::size_t Index, CallerRequest In);
+  [[nodiscard]] bool crashes(const UpstreamArrival &Item) const;
   void callUpstream(std::size_t From, const UpstreamCall &Call);
   void answerCalls();
   /// Sends the head and the first event of an answer.
@@ -260,7 +279,11 @@
   std::map<UpstreamName, std::string> StatedLimits;
   std::vector<PendingAnswer> PendingAnswers;
   std::string CrashingPart;
+  std::optional<std::string> CrashingBody;
+  std::optional<Duration> CrashDelay;
+  int Attempts = 1;
   Duration WritingTime = 500ms;
+  Duration AnswerTime = 60ms;
   std::vector<DownUpstream> DownUpstreams;
   std::vector<std::pair<std::size_t, AttemptId>> RefusedAttempts;
   std::vector<std::pair<std::size_t, UpstreamName>> RefusedProbes;
