Requests that the HTTP library rejects end no process

Cause: a TRACE with a body ended the process. Exchange::write() let Beast prepare the payload, which throws for such a request, and nothing in the event loop caught it. An answer 204 or 304 with a body and a field longer than 65535 bytes did the same. An answer to HEAD was read as if it had a body.

Change: lengths are stated without the call that throws. The callers' and operators' listener refuses CONNECT and a TRACE with a body, answers HEAD, 204 and 304 without a body, also as streams, and answers Expect: 100-continue. Answers to HEAD end with their head; their connections are not reused.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -1,5 +1,6 @@
 #include "bronzeward/src/Net/CallerServer.h"
 
+#include "bronzeward/src/Net/LoopGuard.h"
 #include "bronzeward/src/Request/AnswerText.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -39,6 +40,11 @@
 /// an exception for a field whose length does not fit into 16 bits.
 constexpr std::size_t MaxLineBytes = 65000;
 
+/// Interim answer that asks for the body of a request.
+constexpr std::string_view ContinueText = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::uint16_t NoContentStatus = 204;
+constexpr std::uint16_t NotModifiedStatus = 304;
+
 /// Time between two checks whether a caller that has sent its next request
 /// early is still connected.
 constexpr Duration EarlyRequestCheckPeriod = 50ms;
@@ -156,7 +162,32 @@
     sendRefusal(Reason::TooManyConnections);
   }
 
-  void perform(const Outgoing &Item) {
+  void perform(Outgoing &Item) {
+    guarded([&] { performStep(Item); });
+  }
+
+  /// \brief Closes the connection and tells the owner that its caller no longer
+  /// waits.
+  void callerGone() {
+    if (Owner.AwaitingAnswer.erase(Ticket) > 0)
+      Owner.Handler(CallerEvent(CallerGone{Ticket}));
+    close();
+  }
+
+private:
+  /// Runs one step. An exception, such as that of the HTTP library for bytes
+  /// that it cannot represent, closes only this connection.
+  template <class Step> void guarded(Step Run) {
+    try {
+      Run();
+    } catch (const std::exception &Failure) {
+      reportException(Failure);
+      endReading();
+      callerGone();
+    }
+  }
+
+  void performStep(const Outgoing &Item) {
     switch (Item.Action) {
     case Step::Whole:
       if (Streaming)
@@ -181,15 +212,6 @@
     }
   }
 
-  /// \brief Closes the connection and tells the owner that its caller no longer
-  /// waits.
-  void callerGone() {
-    if (Owner.AwaitingAnswer.erase(Ticket) > 0)
-      Owner.Handler(CallerEvent(CallerGone{Ticket}));
-    close();
-  }
-
-private:
   void abort() {
     Owner.AwaitingAnswer.erase(Ticket);
     close();
@@ -215,7 +237,7 @@
             return;
           }
           Self->Buffer.commit(Length);
-          Self->beginRequest();
+          Self->guarded([&] { Self->beginRequest(); });
         });
   }
 
@@ -265,7 +287,7 @@
               return;
             }
             Self->Buffer.commit(Length);
-            Self->readHead();
+            Self->guarded([&] { Self->readHead(); });
           });
     }
   }
@@ -291,7 +313,29 @@
       failRead(Failure);
       return;
     }
-    readBody();
+    if (awaitsContinue())
+      sendContinue();
+    else
+      readBody();
+  }
+
+  /// \returns whether the caller sends its body only once it is asked to.
+  [[nodiscard]] bool awaitsContinue() const {
+    return !Parser->is_done() && Buffer.size() == 0 &&
+           beast::iequals(Parser->get()[http::field::expect], "100-continue");
+  }
+
+  void sendContinue() {
+    asio::async_write(
+        Stream, asio::buffer(ContinueText),
+        [Self = shared_from_this()](error_code Failure, std::size_t) {
+          Self->guarded([&] {
+            if (Failure)
+              Self->onBodyRead(Failure);
+            else
+              Self->readBody();
+          });
+        });
   }
 
   void readBody() {
@@ -304,15 +348,19 @@
     http::async_read(
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
-          if (Failure) {
-            Self->endReading();
-            Self->failRead(Failure);
-          } else {
-            Self->onRequestRead();
-          }
+          Self->guarded([&] { Self->onBodyRead(Failure); });
         });
   }
 
+  void onBodyRead(error_code Failure) {
+    if (!Failure) {
+      onRequestRead();
+      return;
+    }
+    endReading();
+    failRead(Failure);
+  }
+
   void onRequestRead() {
     endReading();
     if (Presence->hasLeft()) {
@@ -339,7 +387,15 @@
     return (TransferCodings == 0 ||
             beast::iequals(Message[http::field::transfer_encoding],
                            "chunked")) &&
-           Message.target().starts_with("/");
+           Message.target().starts_with("/") && methodAllowsContent();
+  }
+
+  /// \returns false for a TRACE with a body (RFC 9110, 9.3.8) and for CONNECT,
+  /// whose target is never a path and which turns the connection into a tunnel.
+  [[nodiscard]] bool methodAllowsContent() const {
+    const http::request<http::string_body> &Message = Parser->get();
+    return Message.method() != http::verb::connect &&
+           (Message.method() != http::verb::trace || Message.body().empty());
   }
 
   void failRead(error_code Failure) {
@@ -418,6 +474,14 @@
     return Owner.AwaitingAnswer.contains(Ticket);
   }
 
+  /// \returns whether the answer has no body whatever its headers say: an
+  /// answer to HEAD, and one with status 1xx, 204 or 304.
+  [[nodiscard]] bool hasNoBody(std::uint16_t Status) const {
+    const bool ToHead = Parser && Parser->get().method() == http::verb::head;
+    return ToHead || Status < 200 || Status == NoContentStatus ||
+           Status == NotModifiedStatus;
+  }
+
   template <class Body>
   void fillHead(http::response<Body> &Out, const Answer &Content) {
     Out.version(11);
@@ -438,8 +502,14 @@
     Owner.AwaitingAnswer.erase(Ticket);
     Whole = {};
     fillHead(Whole, Content);
-    Whole.body() = Content.Body;
-    Whole.prepare_payload();
+    const bool Bodiless = hasNoBody(Content.Status);
+    // An answer to HEAD states the length only if it is known; one with
+    // status 1xx or 204 may not state any.
+    if (!Bodiless || (Content.Status >= 200 && !Content.Body.empty() &&
+                      Content.Status != NoContentStatus))
+      Whole.content_length(Content.Body.size());
+    if (!Bodiless)
+      Whole.body() = Content.Body;
     WholeSerializer.emplace(Whole);
     Unaccepted = 0;
     writeWhole();
@@ -455,17 +525,21 @@
         Stream, *WholeSerializer,
         [Self = shared_from_this()](error_code Failure, std::size_t Written) {
           Self->Unaccepted -= std::min(Self->Unaccepted, Written);
-          if (Failure || Self->WholeSerializer->is_done())
-            Self->onAnswerWritten(Failure);
-          else
-            Self->writeWhole();
+          Self->guarded([&] {
+            if (Failure || Self->WholeSerializer->is_done())
+              Self->onAnswerWritten(Failure);
+            else
+              Self->writeWhole();
+          });
         });
   }
 
   void sendHead(const Answer &Content) {
     Head = {};
     fillHead(Head, Content);
-    Head.chunked(true);
+    DropParts = hasNoBody(Content.Status);
+    if (!DropParts)
+      Head.chunked(true);
     Head.set(http::field::cache_control, "no-cache");
     Serializer.emplace(Head);
     Writing = true;
@@ -473,12 +547,12 @@
     http::async_write_header(
         Stream, *Serializer,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
-          Self->onPartWritten(Failure);
+          Self->guarded([&] { Self->onPartWritten(Failure); });
         });
   }
 
   void enqueue(const std::string &Part) {
-    if (!Part.empty())
+    if (!DropParts)
       PendingParts += Part;
     if (!Writing)
       writeParts();
@@ -493,7 +567,7 @@
     Stream.expires_after(Owner.Limits.WriteTimeout);
     const auto Done = [Self = shared_from_this()](error_code Failure,
                                                   std::size_t) {
-      Self->onPartWritten(Failure);
+      Self->guarded([&] { Self->onPartWritten(Failure); });
     };
     if (!PartsBeingWritten.empty()) {
       asio::async_write(
@@ -502,11 +576,16 @@
     }
     Ending = false;
     Owner.AwaitingAnswer.erase(Ticket);
+    if (DropParts) {
+      Writing = false;
+      onAnswerWritten({});
+      return;
+    }
     asio::async_write(
         Stream, http::make_chunk_last(),
         [Self = shared_from_this()](error_code Failure, std::size_t) {
           Self->Writing = false;
-          Self->onAnswerWritten(Failure);
+          Self->guarded([&] { Self->onAnswerWritten(Failure); });
         });
   }
 
@@ -558,6 +637,8 @@
   bool Closing = false;
   /// Whether the present request is answered with a stream.
   bool Streaming = false;
+  /// Whether the stream's head is all that is sent of it.
+  bool DropParts = false;
   bool Writing = false;
   bool Ending = false;
   bool IsAnswering = false;
--- a/bronzeward/src/Net/EventLoopThread.h
+++ b/bronzeward/src/Net/EventLoopThread.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bronzeward/src/Net/LoopGuard.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -24,7 +26,7 @@
 
   void start() {
     if (OwnLoop)
-      Worker = std::thread([this] { Io.run(); });
+      Worker = std::thread([this] { runLoop(Io); });
   }
   /// \brief Stops the thread and drops its pending work. A shared loop is left
   /// for its owner to stop.
--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -1,5 +1,7 @@
 #include "bronzeward/src/Net/HttpExchange.h"
 
+#include "bronzeward/src/Net/LoopGuard.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -172,6 +174,10 @@
         Listener(std::move(Sink)) {}
 
   void start() {
+    guarded([this] { connect(); });
+  }
+
+  void connect() {
     error_code ParseFailure;
     Peer = Tcp::endpoint(asio::ip::make_address(Request.Host, ParseFailure),
                          Request.Port);
@@ -183,6 +189,9 @@
       fail(HttpFailure::CallerLeft, "the caller has left");
       return;
     }
+    // A late answer to another request would be read as if it had no body.
+    if (isHead())
+      Request.MaxIdle = Duration();
     PooledConnection Reused = Connections->acquire(Peer, Request);
     Stream = std::move(Reused.Stream);
     History = std::move(Reused.History);
@@ -192,24 +201,27 @@
     }
     Stream = std::make_unique<beast::tcp_stream>(Connections->context());
     Stream->expires_after(Request.ConnectTimeout);
-    Stream->async_connect(
-        Peer, [Self = shared_from_this()](error_code Failure) {
-          if (Self->Cancelled)
-            return;
-          if (Failure) {
-            Self->fail(Failure == beast::error::timeout
-                           ? HttpFailure::ConnectTimedOut
-                           : HttpFailure::NotSent,
-                       Failure.message());
-            return;
-          }
-          if (Self->callerLeft()) {
-            Self->fail(HttpFailure::CallerLeft, "the caller has left");
-            return;
-          }
-          Self->setOptions();
-          Self->write();
-        });
+    Stream->async_connect(Peer,
+                          [Self = shared_from_this()](error_code Failure) {
+                            Self->guarded([&] { Self->onConnected(Failure); });
+                          });
+  }
+
+  void onConnected(error_code Failure) {
+    if (Cancelled)
+      return;
+    if (Failure) {
+      fail(Failure == beast::error::timeout ? HttpFailure::ConnectTimedOut
+                                            : HttpFailure::NotSent,
+           Failure.message());
+      return;
+    }
+    if (callerLeft()) {
+      fail(HttpFailure::CallerLeft, "the caller has left");
+      return;
+    }
+    setOptions();
+    write();
   }
 
   void cancel() override {
@@ -235,6 +247,19 @@
   }
 
 private:
+  /// Runs one step. An exception, such as that of the HTTP library for a
+  /// message that it cannot write, ends only this exchange.
+  template <class Step> void guarded(Step Run) {
+    try {
+      Run();
+    } catch (const std::exception &Failure) {
+      reportException(Failure);
+      if (!Cancelled)
+        fail(Sent ? HttpFailure::Invalid : HttpFailure::NotSent,
+             Failure.what());
+    }
+  }
+
   [[nodiscard]] bool callerLeft() const {
     return Request.Presence && Request.Presence->hasLeft();
   }
@@ -263,8 +288,9 @@
     for (const HeaderField &Item : Request.Headers)
       Message.insert(Item.Name, Item.Value);
     Message.body() = std::move(Request.Body);
-    Message.prepare_payload();
+    setLength();
     Stream->expires_after(Request.IdleTimeout);
+    Sent = true;
     http::async_write(
         *Stream, Message,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
@@ -273,13 +299,25 @@
           if (Failure)
             Self->fail(HttpFailure::Closed, Failure.message());
           else
-            Self->readHead();
+            Self->guarded([&] { Self->readHead(); });
         });
   }
 
+  /// States the length of the body; without one, only for methods whose
+  /// requests usually have a body (RFC 9110, 8.6).
+  void setLength() {
+    const http::verb Method = Message.method();
+    if (!Message.body().empty() || Method == http::verb::post ||
+        Method == http::verb::put || Method == http::verb::options)
+      Message.content_length(Message.body().size());
+  }
+
+  [[nodiscard]] bool isHead() const { return Request.Method == "HEAD"; }
+
   void readHead() {
     Parser.emplace();
     Parser->body_limit(boost::none);
+    Parser->skip(isHead());
     Stream->expires_after(Request.IdleTimeout);
     http::async_read_header(
         *Stream, Buffer, *Parser,
@@ -289,7 +327,7 @@
           if (Failure)
             Self->failRead(Failure);
           else
-            Self->processHead();
+            Self->guarded([&] { Self->processHead(); });
         });
   }
 
@@ -356,24 +394,25 @@
     http::async_read_some(
         *Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
-          if (Self->Cancelled)
-            return;
-          if (Failure == http::error::need_buffer)
-            Failure = {};
-          if (Failure) {
-            Self->failRead(Failure);
-            return;
-          }
-          const std::size_t Length =
-              Self->Chunk.size() - Self->Parser->get().body().size;
-          if (!Self->Skipping && Length > 0)
-            Self->Listener->onBody({Self->Chunk.data(), Length});
-          if (Self->Skipping)
-            Self->countSkipped(Length);
-          Self->readBody();
+          Self->guarded([&] { Self->onBodyRead(Failure); });
         });
   }
 
+  void onBodyRead(error_code Failure) {
+    if (Cancelled)
+      return;
+    if (Failure && Failure != http::error::need_buffer) {
+      failRead(Failure);
+      return;
+    }
+    const std::size_t Length = Chunk.size() - Parser->get().body().size;
+    if (!Skipping && Length > 0)
+      Listener->onBody({Chunk.data(), Length});
+    if (Skipping)
+      countSkipped(Length);
+    readBody();
+  }
+
   void countSkipped(std::size_t Length) {
     SkippedBytes += Length;
     if (SkippedBytes > MaxSkippedBytes)
@@ -406,8 +445,9 @@
            "answer to another request closed the connection");
       return;
     }
-    // Bytes after the answer belong to no request.
-    if (Parser->get().keep_alive() && Buffer.size() == 0 &&
+    // Bytes after the answer belong to no request. A late copy of an answer to
+    // HEAD would be read as if it had a body.
+    if (Parser->get().keep_alive() && !isHead() && Buffer.size() == 0 &&
         History.distinguishes(Request)) {
       Stream->expires_never();
       History.onAnswered(Request.Match);
@@ -437,7 +477,8 @@
     Cancelled = true;
     if (Stream)
       Stream->close();
-    Sink->onFailure(How, Detail);
+    if (Sink)
+      Sink->onFailure(How, Detail);
   }
 
   std::shared_ptr<HttpConnectionPool> Connections;
@@ -457,6 +498,8 @@
   int SkippedHeads = 0;
   std::size_t SkippedBytes = 0;
   bool Cancelled = false;
+  /// Whether bytes of the request may have been sent.
+  bool Sent = false;
 };
 
 } // namespace
--- a/bronzeward/src/Net/Mailbox.h
+++ b/bronzeward/src/Net/Mailbox.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Base"
+#include "bronzeward/src/Net/LoopGuard.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -65,7 +66,7 @@
     std::vector<Item> Batch;
     const bool More = Ring.drain(Batch, MailboxBatch);
     for (Item &Value : Batch)
-      Receive(Value);
+      runGuarded([&] { Receive(Value); });
     if (More)
       wake();
   }
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -182,7 +182,7 @@
   Log.onEvent("started", "callers at " + FLAGS_listen + ", machine up for " +
                              std::to_string(secondsSinceBoot(Time.now())) +
                              " s, boot " + bootId());
-  Main.run();
+  runLoop(Main);
   Log.onEvent("stopped", DrainTimedOut ? "drain timed out" : "drained");
   // Threads that post to the core stop before it does.
   Callers.stop();
