Callers draw on one bounded memory per instance

Cause: an instance kept whatever callers sent. Bodies in arrival had no joint bound, and a body was kept twice until its answer, so that a few dozen callers took a process above the memory of its machine.

Bodies are read piece by piece and count as they arrive. The bodies of running requests stay. A body is shared between the call and its exchange (SharedBytes) instead of copied. Operators' ports have 8 MiB each. New: memory-short lines, memory_refusals_total, caller_memory_bytes.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -35,6 +35,9 @@
 constexpr int ListenBacklog = 1024;
 /// Size of one read of a request's headers.
 constexpr std::size_t HeadReadBytes = 4096;
+/// Minimum and maximum space for the next bytes of a body.
+constexpr std::size_t MinBodyPiece = 4096;
+constexpr std::size_t MaxBodyPiece = 65536;
 
 /// Maximum length of a line of a head, and of all trailers. The parser throws
 /// an exception for a field whose length does not fit into 16 bits.
@@ -131,16 +134,33 @@
       : Owner(Server), Stream(std::move(Socket)),
         Presence(std::make_shared<ConnectionPresence>(
             Stream.socket().native_handle())),
-        ReadTimer(Stream.get_executor()) {
+        ReadTimer(Stream.get_executor()),
+        Memory(Server.Memory), Holder{++Owner.LastHolder} {
     ++Owner.Connections;
+    Memory->Holders.emplace(Holder, this);
   }
   ~Session() {
     Presence->onClosing();
+    releaseMemory();
+    Memory->Holders.erase(Holder);
     --Owner.Connections;
   }
 
+  /// \brief Gives up the memory that this connection holds. An arriving request
+  /// is refused, an answer is cut.
+  void evict() {
+    if (Reading) {
+      Evicted = true;
+      Stream.cancel();
+    } else {
+      Owner.noteMemoryShort("answer cut");
+      callerGone();
+    }
+  }
+
   void close() {
     markAnswering(false);
+    releaseMemory();
     Presence->onClosing();
     error_code Ignored;
     Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
@@ -187,13 +207,23 @@
     }
   }
 
-  void performStep(const Outgoing &Item) {
+  /// \returns false if there is no memory for that many bytes.
+  bool holdMemory(HoldKind Kind, std::size_t Bytes) {
+    return Owner.holdMemory(Holder, Kind, Bytes);
+  }
+
+  void releaseMemory() {
+    Memory->Budget.release(Holder);
+    Memory->HeldBytes = Memory->Budget.held();
+  }
+
+  void performStep(Outgoing &Item) {
     switch (Item.Action) {
     case Step::Whole:
       if (Streaming)
         abort();
       else
-        sendWhole(Item.Content);
+        sendWhole(std::move(Item.Content));
       return;
     case Step::Begin:
       Streaming = true;
@@ -219,6 +249,8 @@
 
   void awaitRequest() {
     Parser.emplace();
+    Body.clear();
+    BodyLength = 0;
     Parser->body_limit(Owner.Limits.MaxBodyBytes);
     Buffer.max_size(Owner.Limits.MaxHeaderBytes + Owner.Limits.MaxBodyBytes +
                     2 * HeadReadBytes);
@@ -269,7 +301,9 @@
     while (received().starts_with("\r\n"))
       Buffer.consume(2);
     const HeadScan Scan = scanHead(received());
-    if (Scan.Invalid) {
+    if (Evicted || !holdMemory(HoldKind::Arriving, Buffer.capacity())) {
+      refuseForMemory();
+    } else if (Scan.Invalid) {
       refuseRequest(Reason::InvalidRequest);
     } else if (Scan.LongLine || Scan.Length > Owner.Limits.MaxHeaderBytes ||
                received().size() >
@@ -281,7 +315,7 @@
       Stream.async_read_some(
           Buffer.prepare(HeadReadBytes),
           [Self = shared_from_this()](error_code Failure, std::size_t Length) {
-            if (Failure) {
+            if (Failure && !Self->Evicted) {
               Self->endReading();
               Self->failRead(Failure);
               return;
@@ -303,6 +337,17 @@
     sendRefusal(Cause);
   }
 
+  void refuseForMemory() {
+    Owner.noteMemoryShort("request refused");
+    refuseRequest(Reason::MemoryShort);
+  }
+
+  /// Frees what has arrived of a request that is refused.
+  void dropBody() {
+    Body = std::string();
+    BodyLength = 0;
+  }
+
   /// Parses the head, which is in the buffer.
   void readRequest() {
     Parser->header_limit(static_cast<std::uint32_t>(received().size()));
@@ -345,24 +390,59 @@
     }
     // Trailers are parsed once all of them are in the buffer.
     Buffer.max_size(std::max(Buffer.size(), MaxLineBytes));
-    http::async_read(
+    if (!growBody()) {
+      refuseForMemory();
+      return;
+    }
+    Parser->get().body().data = Body.data() + BodyLength;
+    Parser->get().body().size = Body.size() - BodyLength;
+    http::async_read_some(
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Failure, std::size_t) {
           Self->guarded([&] { Self->onBodyRead(Failure); });
         });
   }
 
+  /// Makes space for the next bytes of the body.
+  /// \returns false if there is no memory for it.
+  bool growBody() {
+    const std::uint64_t Announced =
+        Parser->content_length().value_or(Owner.Limits.MaxBodyBytes);
+    const std::uint64_t Left =
+        Announced - std::min<std::uint64_t>(BodyLength, Announced);
+    const std::size_t Piece = std::min<std::uint64_t>(
+        std::clamp(BodyLength, MinBodyPiece, MaxBodyPiece),
+        std::max<std::uint64_t>(Left, 1));
+    const std::size_t Needed = BodyLength + Piece;
+    std::size_t Capacity = Body.capacity();
+    if (Needed > Capacity)
+      Capacity = std::max<std::size_t>(
+          Needed, std::min<std::uint64_t>(2 * Capacity, Announced));
+    if (!holdMemory(HoldKind::Arriving, Capacity + Buffer.capacity()))
+      return false;
+    Body.reserve(Capacity);
+    Body.resize(Needed);
+    return true;
+  }
+
   void onBodyRead(error_code Failure) {
-    if (!Failure) {
-      onRequestRead();
+    if (Evicted) {
+      refuseForMemory();
       return;
     }
-    endReading();
-    failRead(Failure);
+    if (Failure && Failure != http::error::need_buffer) {
+      endReading();
+      failRead(Failure);
+      return;
+    }
+    if (Parser->get().body().data != nullptr)
+      BodyLength = Body.size() - Parser->get().body().size;
+    readBody();
   }
 
   void onRequestRead() {
     endReading();
+    Body.resize(BodyLength);
     if (Presence->hasLeft()) {
       ++Owner.LeftBeforeRead;
       close();
@@ -376,7 +456,7 @@
   /// \returns whether every HTTP implementation reads the request alike: it has
   /// one host, one length and no bytes after its end.
   [[nodiscard]] bool wellFramed() const {
-    const http::request<http::string_body> &Message = Parser->get();
+    const http::request<http::buffer_body> &Message = Parser->get();
     const std::size_t ContentLengths =
         Message.count(http::field::content_length);
     const std::size_t TransferCodings =
@@ -393,9 +473,9 @@
   /// \returns false for a TRACE with a body (RFC 9110, 9.3.8) and for CONNECT,
   /// whose target is never a path and which turns the connection into a tunnel.
   [[nodiscard]] bool methodAllowsContent() const {
-    const http::request<http::string_body> &Message = Parser->get();
-    return Message.method() != http::verb::connect &&
-           (Message.method() != http::verb::trace || Message.body().empty());
+    const http::verb Method = Parser->get().method();
+    return Method != http::verb::connect &&
+           (Method != http::verb::trace || Body.empty());
   }
 
   void failRead(error_code Failure) {
@@ -418,7 +498,7 @@
 
   void forward() {
     Streaming = false;
-    http::request<http::string_body> &Message = Parser->get();
+    const http::request<http::buffer_body> &Message = Parser->get();
     KeepAlive = Message.keep_alive();
     CallerRequest Request;
     Request.Ticket = Ticket = CallerTicket{++Owner.LastTicket};
@@ -431,7 +511,9 @@
     Request.Authorization = std::string(Message[http::field::authorization]);
     Request.Key = std::string(Message["Idempotency-Key"]);
     Request.ContentType = std::string(Message[http::field::content_type]);
-    Request.Body = std::move(Message.body());
+    Request.Body = std::exchange(Body, std::string());
+    KeptBytes = Request.Body.capacity() + Buffer.capacity();
+    static_cast<void>(holdMemory(HoldKind::Kept, KeptBytes));
     Request.Presence = Presence;
     Owner.AwaitingAnswer.emplace(Ticket, weak_from_this());
     markAnswering(true);
@@ -498,8 +580,14 @@
     sendWhole(refusalAnswer(RequestId{"none"}, {Outcome::NotRun, Cause, ""}));
   }
 
-  void sendWhole(const Answer &Content) {
+  void sendWhole(Answer Content) {
     Owner.AwaitingAnswer.erase(Ticket);
+    dropBody();
+    if (!holdMemory(HoldKind::Unread, Content.Body.size())) {
+      Owner.noteMemoryShort("answer cut");
+      close();
+      return;
+    }
     Whole = {};
     fillHead(Whole, Content);
     const bool Bodiless = hasNoBody(Content.Status);
@@ -509,7 +597,7 @@
                       Content.Status != NoContentStatus))
       Whole.content_length(Content.Body.size());
     if (!Bodiless)
-      Whole.body() = Content.Body;
+      Whole.body() = std::move(Content.Body);
     WholeSerializer.emplace(Whole);
     Unaccepted = 0;
     writeWhole();
@@ -525,6 +613,8 @@
         Stream, *WholeSerializer,
         [Self = shared_from_this()](error_code Failure, std::size_t Written) {
           Self->Unaccepted -= std::min(Self->Unaccepted, Written);
+          Self->Memory->Budget.onProgress(Self->Holder,
+                                          std::chrono::steady_clock::now());
           Self->guarded([&] {
             if (Failure || Self->WholeSerializer->is_done())
               Self->onAnswerWritten(Failure);
@@ -552,12 +642,25 @@
   }
 
   void enqueue(const std::string &Part) {
-    if (!DropParts)
-      PendingParts += Part;
+    if (!DropParts && !appendPart(Part))
+      return;
     if (!Writing)
       writeParts();
   }
 
+  /// \returns false if the caller is cut since there is no memory for the part.
+  bool appendPart(const std::string &Part) {
+    const std::size_t Backlog =
+        PartsBeingWritten.size() + PendingParts.size() + Part.size();
+    if (Writing && !holdMemory(HoldKind::Unread, KeptBytes + Backlog)) {
+      Owner.noteMemoryShort("stream cut");
+      callerGone();
+      return false;
+    }
+    PendingParts += Part;
+    return true;
+  }
+
   void writeParts() {
     if (PendingParts.empty() && !Ending)
       return;
@@ -596,6 +699,10 @@
       return;
     }
     Stream.expires_never();
+    if (PendingParts.empty())
+      static_cast<void>(holdMemory(HoldKind::Kept, KeptBytes));
+    else
+      Memory->Budget.onProgress(Holder, std::chrono::steady_clock::now());
     writeParts();
   }
 
@@ -608,6 +715,9 @@
 
   void onAnswerWritten(error_code Failure) {
     markAnswering(false);
+    WholeSerializer.reset();
+    Whole = {};
+    releaseMemory();
     if (Failure || Closing || !KeepAlive || Owner.Draining) {
       close();
       return;
@@ -620,7 +730,12 @@
   std::shared_ptr<ConnectionPresence> Presence;
   asio::steady_timer ReadTimer;
   beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<http::request_parser<http::buffer_body>> Parser;
+  /// Space for the body, of which BodyLength bytes have arrived.
+  std::string Body;
+  std::size_t BodyLength = 0;
+  /// Memory that the request takes until its answer is complete.
+  std::size_t KeptBytes = 0;
   http::response<http::string_body> Whole;
   std::optional<http::response_serializer<http::string_body>> WholeSerializer;
   /// Bytes that the caller still has to accept before the write timeout.
@@ -642,12 +757,17 @@
   bool Writing = false;
   bool Ending = false;
   bool IsAnswering = false;
+  /// Whether the arriving request gave up its memory.
+  bool Evicted = false;
+  std::shared_ptr<MemoryUse> Memory;
+  HolderId Holder;
 };
 
 CallerServer::CallerServer(CallerLimits InitialLimits, EventHandler OnEvent,
                            asio::io_context *Shared)
     : Limits(InitialLimits), Handler(std::move(OnEvent)), Thread(Shared),
       Acceptor(Thread.context()), AcceptTimer(Thread.context()),
+      Memory(std::make_shared<MemoryUse>(Limits.MaxHeldBytes)),
       Ring(Thread.context(), RingCapacity,
            [this](Outgoing &Item) { perform(Item); }) {}
 
@@ -730,7 +850,10 @@
 }
 
 void CallerServer::setLimits(CallerLimits NewLimits) {
-  asio::post(Thread.context(), [this, NewLimits] { Limits = NewLimits; });
+  asio::post(Thread.context(), [this, NewLimits] {
+    Limits = NewLimits;
+    Memory->Budget.setLimit(Limits.MaxHeldBytes);
+  });
 }
 
 void CallerServer::drain() {
@@ -783,6 +906,26 @@
 
 void CallerServer::disconnect(CallerTicket To) { push({To, Step::Close, {}}); }
 
+bool CallerServer::holdMemory(HolderId Holder, HoldKind Kind,
+                              std::size_t Bytes) {
+  const MemoryVerdict Verdict = Memory->Budget.hold(
+      Holder, Kind, Bytes, std::chrono::steady_clock::now());
+  for (const HolderId &Item : Verdict.Evicted)
+    if (const auto Found = Memory->Holders.find(Item);
+        Found != Memory->Holders.end())
+      Found->second->evict();
+  Memory->HeldBytes = Memory->Budget.held();
+  return Verdict.Granted;
+}
+
+void CallerServer::noteMemoryShort(const char *What) {
+  ++MemoryRefusals;
+  if (OnMemoryShort)
+    OnMemoryShort(std::string(What) + ", callers hold " +
+                  std::to_string(Memory->Budget.held()) + " of " +
+                  std::to_string(Limits.MaxHeldBytes) + " bytes");
+}
+
 void CallerServer::perform(Outgoing &Item) {
   const auto Found = AwaitingAnswer.find(Item.To);
   if (Found == AwaitingAnswer.end())
--- a/bronzeward/src/Net/CallerServer.h
+++ b/bronzeward/src/Net/CallerServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Request"
+#include "bronzeward/src/Net/CallerMemory.h"
 #include "bronzeward/src/Net/EventLoopThread.h"
 #include "bronzeward/src/Net/Mailbox.h"
 
@@ -30,6 +31,9 @@
   std::size_t MaxConnections = 10000;
   std::size_t MaxHeaderBytes = 16384;
   std::size_t MaxBodyBytes = 1048576;
+  /// Memory for requests that arrive, bodies kept until the answer, and answers
+  /// that callers have not accepted, of all connections together.
+  std::size_t MaxHeldBytes = std::size_t{256} * 1024 * 1024;
   /// Maximum time between the first byte of a request and its end.
   Duration ReadTimeout = 10s;
   /// Time after which an idle connection is closed.
@@ -64,6 +68,11 @@
   [[nodiscard]] Result<std::uint16_t> listen(const std::string &Host,
                                              std::uint16_t Port);
   void stop() { Thread.stop(); }
+  /// \brief Sets what is called, in the server's thread, each time a caller is
+  /// turned away for lack of memory. Must be called before listen().
+  void setMemoryNotice(std::function<void(const std::string &)> Notice) {
+    OnMemoryShort = std::move(Notice);
+  }
   /// \brief Sets the limits for requests that begin from now on.
   void setLimits(CallerLimits NewLimits);
   /// \brief Closes idle connections at once and the others after their answers.
@@ -82,11 +91,26 @@
   /// were read.
   [[nodiscard]] std::uint64_t leftBeforeRead() const { return LeftBeforeRead; }
 
+  /// \returns the bytes that callers make the instance hold.
+  [[nodiscard]] std::size_t heldBytes() const { return Memory->HeldBytes; }
+  /// \returns the number of requests refused and answers cut for lack of
+  /// memory.
+  [[nodiscard]] std::uint64_t memoryRefusals() const { return MemoryRefusals; }
+
   /// \returns the number of items dropped because the thread's ring was full.
   [[nodiscard]] std::uint64_t refused() const { return Ring.refused(); }
 
 private:
   class Session;
+  /// \brief Memory of the sessions, some of which may outlive the server in the
+  /// shared loop.
+  struct MemoryUse {
+    explicit MemoryUse(std::size_t LimitBytes) : Budget(LimitBytes) {}
+
+    CallerMemory Budget;
+    std::map<HolderId, Session *> Holders;
+    std::atomic<std::size_t> HeldBytes = 0;
+  };
   enum class Step { Whole, Begin, Part, End, Close };
   struct Outgoing {
     CallerTicket To;
@@ -101,6 +125,9 @@
   void serve(boost::asio::ip::tcp::socket Socket);
   void perform(Outgoing &Item);
   void push(Outgoing Item);
+  /// \returns false if there is no memory. Closes connections to make room.
+  bool holdMemory(HolderId Holder, HoldKind Kind, std::size_t Bytes);
+  void noteMemoryShort(const char *What);
   /// Closes the connection of a caller to which an item could not be sent.
   void abandon(CallerTicket To);
 
@@ -118,6 +145,10 @@
   std::atomic<std::size_t> Answering = 0;
   std::atomic<std::uint64_t> LeftBeforeRead = 0;
   std::uint64_t LastTicket = 0;
+  std::shared_ptr<MemoryUse> Memory;
+  std::uint64_t LastHolder = 0;
+  std::atomic<std::uint64_t> MemoryRefusals = 0;
+  std::function<void(const std::string &)> OnMemoryShort;
   Mailbox<Outgoing> Ring;
   std::mutex LostLock;
   /// Callers that lost an item because the ring was full and whose connections
--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -287,7 +287,7 @@
       Message.set(http::field::content_type, Request.ContentType);
     for (const HeaderField &Item : Request.Headers)
       Message.insert(Item.Name, Item.Value);
-    Message.body() = std::move(Request.Body);
+    Message.body() = {Request.Body.text().data(), Request.Body.text().size()};
     setLength();
     Stream->expires_after(Request.IdleTimeout);
     Sent = true;
@@ -486,7 +486,7 @@
   std::shared_ptr<HttpListener> Listener;
   Tcp::endpoint Peer;
   std::unique_ptr<beast::tcp_stream> Stream;
-  http::request<http::string_body> Message;
+  http::request<http::span_body<const char>> Message;
   std::optional<http::response_parser<http::buffer_body>> Parser;
   beast::flat_buffer Buffer{MaxFramingBytes};
   std::array<char, ReadBufferBytes> Chunk{};
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Base"
 #include "bronzeward/src/Request/CallerPresence.h"
+#include "bronzeward/src/Request/SharedBytes.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -24,7 +25,7 @@
   std::string Method;
   std::string Target;
   std::string ContentType;
-  std::string Body;
+  SharedBytes Body;
   /// Value of the Host header; the address if empty.
   std::string HostHeader;
   /// Further headers.
--- a/bronzeward/src/Net/OperatorServer.cpp
+++ b/bronzeward/src/Net/OperatorServer.cpp
@@ -4,6 +4,14 @@
 
 constexpr const char *LiftPath = "/quarantine/lift/";
 
+/// Operators' requests have no bodies, and few operators ask at once.
+static CallerLimits operatorLimits() {
+  CallerLimits Limits;
+  Limits.MaxBodyBytes = 4096;
+  Limits.MaxHeldBytes = std::size_t{8} * 1024 * 1024;
+  return Limits;
+}
+
 static Answer plainAnswer(std::uint16_t Status, std::string Body,
                           std::string Type = "text/plain") {
   Answer Reply;
@@ -17,7 +25,7 @@
                                boost::asio::io_context *Shared)
     : Core(Instance),
       Server(
-          CallerLimits{},
+          operatorLimits(),
           [this](CallerEvent Event) {
             if (const auto *Request = std::get_if<CallerRequest>(&Event))
               Server.answer(Request->Ticket, respond(*Request));
--- a/bronzeward/src/Relay/RelayCall.h
+++ b/bronzeward/src/Relay/RelayCall.h
@@ -26,7 +26,7 @@
   /// Path and query, forwarded unchanged.
   std::string Target;
   std::string Host;
-  std::string Body;
+  SharedBytes Body;
   /// Identifier that the caller gave to this attempt; unique per attempt.
   std::string CallerAttemptId;
   /// Empty if the caller sent none.
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -167,7 +167,7 @@
 void RelayEngine::admit(RelayCall Call, AdmittedCall Admitted, TimePoint Now) {
   ContentFingerprint Content{sha256Hex(Call.Method + " " + Call.Target + " " +
                                        Admitted.Workspace.Value + "\n" +
-                                       Call.Body)};
+                                       Call.Body.text())};
   std::vector<PartId> Suspects = suspectsOf(Content, Call.Parts);
   if (holdsBack(Suspects, Now)) {
     refuse(Call.Ticket, &Call, Reason::Quarantined);
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Base"
 #include "bronzeward/src/Request/CallerPresence.h"
+#include "bronzeward/src/Request/SharedBytes.h"
 #include "bronzeward/src/Routing/ChoicePolicy.h"
 
 #include <cstdint>
@@ -75,7 +76,7 @@
   std::string Method;
   std::string Target;
   std::string ContentType;
-  std::string Body;
+  SharedBytes Body;
   /// Host header; the upstream's address if empty.
   std::string HostHeader;
   /// Additional headers.
--- a/bronzeward/src/Request/Refusal.cpp
+++ b/bronzeward/src/Request/Refusal.cpp
@@ -70,6 +70,8 @@
       {503, "overloaded",
        "the service has no capacity for this request in time", true,
        seconds(1)},
+      {503, "memory-short", "this instance has no memory for the request now",
+       true, seconds(1)},
   };
   return Descriptions[static_cast<std::size_t>(Cause)];
 }
--- a/bronzeward/src/Request/Refusal.h
+++ b/bronzeward/src/Request/Refusal.h
@@ -42,6 +42,7 @@
   BudgetLost,
   BudgetHeld,
   Overloaded,
+  MemoryShort,
 };
 
 /// \brief The parts of a refusal's answer that depend on its reason alone.
--- a/bronzeward/src/Request/ServiceRequest.h
+++ b/bronzeward/src/Request/ServiceRequest.h
@@ -35,7 +35,7 @@
   /// Hashes of the prompt's prefixes.
   PrefixBlocks Blocks;
   /// Body to send to the upstream.
-  std::string Body;
+  SharedBytes Body;
 };
 
 /// \brief A configuration with lookup tables.
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -101,6 +101,12 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 Status.LongestLoopDelay)
                 .count());
+  Out.gauge("caller_memory_bytes",
+            "Memory of requests and answers held for callers.",
+            static_cast<std::int64_t>(Status.Connections.CallerMemory));
+  Out.counter("memory_refusals_total",
+              "Requests refused and answers cut for lack of memory.",
+              Status.Connections.MemoryRefusals);
   Out.counter("callers_left_before_read_total",
               "Requests whose caller had left when they were read.",
               Status.Connections.LeftBeforeRead);
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -24,6 +24,10 @@
   std::uint64_t LeftBeforeRead = 0;
   /// Calls whose caller had left when they were to be sent to an upstream.
   std::uint64_t LeftBeforeSend = 0;
+  /// Memory that callers make the instance hold, in bytes.
+  std::uint64_t CallerMemory = 0;
+  /// Requests refused and answers cut for lack of memory.
+  std::uint64_t MemoryRefusals = 0;
   /// Calls cancelled while their upstream had not acknowledged all their bytes.
   std::uint64_t CancelledUnacknowledged = 0;
 };
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -28,6 +28,9 @@
              "maximum number of callers' connections at once");
 DEFINE_int32(max_header_bytes, 16384, "maximum size of a request's headers");
 DEFINE_int32(max_body_bytes, 1048576, "maximum size of a request's body");
+DEFINE_int32(memory_mb, 512,
+             "memory of this instance; two fifths of it are for the requests "
+             "and answers that callers make it hold");
 DEFINE_int32(read_timeout_ms, 10000,
              "maximum time between the first byte of a request and its end");
 DEFINE_int32(drain_timeout_s, 600,
@@ -41,6 +44,8 @@
 
 namespace bronzeward {
 
+constexpr std::size_t BytesPerMebibyte = std::size_t{1024} * 1024;
+
 /// Time between two checks whether the last answers are written.
 constexpr Duration AnswerCheckPeriod = 10ms;
 
@@ -58,6 +63,7 @@
                                  1024, 1'048'576));
   BOOST_OUTCOME_TRY(
       requireRange("max_body_bytes", FLAGS_max_body_bytes, 1024, 67'108'864));
+  BOOST_OUTCOME_TRY(requireRange("memory_mb", FLAGS_memory_mb, 32, 1'048'576));
   BOOST_OUTCOME_TRY(
       requireRange("read_timeout_ms", FLAGS_read_timeout_ms, 100, 600'000));
   return requireRange("drain_timeout_s", FLAGS_drain_timeout_s, 1, 86'400);
@@ -101,6 +107,8 @@
   Out.Limits.MaxConnections = static_cast<std::size_t>(FLAGS_max_connections);
   Out.Limits.MaxHeaderBytes = static_cast<std::size_t>(FLAGS_max_header_bytes);
   Out.Limits.MaxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+  Out.Limits.MaxHeldBytes =
+      static_cast<std::size_t>(FLAGS_memory_mb) * BytesPerMebibyte / 5 * 2;
   Out.Limits.ReadTimeout = std::chrono::milliseconds(FLAGS_read_timeout_ms);
   Out.DrainTimeout = std::chrono::seconds(FLAGS_drain_timeout_s);
   return Out;
@@ -148,7 +156,13 @@
            Time, coreCallbacks()),
       Operators(Core, sharedLoop()), Metrics(Core, sharedLoop()),
       Signals(Main, SIGTERM, SIGINT, SIGHUP), DrainTimer(Main),
-      AnswerTimer(Main) {}
+      AnswerTimer(Main) {
+  Callers.setMemoryNotice([this](const std::string &Detail) {
+    if (const std::optional<std::string> Line =
+            MemoryShort.report(Detail, Time.now()))
+      Log.onEvent("memory-short", *Line);
+  });
+}
 
 bool InstanceProcess::postCallerEvent(CallerEvent Event) {
   if (std::holds_alternative<CallerRequest>(Event))
@@ -222,6 +236,8 @@
                       {"store", Store.refused()},
                       {"peers", Peers.refused()},
                       {"log", Log.dropped()}};
+    Counters.CallerMemory = Callers.heldBytes();
+    Counters.MemoryRefusals = Callers.memoryRefusals();
     Counters.LeftBeforeRead = Callers.leftBeforeRead();
     Counters.LeftBeforeSend = Upstreams.leftBeforeSend();
     Counters.CancelledUnacknowledged = Upstreams.cancelledUnacknowledged();
--- a/daemons/InstanceProcess.h
+++ b/daemons/InstanceProcess.h
@@ -70,6 +70,8 @@
   StructuredLog Log;
   /// Used in the store's thread.
   UnreadableReplies Unreadable;
+  /// Limits the rate of the lines about callers turned away.
+  UnreadableReplies MemoryShort;
   HttpStore Store;
   PeerTransport Peers;
   CallerServer Callers;
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -146,6 +146,26 @@
       hasStatus(WithShortHeads.exchange(WithField(Chunked, "X", Long)), "431"));
 }
 
+TEST_CASE("A request that finds no memory is refused as not run",
+          "[CallerServer]") {
+  CallerLimits Limits = Echo::limits();
+  Limits.MaxBodyBytes = std::size_t{1024} * 1024;
+  Limits.MaxHeldBytes = 32768;
+  Limits.ReadTimeout = 5s;
+  Echo Item(Limits);
+  const std::string Start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string Refused = Item.exchange(
+      Start + "Content-Length: 100000\r\n\r\n" + std::string(16384, 'a'));
+  CHECK(hasStatus(Refused, "503"));
+  CHECK(Refused.find("Retry-After: 1\r\n") != std::string::npos);
+  CHECK(Refused.find("Bronzeward-Outcome: not-run") != std::string::npos);
+  CHECK(Item.Accepted == 0);
+  CHECK(Item.Server.memoryRefusals() == 1);
+  CHECK(hasStatus(Item.exchange(Start + "Connection: close\r\n"
+                                        "Content-Length: 2\r\n\r\nhi"),
+                  "200"));
+}
+
 // Guards against requests that are lost at a planned stop: a caller sends on an
 // open connection when the server begins to drain.
 TEST_CASE("A request that arrives as the server drains is answered",
--- a/test/process/CallerContractTest.py
+++ b/test/process/CallerContractTest.py
@@ -59,6 +59,11 @@
         self.refused(self.raw(b"\x01\x02 nonsense\r\n\r\n"), 400,
                      "invalid-request")
 
+    def test_body_that_its_method_forbids(self):
+        self.refused(self.raw(b"TRACE /ledger/x HTTP/1.1\r\nHost: x\r\n"
+                              b"Content-Length: 6\r\n\r\nnobody"),
+                     400, "invalid-request")
+
     def test_wrong_key_unknown_model_and_bad_json(self):
         self.refused(self.raw(b"POST /v1/chat/completions HTTP/1.1\r\n"
                               b"Host: x\r\nContent-Length: 2\r\n\r\n{}"),
