Evacuation of failure domains by the operators' keys

Cause: operators ask through the store that a failure domain gets no calls any more. Nothing read these keys, so calls went on to its upstreams.

Change: EvacuatedDomains keeps the set of evacuated failure domains as of one store revision, and takes their upstreams out of the list that placement chooses from. The watch of the configuration's key now covers all keys that operators write, so that no store calls are added. Digests carry the set and its revision; changes are passed on at once, to followers, some peers, and peers without the store. Log line, gauge and status field show the set.

--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -40,6 +40,9 @@
       peerAddress @21 :Text;
       watchesStore @34 :Bool;
       rateLimits @39 :List(RateLimitNotice);
+      # Store revision of evacuatedDomains.
+      evacuationRevision @51 :UInt64;
+      evacuatedDomains @52 :List(Text);
     }
     configuration :group {
       version @16 :UInt64;
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -95,7 +95,7 @@
   struct PartNews;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fdb2889c86b1008e, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -110,7 +110,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5f3482ee0253bc7, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c5f3482ee0253bc7, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -125,7 +125,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(98d675a7d77d631d, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(98d675a7d77d631d, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,7 +140,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d0313e9fd4b2a478, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d0313e9fd4b2a478, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -155,7 +155,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cfc3a9d7eaba38a0, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cfc3a9d7eaba38a0, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -170,7 +170,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d6c998045f785de1, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(d6c998045f785de1, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -185,7 +185,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea15aedcded37e1c, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(ea15aedcded37e1c, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -200,7 +200,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e4cf3feee73780e4, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e4cf3feee73780e4, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -215,7 +215,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b5d2d9a927b4db2d, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b5d2d9a927b4db2d, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -230,7 +230,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f54c7e4a675e9cd7, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f54c7e4a675e9cd7, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -245,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8189728c91666ea5, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8189728c91666ea5, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -260,7 +260,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94735e12910626a6, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(94735e12910626a6, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -275,7 +275,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f2ce49b5c678cb68, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(f2ce49b5c678cb68, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -290,7 +290,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b843d455b333d498, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b843d455b333d498, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -305,7 +305,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f6b067c67c5c9cb, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(9f6b067c67c5c9cb, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -320,7 +320,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb6580084318f392, 3, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fb6580084318f392, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1156,6 +1156,11 @@
   inline bool hasRateLimits() const;
   inline  ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>::Reader getRateLimits() const;
 
+  inline  ::uint64_t getEvacuationRevision() const;
+
+  inline bool hasEvacuatedDomains() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEvacuatedDomains() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1221,6 +1226,17 @@
   inline void adoptRateLimits(::capnp::Orphan< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::bronzeward::schema::RateLimitNotice,  ::capnp::Kind::STRUCT>> disownRateLimits();
 
+  inline  ::uint64_t getEvacuationRevision();
+  inline void setEvacuationRevision( ::uint64_t value);
+
+  inline bool hasEvacuatedDomains();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEvacuatedDomains();
+  inline void setEvacuatedDomains( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEvacuatedDomains(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEvacuatedDomains(unsigned int size);
+  inline void adoptEvacuatedDomains(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEvacuatedDomains();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3080,9 +3096,11 @@
   _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<66>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint64_t>(::capnp::bounded<3>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<3>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<4>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::Digest::Builder(_builder);
 }
 inline bool PeerMessage::Reader::isConfiguration() const {
@@ -3818,6 +3836,58 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerMessage::Digest::Reader::getEvacuationRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Digest::Builder::getEvacuationRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Digest::Builder::setEvacuationRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerMessage::Digest::Reader::hasEvacuatedDomains() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerMessage::Digest::Builder::hasEvacuatedDomains() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader PeerMessage::Digest::Reader::getEvacuatedDomains() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerMessage::Digest::Builder::getEvacuatedDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PeerMessage::Digest::Builder::setEvacuatedDomains( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PeerMessage::Digest::Builder::setEvacuatedDomains(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder PeerMessage::Digest::Builder::initEvacuatedDomains(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PeerMessage::Digest::Builder::adoptEvacuatedDomains(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> PeerMessage::Digest::Builder::disownEvacuatedDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerMessage::Configuration::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -103,6 +103,13 @@
   std::vector<PartNotice> Quarantined;
 };
 
+/// \brief The failure domains that operators have evacuated.
+struct EvacuationNotice {
+  /// Store revision of Domains.
+  std::uint64_t Revision = 0;
+  std::vector<FailureDomain> Domains;
+};
+
 /// \brief State that peers send each other periodically.
 struct PeerDigest {
   ConfigurationVersion Configuration;
@@ -122,6 +129,7 @@
   bool WatchesStore = false;
   /// Rate limits that changed recently.
   std::vector<RateLimitNotice> RateLimits;
+  EvacuationNotice Evacuations;
 };
 
 /// \brief An accepted configuration, for a peer that has an older version.
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -69,6 +69,10 @@
   auto Limits = Group.initRateLimits(In.RateLimits.size());
   for (unsigned Index = 0; Index < In.RateLimits.size(); ++Index)
     write(Limits[Index], In.RateLimits[Index]);
+  Group.setEvacuationRevision(In.Evacuations.Revision);
+  auto Domains = Group.initEvacuatedDomains(In.Evacuations.Domains.size());
+  for (unsigned Index = 0; Index < In.Evacuations.Domains.size(); ++Index)
+    Domains.set(Index, In.Evacuations.Domains[Index].Value);
 }
 
 static void writeOne(Builder Out, const ConfigurationText &In) {
@@ -236,6 +240,9 @@
   Out.WatchesStore = In.getWatchesStore();
   for (schema::RateLimitNotice::Reader Item : In.getRateLimits())
     Out.RateLimits.push_back(readRateLimit(Item));
+  Out.Evacuations.Revision = In.getEvacuationRevision();
+  for (capnp::Text::Reader Item : In.getEvacuatedDomains())
+    Out.Evacuations.Domains.push_back(FailureDomain{Item.cStr()});
   return Out;
 }
 
--- a/bronzeward/src/Relay/DeploymentCodec.h
+++ b/bronzeward/src/Relay/DeploymentCodec.h
@@ -4,6 +4,7 @@
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
 #include "bronzeward/src/Store/StorePort.h"
 
+#include <optional>
 #include <string>
 
 namespace bronzeward {
@@ -15,6 +16,12 @@
   virtual ~DeploymentCodec() = default;
   /// \returns the store key of the active configuration.
   [[nodiscard]] virtual std::string configurationKey() const = 0;
+  /// \returns the prefix of all keys that operators write.
+  [[nodiscard]] virtual std::string operatorPrefix() const = 0;
+  /// \returns the failure domain that a key evacuates while it exists; empty
+  /// for other keys.
+  [[nodiscard]] virtual std::optional<FailureDomain>
+  evacuatedDomain(const std::string &Key) const = 0;
   /// \returns the key prefix of the upstreams' registry entries.
   [[nodiscard]] virtual std::string upstreamPrefix() const = 0;
   [[nodiscard]] virtual Result<FleetConfiguration>
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -37,6 +37,9 @@
 /// of a small fleet, and enough for the news to reach every instance of a large
 /// one in a few steps.
 constexpr std::size_t PartNewsFanout = 3;
+/// Number of peers to which an instance of a large fleet passes on a changed
+/// evacuation at once, besides its followers.
+constexpr std::size_t EvacuationFanout = 3;
 /// Time after its last sign for which congestion makes an instance unready: the
 /// load balancer needs about two seconds to notice, and takes as long to return
 /// new connections to the instance.
@@ -90,10 +93,9 @@
       Codecs(PlatformCodecs), RandomSource(Identity.Seed),
       Store(Dependencies.Store, Timers, RandomSource, Identity.Store),
       Registry(ownMember(Identity), Store, Timers, RandomSource),
-      ConfigurationChanges(*this), UpstreamChanges(*this),
-      ConfigurationKeys(PlatformCodecs.Deployment.configurationKey(),
-                        Policy.WatchWait, Store, Timers, RandomSource,
-                        ConfigurationChanges),
+      OperatorChanges(*this), UpstreamChanges(*this),
+      OperatorKeys(PlatformCodecs.Deployment.operatorPrefix(), Policy.WatchWait,
+                   Store, Timers, RandomSource, OperatorChanges),
       UpstreamKeys(PlatformCodecs.Deployment.upstreamPrefix(), Policy.WatchWait,
                    Store, Timers, RandomSource, UpstreamChanges),
       Election(Identity.Instance, Identity.Domain),
@@ -122,7 +124,7 @@
       [this](std::vector<Member> Listed, TimePoint At) {
         onMembersListed(std::move(Listed), At);
       });
-  ConfigurationKeys.start(Now);
+  OperatorKeys.start(Now);
   UpstreamKeys.start(Now);
   gossip(Now);
   sendLoad(Now);
@@ -239,16 +241,36 @@
 
 // Configuration.
 
-void FleetCore::ConfigurationListener::onListed(
-    const std::vector<StoreEntry> &Listed, std::uint64_t, TimePoint Now) {
+void FleetCore::OperatorListener::onListed(
+    const std::vector<StoreEntry> &Listed, std::uint64_t Revision,
+    TimePoint Now) {
+  Owner.applyConfiguration(Listed, Now);
+  EvacuationNotice InForce;
+  InForce.Revision = Revision;
   for (const StoreEntry &Entry : Listed)
-    onChanged(Entry, Now);
+    if (const std::optional<FailureDomain> Domain =
+            Owner.Codecs.Deployment.evacuatedDomain(Entry.Key))
+      InForce.Domains.push_back(*Domain);
+  if (Owner.Evacuated.onListed(InForce))
+    Owner.onEvacuationsChanged("store", Now);
 }
 
-void FleetCore::ConfigurationListener::onChanged(const StoreEntry &Entry,
-                                                 TimePoint Now) {
-  if (!Entry.Deleted && Entry.Key == Owner.Codecs.Deployment.configurationKey())
-    Owner.onConfigurationText(Entry.Value, "store", Now);
+void FleetCore::OperatorListener::onChanged(const StoreEntry &Entry,
+                                            TimePoint Now) {
+  Owner.applyConfiguration({Entry}, Now);
+  const std::optional<FailureDomain> Domain =
+      Owner.Codecs.Deployment.evacuatedDomain(Entry.Key);
+  if (Domain &&
+      Owner.Evacuated.onChanged(*Domain, !Entry.Deleted, Entry.Revision))
+    Owner.onEvacuationsChanged("store", Now);
+}
+
+void FleetCore::applyConfiguration(const std::vector<StoreEntry> &Listed,
+                                   TimePoint Now) {
+  const std::string Key = Codecs.Deployment.configurationKey();
+  for (const StoreEntry &Entry : Listed)
+    if (!Entry.Deleted && Entry.Key == Key)
+      onConfigurationText(Entry.Value, "store", Now);
 }
 
 void FleetCore::onConfigurationText(const std::string &Text,
@@ -309,7 +331,7 @@
   const auto Apply = [this](const StoreReply &Reply, TimePoint At) {
     ReadingConfiguration = false;
     if (Reply.Status == StoreStatus::Ok)
-      ConfigurationChanges.onListed(Reply.Entries, Reply.Revision, At);
+      applyConfiguration(Reply.Entries, At);
   };
   const std::string Key = Codecs.Deployment.configurationKey();
   Store.call(
@@ -323,6 +345,50 @@
       });
 }
 
+// Evacuations.
+
+void FleetCore::onEvacuationsChanged(const std::string &From, TimePoint Now) {
+  const EvacuationNotice InForce = Evacuated.notice();
+  std::string Names;
+  for (const FailureDomain &Domain : InForce.Domains)
+    Names += " " + Domain.Value;
+  Deps.Log.onEvent("evacuation",
+                   "failure domains:" + (Names.empty() ? " none" : Names) +
+                       ", revision " + std::to_string(InForce.Revision) +
+                       " from " + From);
+  updateUsableUpstreams(Now);
+  if (EvacuationNewsScheduled)
+    return;
+  // Changes of one store transaction arrive one after the other.
+  EvacuationNewsScheduled = true;
+  Timers.schedule(Now, [this](TimePoint) { sendEvacuations(); });
+}
+
+void FleetCore::sendEvacuations() {
+  EvacuationNewsScheduled = false;
+  std::vector<InstanceId> Others = gossipPeers();
+  RandomSource.shuffle(Others);
+  if (Members.members().size() > SmallFleet)
+    Others.resize(std::min(Others.size(), EvacuationFanout));
+  std::set<InstanceId> To(Election.followers().begin(),
+                          Election.followers().end());
+  To.insert(Others.begin(), Others.end());
+  const PeerDigest Digest = digest();
+  for (const InstanceId &Peer : To)
+    Deps.Peers.send(Peer, Digest);
+}
+
+void FleetCore::onEvacuationNotice(const InstanceId &From,
+                                   const PeerDigest &Message, TimePoint Now) {
+  if (Evacuated.onListed(Message.Evacuations)) {
+    onEvacuationsChanged("peer " + From.Value, Now);
+    return;
+  }
+  // A peer without the store learns of an evacuation by its peers alone.
+  if (Message.StoreUnreachable && Evacuated.isNewerThan(Message.Evacuations))
+    Deps.Peers.send(From, digest());
+}
+
 // Upstreams.
 
 void FleetCore::UpstreamListener::onListed(
@@ -446,7 +512,7 @@
 }
 
 void FleetCore::updateUsableUpstreams(TimePoint Now) {
-  Engine.setUsable(Directory.usable(Now), Now);
+  Engine.setUsable(Evacuated.withoutEvacuated(Directory.usable(Now)), Now);
   NextLapse = Directory.nextRemoval(Now);
 }
 
@@ -459,18 +525,19 @@
   Digest.UpstreamRevision = Directory.revision();
   Digest.StoreUnreachable = storeUnreachable();
   Digest.PeerAddress = Identity.PeerAddress;
+  Digest.Evacuations = Evacuated.notice();
   // The followers of both kinds of keys are paused and resumed together.
   Digest.WatchesStore = !Digest.StoreUnreachable && UpstreamKeys.following() &&
-                        ConfigurationKeys.inContact();
+                        OperatorKeys.inContact();
   return Digest;
 }
 
 void FleetCore::updateWatchRole(TimePoint Now) {
   if (Election.watches(Now)) {
-    ConfigurationKeys.resume(Now);
+    OperatorKeys.resume(Now);
     UpstreamKeys.resume(Now);
   } else {
-    ConfigurationKeys.pause();
+    OperatorKeys.pause();
     UpstreamKeys.pause();
   }
   if (Now < NextFollowerDigest)
@@ -559,6 +626,7 @@
     PeersWithoutStore[From] = Now;
   else
     PeersWithoutStore.erase(From);
+  onEvacuationNotice(From, Message, Now);
   compareConfigurations(From, Message, Now);
   compareUpstreams(From, Message, Now);
 }
@@ -808,6 +876,7 @@
   Status.StoreFailing = storeUnreachable();
   Status.Upstreams = Engine.upstreams().size();
   Status.RateLimitedUpstreams = Limits.limited();
+  Status.EvacuatedDomains = Evacuated.notice().Domains;
   Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
   Status.Requests = Engine.counters();
   Status.FirstByte = Engine.firstByteLatency();
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -101,12 +101,12 @@
   [[nodiscard]] std::optional<CallerBounds> callerBounds() const override;
 
 private:
-  /// Applies changes of the configuration's key.
-  class ConfigurationListener : public StoreFollowerListener {
+  /// Applies changes of the operators' keys.
+  class OperatorListener : public StoreFollowerListener {
   public:
-    explicit ConfigurationListener(FleetCore &Core) : Owner(Core) {}
-    void onListed(const std::vector<StoreEntry> &Entries, std::uint64_t,
-                  TimePoint Now) override;
+    explicit OperatorListener(FleetCore &Core) : Owner(Core) {}
+    void onListed(const std::vector<StoreEntry> &Entries,
+                  std::uint64_t Revision, TimePoint Now) override;
     void onChanged(const StoreEntry &Entry, TimePoint Now) override;
 
   private:
@@ -161,6 +161,14 @@
   /// \returns every entry that changed after a revision, or the whole list
   /// where not all changes since are known.
   [[nodiscard]] UpstreamList changesSince(std::uint64_t Revision) const;
+  /// Applies the configuration among entries of the store.
+  void applyConfiguration(const std::vector<StoreEntry> &Listed, TimePoint Now);
+  /// Stops or resumes new calls to failure domains and tells the peers.
+  void onEvacuationsChanged(const std::string &From, TimePoint Now);
+  /// Sends the evacuated failure domains to followers and some other peers.
+  void sendEvacuations();
+  void onEvacuationNotice(const InstanceId &From, const PeerDigest &Message,
+                          TimePoint Now);
   void onPeerConfiguration(const InstanceId &From,
                            const ConfigurationText &Message, TimePoint Now);
   void sendConfiguration(const InstanceId &To);
@@ -213,11 +221,12 @@
   StoreClient Store;
   Membership Members;
   InstanceRegistry Registry;
-  ConfigurationListener ConfigurationChanges;
+  OperatorListener OperatorChanges;
   UpstreamListener UpstreamChanges;
-  StoreFollower ConfigurationKeys;
+  StoreFollower OperatorKeys;
   StoreFollower UpstreamKeys;
   UpstreamDirectory Directory;
+  EvacuatedDomains Evacuated;
   WatcherElection Election;
   RateLimitAgent Limits;
   RelayEngine Engine;
@@ -256,6 +265,7 @@
   TimePoint NextStoreReport;
   std::optional<TimePoint> HousekeepingDue;
   bool PartNewsScheduled = false;
+  bool EvacuationNewsScheduled = false;
   /// Until then, the instance is not ready because of its own congestion.
   TimePoint CongestedUntil;
   LoadNotice SentLoad;
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -16,6 +16,9 @@
   json::array Quarantined;
   for (const ContentFingerprint &Content : Status.Quarantined)
     Quarantined.push_back(json::value(Content.Value));
+  json::array Evacuated;
+  for (const FailureDomain &Domain : Status.EvacuatedDomains)
+    Evacuated.push_back(json::value(Domain.Value));
   const json::object Object{
       {"instance", Status.Instance.Value},
       {"failure_domain", Status.Domain.Value},
@@ -29,6 +32,7 @@
       {"carried_bills", Status.CarriedBills},
       {"held_grants_micros", Status.HeldGrants.micros()},
       {"store_failing", Status.StoreFailing},
+      {"evacuated_failure_domains", std::move(Evacuated)},
       {"members", std::move(Members)},
       {"quarantined", std::move(Quarantined)}};
   return json::serialize(Object) + "\n";
@@ -92,6 +96,9 @@
             static_cast<std::int64_t>(Status.Upstreams));
   Out.gauge("rate_limited_upstreams", "Upstreams that state a rate limit.",
             static_cast<std::int64_t>(Status.RateLimitedUpstreams));
+  Out.gauge("evacuated_failure_domains",
+            "Failure domains whose upstreams get no calls.",
+            static_cast<std::int64_t>(Status.EvacuatedDomains.size()));
   Out.gauge("store_failing", "Whether the store does not answer.",
             Status.StoreFailing ? 1 : 0);
   Out.gauge("ready", "Whether the instance takes requests.",
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -54,6 +54,8 @@
   std::size_t Upstreams = 0;
   /// Upstreams that state a rate limit in their answers.
   std::size_t RateLimitedUpstreams = 0;
+  /// Failure domains whose upstreams get no calls.
+  std::vector<FailureDomain> EvacuatedDomains;
   std::int64_t InFlight = 0;
   std::size_t PendingOperations = 0;
   std::size_t CarriedBills = 0;
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -36,6 +36,9 @@
 /// Bytes of one reply of the store without its values.
 constexpr double ReplyOverheadBytes = 300;
 
+/// Prefix of the keys that evacuate failure domains.
+const std::string EvacuationPrefix = "op/evacuate/";
+
 // The store.
 
 static bool hasPrefix(const std::string &Key, const std::string &Prefix) {
@@ -244,11 +247,12 @@
               Now);
 }
 
-void FleetNetwork::writeUpstream(const std::string &Name) {
+void FleetNetwork::writeUpstream(const std::string &Name,
+                                 const std::string &Domain) {
   Store.write(Deployment.upstreamPrefix() + Name,
               json::serialize(json::object{{"service", "drafting"},
                                            {"address", "10.0.0.1:80"},
-                                           {"zone", "d0"},
+                                           {"zone", Domain},
                                            {"version", 1},
                                            {"capacity", 64},
                                            {"state", "ready"},
@@ -258,6 +262,14 @@
               Now);
 }
 
+void FleetNetwork::evacuate(const std::string &Domain) {
+  Store.write(EvacuationPrefix + Domain, "{}", Now);
+}
+
+void FleetNetwork::endEvacuation(const std::string &Domain) {
+  Store.remove(EvacuationPrefix + Domain, Now);
+}
+
 void FleetNetwork::writeEntry(const std::string &Name,
                               const std::string &Value) {
   Store.write(Deployment.upstreamPrefix() + Name, Value, Now);
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -111,7 +111,11 @@
   void runFor(Duration Time);
   /// \brief Writes a configuration version with the given number of routes.
   void configure(std::uint64_t Version, std::size_t Routes);
-  void writeUpstream(const std::string &Name);
+  void writeUpstream(const std::string &Name, const std::string &Domain = "d0");
+  /// \brief Writes an operator's request to evacuate a failure domain.
+  void evacuate(const std::string &Domain);
+  /// \brief Takes an evacuation back.
+  void endEvacuation(const std::string &Domain);
   /// \brief Writes any bytes as the registry entry of a name.
   void writeEntry(const std::string &Name, const std::string &Value);
   void removeUpstream(const std::string &Name);
