Place calls by the reported slowness of an upstream's host

A load report with a fourth figure, the present slowness of the host, was dropped whole. It is now read; a malformed fourth figure leaves the other three in force. UpstreamSpeed turns reports into an estimate that fades with their age, and learns the lasting speed of each upstream from own answers after the reported slowness was divided out. Upstreams that never report the figure are judged as before.

--- a/bronzeward/src/Relay/RelayCall.h
+++ b/bronzeward/src/Relay/RelayCall.h
@@ -67,6 +67,9 @@
   std::int64_t Running = 0;
   std::int64_t Waiting = 0;
   std::int64_t Slots = 0;
+  /// How long work takes on the upstream's host at present, as a multiple of
+  /// the usual time; empty if the upstream does not report it.
+  std::optional<double> HostSlowness = std::nullopt;
 };
 
 /// \brief Decoded status line and headers of an upstream's answer.
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -1,7 +1,8 @@
 #include "bronzeward/src/Relay/UpstreamPool.h"
 
+#include "bronzeward/src/Relay/ExponentialDecay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace bronzeward {
 
@@ -31,6 +32,9 @@
 constexpr double ServiceTimeSmoothing = 0.1;
 constexpr double SlowdownSmoothing = 0.3;
 constexpr double MaxSlowdown = 10.0;
+/// The same for the slowdown that the reported slowness leaves over, which
+/// varies more.
+constexpr double ResidualSmoothing = 0.1;
 constexpr double LowerTokenTimeWeight = 0.2;
 constexpr double HigherTokenTimeWeight = 0.01;
 /// How long a peer's load notice is valid. Peers renew it more often.
@@ -65,12 +69,6 @@
 constexpr std::size_t MaxPreferred = 4;
 constexpr std::size_t SampleSize = 8;
 
-/// \returns the weight of a value of the given age under exponential decay.
-static double decayWeight(Duration Age,
-                          std::chrono::duration<double> DecayTime) {
-  return std::exp(-std::chrono::duration<double>(Age) / DecayTime);
-}
-
 std::vector<UpstreamName>
 UpstreamPool::setUsable(const std::vector<UpstreamEntry> &Usable,
                         TimePoint Now) {
@@ -140,6 +138,7 @@
   Begun.FreshTokens =
       std::max<std::int64_t>(0, Query.PromptTokens - Result.CachedTokens);
   Begun.Expected = expectedDelay({Query.PromptTokens, 0}, Result);
+  Begun.HostSlowness = Item->Speed.hostSlowness(Now);
   Begun.SentAt = Now;
   Item->PendingTokens += Begun.FreshTokens;
   ++Item->Outstanding;
@@ -181,14 +180,38 @@
   }
   const std::chrono::duration<double> Expected =
       std::max(Attempt.Expected, MinComparedDelay);
-  const double Ratio =
-      std::clamp(std::chrono::duration<double>(TimeToFirstByte) / Expected, 1.0,
-                 MaxSlowdown);
+  double MinRatio = 1.0;
+  double Smoothing = SlowdownSmoothing;
+  double Measured = std::chrono::duration<double>(TimeToFirstByte) / Expected;
+  if (Item.Speed.isReported()) {
+    Measured /= averageHostSlowness(Item, Attempt, Now);
+    if (Attempt.FreshTokens >= MinComparedTokens)
+      Item.Speed.onAnswer(Measured, Now);
+    Measured /= Item.Speed.lastingSlowness(Now);
+    // The host's slowness during the call is estimated too high as often as too
+    // low.
+    MinRatio = 1.0 / MaxSlowdown;
+    Smoothing = ResidualSmoothing;
+  }
+  const double Ratio = std::clamp(Measured, MinRatio, MaxSlowdown);
   const double Previous = currentSlowdown(Item, Now);
-  Item.Slowdown = Previous + (Ratio - Previous) * SlowdownSmoothing;
+  Item.Slowdown = Previous + (Ratio - Previous) * Smoothing;
   Item.SlowdownAt = Now;
 }
 
+void UpstreamPool::updateServiceTime(State &Item, const RunningAttempt &Attempt,
+                                     TimePoint Now) {
+  // Placement multiplies by the slowness of the moment.
+  const std::chrono::duration<double> Usual =
+      Item.Speed.isReported()
+          ? std::chrono::duration<double>(Now - Attempt.SentAt) /
+                (averageHostSlowness(Item, Attempt, Now) *
+                 Item.Speed.lastingSlowness(Now))
+          : std::chrono::duration<double>(Now - Attempt.SentAt);
+  Item.ServiceTime += std::chrono::duration_cast<Duration>(
+      (Usual - Item.ServiceTime) * ServiceTimeSmoothing);
+}
+
 void UpstreamPool::onEnded(AttemptId Attempt, AttemptEnd End, TimePoint Now) {
   const auto Found = RunningAttempts.find(Attempt);
   if (Found == RunningAttempts.end())
@@ -207,8 +230,7 @@
   case AttemptEnd::Answered:
     Item->LastHeard = Now;
     Item->EjectionTime = Duration();
-    Item->ServiceTime += std::chrono::duration_cast<Duration>(
-        (Elapsed - Item->ServiceTime) * ServiceTimeSmoothing);
+    updateServiceTime(*Item, Ended, Now);
     recordOutcome(*Item, 0.0, AnsweredWeight, Now);
     return;
   case AttemptEnd::Failed:
@@ -260,6 +282,8 @@
     return;
   Item->Load = Load;
   Item->LoadReportedAt = Now;
+  if (Load.HostSlowness)
+    Item->Speed.onReport(*Load.HostSlowness, Now);
 }
 
 void UpstreamPool::onLeaving(const UpstreamName &Name, TimePoint Now) {
@@ -331,6 +355,12 @@
                    decayWeight(Now - Item.SlowdownAt, HealthDecayTime);
 }
 
+double UpstreamPool::averageHostSlowness(const State &Item,
+                                         const RunningAttempt &Attempt,
+                                         TimePoint Now) {
+  return (Attempt.HostSlowness + Item.Speed.hostSlowness(Now)) / 2.0;
+}
+
 double UpstreamPool::estimatedLoad(const State &Item, TimePoint Now) {
   const double Own = static_cast<double>(Item.Outstanding + Item.PeerCalls);
   if (!Item.LoadReportedAt)
@@ -386,7 +416,7 @@
     Result.PrefillTokenTime = Service->second.TokenTime;
   Result.NetworkDelay =
       Item.Entry.Domain == Domain ? Duration() : CrossDomainDelay;
-  Result.Slowdown = currentSlowdown(Item, Now);
+  Result.Slowdown = currentSlowdown(Item, Now) * Item.Speed.slowness(Now);
   Result.FailureFraction = failureRate(Item, Now);
   // Other instances send prompts with the same shared parts to the same
   // preferred upstream, so they are probably cached there.
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Relay/DispatchGate.h"
 #include "bronzeward/src/Relay/Placement.h"
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
+#include "bronzeward/src/Relay/UpstreamSpeed.h"
 
 #include <limits>
 #include <map>
@@ -116,6 +117,8 @@
     std::int64_t FreshTokens = 0;
     /// Expected time to the first byte when the call was sent.
     Duration Expected{};
+    /// Estimated slowness of the upstream's host when the call was sent.
+    double HostSlowness = 1.0;
     TimePoint SentAt;
     bool Answered = false;
   };
@@ -134,6 +137,9 @@
     TimePoint FailuresAt;
     double Slowdown = 1.0;
     TimePoint SlowdownAt;
+    /// Judges the upstream together with Slowdown if it reports its host's
+    /// slowness.
+    UpstreamSpeed Speed;
     TimePoint EjectedUntil;
     Duration EjectionTime{};
     TimePoint LastHeard;
@@ -170,6 +176,12 @@
   void eject(State &Item, TimePoint Now);
   void updateEstimates(State &Item, const RunningAttempt &Attempt,
                        TimePoint Now);
+  static void updateServiceTime(State &Item, const RunningAttempt &Attempt,
+                                TimePoint Now);
+  /// \returns the slowness of the upstream's host over the time of a call.
+  [[nodiscard]] static double averageHostSlowness(const State &Item,
+                                                  const RunningAttempt &Attempt,
+                                                  TimePoint Now);
   State *state(const UpstreamName &Name);
   void sumPeerLoads();
 
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -35,7 +35,8 @@
   Duration PrefillTokenTime{};
   /// One-way network delay from this instance.
   Duration NetworkDelay{};
-  /// Ratio of its measured answer times to the expected ones.
+  /// Ratio of its measured answer times to the expected ones, times the
+  /// slowness that it reports.
   double Slowdown = 1.0;
   /// Fraction of its recent attempts that failed, 0 to 1.
   double FailureFraction = 0.0;
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -112,6 +112,26 @@
   CHECK(Head.Load->Running + Head.Load->Waiting > 0);
 }
 
+TEST_CASE("The fourth figure of a load report is the host's slowness",
+          "[PlatformCodec]") {
+  const PlatformCallCodec Codec;
+  const auto ParsedLoad = [&Codec](const std::string &Text) {
+    return Codec.parseAnswerHead({200, {{"X-Server-Load", Text}}}).Load;
+  };
+  REQUIRE(ParsedLoad("3,1,8,250"));
+  CHECK(ParsedLoad("3,1,8,250")->Running == 3);
+  CHECK(ParsedLoad("3,1,8,250")->HostSlowness == 2.5);
+  CHECK_FALSE(ParsedLoad("3,1,8")->HostSlowness);
+  for (const std::string Malformed : {"0", "-1", "", "x", "1e9"}) {
+    INFO(Malformed);
+    REQUIRE(ParsedLoad("3,1,8," + Malformed));
+    CHECK(ParsedLoad("3,1,8," + Malformed)->Waiting == 1);
+    CHECK_FALSE(ParsedLoad("3,1,8," + Malformed)->HostSlowness);
+  }
+  const std::string Largest = "9223372036854775807";
+  CHECK(*ParsedLoad("3,1,8," + Largest)->HostSlowness <= 10.0);
+}
+
 TEST_CASE("An answer's head shows whether the call ran", "[PlatformCodec]") {
   const PlatformCallCodec Codec;
   CHECK(Codec.parseAnswerHead({503, {{"X-Not-Executed", "1"}}}).NotRun);
