Place calls by the room in upstreams' memory

A few long calls fill an upstream's memory while most of its slots are free; calls went on to it by its slots alone. Where the configuration states the memory, the time until a call fits now counts as a queue, and a call that exceeds the memory has no candidate. What other instances hold follows from the calls that are reported, so no message is added.

--- a/bronzeward/src/Config/FleetConfiguration.h
+++ b/bronzeward/src/Config/FleetConfiguration.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,9 @@
   std::int64_t MaxConnections = 1024;
   /// Tokens in one event of a stream; zero for services other than models.
   std::int64_t TokensPerEvent = 0;
+  /// Tokens of running requests and cached prompts that one upstream's memory
+  /// holds; empty if not stated.
+  std::optional<std::int64_t> MemoryTokens = std::nullopt;
 };
 
 /// \brief Keys, priority and budget of a workspace.
--- a/bronzeward/src/Relay/Placement.cpp
+++ b/bronzeward/src/Relay/Placement.cpp
@@ -48,6 +48,12 @@
          Network;
 }
 
+static const char *reasonOf(const Candidate &Best) {
+  if (Best.RoomDelay > Duration())
+    return "least delay, waits for memory";
+  return Best.CachedTokens > 0 ? "least delay, cached prompt" : "least delay";
+}
+
 Choice placeCall(const ChoiceInput &Input,
                  std::span<const Candidate> Candidates, Duration Objective) {
   std::size_t Best = 0;
@@ -59,9 +65,8 @@
     MinCost = Cost;
     Best = Index;
   }
-  const bool Cached = Candidates[Best].CachedTokens > 0;
   return {Best, std::chrono::duration<double>(MinCost).count(),
-          Cached ? "least delay, cached prompt" : "least delay"};
+          reasonOf(Candidates[Best])};
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/Placement.h
+++ b/bronzeward/src/Relay/Placement.h
@@ -23,12 +23,14 @@
 /// \brief Chooses the upstream with the lowest placement cost, which is
 /// dominated by the expected time to the first byte.
 ///
-/// Handles three load patterns:
+/// Handles four load patterns:
 /// - Prompts that share long prefixes. A cached prefix need not be computed, so
 ///   calls go to the preferred upstream of their prefix.
 /// - A preferred upstream with more load than it can serve. Its queue outweighs
 ///   the saved computation, and calls spill over to the next preferred
 ///   upstream.
+/// - Upstreams whose memory is full while slots are free. The time until a call
+///   fits counts as a queue.
 /// - Upstreams that are slow or fail some calls although they report themselves
 ///   healthy. Their own answers raise their cost.
 /// \param Candidates must not be empty.
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -188,6 +188,7 @@
   for (const PromptPart &Part : Call.Parts)
     Item.Query.PartTokens.push_back(Part.Tokens);
   Item.Query.PromptTokens = Call.PromptTokens.value_or(0);
+  Item.Query.OutputTokens = Call.MaxOutputTokens.value_or(0);
   Item.Call = std::move(Call);
   Item.Admitted = std::move(Admitted);
   if (Item.Admitted.Route->Resumable)
@@ -279,6 +280,7 @@
   const std::int64_t Instances =
       static_cast<std::int64_t>(Deps.Members.members().size());
   Item.Query.MaxConnections = Service->MaxConnections;
+  Item.Query.MemoryTokens = Service->MemoryTokens;
   Item.Query.ConnectionShare = std::max<std::int64_t>(
       1, Service->MaxConnections / std::max<std::int64_t>(1, Instances));
 }
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -37,6 +37,9 @@
 constexpr double ResidualSmoothing = 0.1;
 constexpr double LowerTokenTimeWeight = 0.2;
 constexpr double HigherTokenTimeWeight = 0.01;
+/// Weight of one call in the mean tokens that calls add to an upstream's
+/// memory.
+constexpr double AddedTokensSmoothing = 0.05;
 /// How long a peer's load notice is valid. Peers renew it more often.
 constexpr Duration PeerLoadLifetime = 1s;
 /// Lower bound of the expected delay in the slowdown ratio. Shorter delays say
@@ -69,6 +72,11 @@
 constexpr std::size_t MaxPreferred = 4;
 constexpr std::size_t SampleSize = 8;
 
+static CallFootprint footprintOf(const PlacementQuery &Query) {
+  return parseFootprint(Query.Prefixes, Query.PartTokens, Query.PromptTokens,
+                        Query.OutputTokens);
+}
+
 std::vector<UpstreamName>
 UpstreamPool::setUsable(const std::vector<UpstreamEntry> &Usable,
                         TimePoint Now) {
@@ -140,6 +148,11 @@
   Begun.Expected = expectedDelay({Query.PromptTokens, 0}, Result);
   Begun.HostSlowness = Item->Speed.hostSlowness(Now);
   Begun.SentAt = Now;
+  if (Query.MemoryTokens) {
+    Begun.Footprint = footprintOf(Query);
+    recordAddedTokens(*Item, Query, Now);
+    Item->Held.add(Begun.Footprint);
+  }
   Item->PendingTokens += Begun.FreshTokens;
   ++Item->Outstanding;
   Item->Unanswered.emplace(Attempt, Now);
@@ -225,6 +238,7 @@
   if (!Ended.Answered)
     Item->PendingTokens -= std::min(Item->PendingTokens, Ended.FreshTokens);
   Item->Unanswered.erase(Attempt);
+  Item->Held.remove(Ended.Footprint);
   const Duration Elapsed = Now - Ended.SentAt;
   switch (End) {
   case AttemptEnd::Answered:
@@ -371,6 +385,43 @@
       Own, Reported * decayWeight(Now - *Item.LoadReportedAt, LoadDecayTime));
 }
 
+void UpstreamPool::recordAddedTokens(const State &Item,
+                                     const PlacementQuery &Query,
+                                     TimePoint Now) {
+  ServiceState &Service = Services[Item.Entry.Service];
+  const std::uint64_t Key = sharedPrefixHash(Query.Prefixes);
+  const std::vector<std::size_t> Preferred =
+      Key == 0 ? std::vector<std::size_t>() : Service.Ring.preferred(Key, 1);
+  const bool IsPreferred =
+      !Preferred.empty() && Service.Names[Preferred.front()] == Item.Entry.Name;
+  const Candidate Estimate =
+      makeCandidate(Item, Query, IsPreferred ? 0 : MaxPreferred, Now);
+  const double Added = static_cast<double>(
+      std::max<std::int64_t>(0, Query.PromptTokens - Estimate.CachedTokens) +
+      Query.OutputTokens);
+  double &Mean = Service.MeanAddedTokens;
+  Mean = Mean == 0.0 ? Added : Mean + (Added - Mean) * AddedTokensSmoothing;
+}
+
+Duration UpstreamPool::roomDelay(const State &Item, const PlacementQuery &Query,
+                                 double Load, std::size_t CachedParts) const {
+  if (!Query.MemoryTokens)
+    return {};
+  const auto Service = Services.find(Item.Entry.Service);
+  const double OthersCalls =
+      std::max(0.0, Load - static_cast<double>(Item.Outstanding));
+  const std::int64_t OthersTokens =
+      Service == Services.end()
+          ? 0
+          : static_cast<std::int64_t>(OthersCalls *
+                                      Service->second.MeanAddedTokens);
+  return timeUntilRoom(
+      {.Memory = *Query.MemoryTokens,
+       .Held = Item.Held.total() + OthersTokens,
+       .Needed = Item.Held.addedBy(footprintOf(Query), CachedParts)},
+      Item.ServiceTime);
+}
+
 bool UpstreamPool::hasConnectionLeft(const State &Item,
                                      const PlacementQuery &Query,
                                      TimePoint Now) {
@@ -425,6 +476,7 @@
       Query.Prefixes.empty() ? 0 : Query.Prefixes.size() - 1;
   if (PreferenceRank == 0)
     Cached = std::max(Cached, Shared);
+  Result.RoomDelay = roomDelay(Item, Query, Result.Load, Cached);
   for (std::size_t Index = 0; Index < Cached; ++Index)
     Result.CachedTokens += Query.PartTokens[Index];
   for (std::size_t Index = Cached; Index < Shared; ++Index)
@@ -470,6 +522,8 @@
   const auto Service = Services.find(Query.Service);
   if (Service == Services.end())
     return Healthy;
+  if (Query.MemoryTokens && footprintOf(Query).total() > *Query.MemoryTokens)
+    return Healthy;
   const bool HasPreferred = sharedPrefixHash(Query.Prefixes) != 0;
   const std::vector<std::size_t> Order =
       scanOrder(Service->second, Query, Source);
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Relay/DispatchGate.h"
 #include "bronzeward/src/Relay/Placement.h"
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
+#include "bronzeward/src/Relay/UpstreamMemory.h"
 #include "bronzeward/src/Relay/UpstreamSpeed.h"
 
 #include <limits>
@@ -43,6 +44,11 @@
   PrefixBlocks Prefixes;
   std::vector<std::int64_t> PartTokens;
   std::int64_t PromptTokens = 0;
+  /// Most tokens that the answer may have.
+  std::int64_t OutputTokens = 0;
+  /// Tokens that an upstream's memory holds; empty if not stated. Then memory
+  /// is not considered.
+  std::optional<std::int64_t> MemoryTokens = std::nullopt;
   /// Upstreams of earlier attempts, which are excluded.
   std::vector<UpstreamName> Excluded;
   /// Connections that one upstream accepts from all instances together.
@@ -91,7 +97,8 @@
   /// \returns the upstreams that may receive a call: the healthy ones or, if
   /// there are none, the unhealthy ones. Excludes upstreams that are shutting
   /// down, that asked for a back-off, or whose share of connections for this
-  /// instance is used up. Preferred upstreams come first.
+  /// instance is used up. Empty if the call exceeds an upstream's memory.
+  /// Preferred upstreams come first.
   [[nodiscard]] std::vector<Candidate>
   candidates(const PlacementQuery &Query, Random &Source, TimePoint Now) const;
   [[nodiscard]] const UpstreamEntry *find(const UpstreamName &Name) const;
@@ -119,6 +126,8 @@
     Duration Expected{};
     /// Estimated slowness of the upstream's host when the call was sent.
     double HostSlowness = 1.0;
+    /// What the call holds in the upstream's memory.
+    CallFootprint Footprint;
     TimePoint SentAt;
     bool Answered = false;
   };
@@ -143,6 +152,8 @@
     TimePoint EjectedUntil;
     Duration EjectionTime{};
     TimePoint LastHeard;
+    /// Memory that this instance's calls hold.
+    HeldTokens Held;
     /// Calls without a first byte, oldest first.
     std::map<AttemptId, TimePoint> Unanswered;
     Duration ServiceTime{};
@@ -154,6 +165,8 @@
     std::vector<UpstreamName> Names;
     /// Estimated time to compute one prompt token.
     Duration TokenTime{};
+    /// Mean tokens that a call adds to what an upstream holds.
+    double MeanAddedTokens = 0.0;
   };
 
   /// \returns whether this instance may open one more connection to an
@@ -161,6 +174,14 @@
   [[nodiscard]] static bool hasConnectionLeft(const State &Item,
                                               const PlacementQuery &Query,
                                               TimePoint Now);
+  /// \brief Updates the mean tokens that calls add to an upstream's memory.
+  void recordAddedTokens(const State &Item, const PlacementQuery &Query,
+                         TimePoint Now);
+  /// \returns the expected time until an upstream has memory for a call.
+  /// \param Load estimated number of requests running or queued there.
+  [[nodiscard]] Duration roomDelay(const State &Item,
+                                   const PlacementQuery &Query, double Load,
+                                   std::size_t CachedParts) const;
   [[nodiscard]] bool isHealthy(const State &Item, TimePoint Now) const;
   [[nodiscard]] Candidate makeCandidate(const State &Item,
                                         const PlacementQuery &Query,
--- a/bronzeward/src/Routing/ChoicePolicy.cpp
+++ b/bronzeward/src/Routing/ChoicePolicy.cpp
@@ -25,7 +25,9 @@
       std::max<std::int64_t>(0, Input.PromptTokens - Item.CachedTokens);
   const Duration PrefillDelay =
       Item.PrefillTokenTime * (UncachedTokens + Item.QueuedPrefillTokens);
-  return QueueDelay + PrefillDelay + 2 * Item.NetworkDelay;
+  // A request waits for a slot and for memory at the same time.
+  return std::max(QueueDelay, Item.RoomDelay) + PrefillDelay +
+         2 * Item.NetworkDelay;
 }
 
 namespace {
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -31,6 +31,8 @@
   std::int64_t QueuedPrefillTokens = 0;
   /// Mean time to serve one request.
   Duration ServiceTime{};
+  /// Expected time until its memory has room for the request.
+  Duration RoomDelay{};
   /// Time to compute one prompt token.
   Duration PrefillTokenTime{};
   /// One-way network delay from this instance.
@@ -73,8 +75,8 @@
   [[nodiscard]] virtual bool usesSample() const { return false; }
 };
 
-/// \returns the expected time to the first token: queueing, prefill and the
-/// network's round trip.
+/// \returns the expected time to the first token: queueing for a slot or for
+/// memory, prefill and the network's round trip.
 [[nodiscard]] Duration expectedDelay(const ChoiceInput &Input,
                                      const Candidate &Item);
 
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -258,7 +258,8 @@
       R"({"service":"t","weight":10}]},{"name":"q","host":"h.example",)"
       R"("prefix":"/a/b/","kind":"idempotent","service":"t","public":true}],)"
       R"("services":[{"name":"s","max_connections":360,)"
-      R"("engine":{"stride":3}},{"name":"t"}],)"
+      R"("engine":{"stride":3,"kv_capacity":352359}},{"name":"t",)"
+      R"("engine":{"kv_capacity":-1}}],)"
       R"("limits":{"max_header_bytes":9000},"tenants":[{"name":"khan",)"
       R"("api_keys":["k1"],"priority":1,"prepaid":500}]})");
   REQUIRE(Text);
@@ -268,6 +269,8 @@
   CHECK(Table.route("h.example", "/a/b/c")->Name == "q");
   CHECK(Table.route("h.example", "/ab") == nullptr);
   CHECK(Table.service(ServiceName{"s"})->TokensPerEvent == 3);
+  CHECK(Table.service(ServiceName{"s"})->MemoryTokens == 352'359);
+  CHECK_FALSE(Table.service(ServiceName{"t"})->MemoryTokens);
   REQUIRE(Table.workspace("k1") != nullptr);
   CHECK(Table.workspace("k1")->Prepaid == Money(500));
   CHECK(Table.workspace("k2") == nullptr);
@@ -287,7 +290,7 @@
                 R"("target_latency_ms":@,"priority":@,"attempts":@,)"
                 R"("backends":[{"service":"s","weight":@},)"
                 R"({"service":"t","weight":-1}]}],"services":[{"name":"s",)"
-                R"("max_connections":@,"engine":{"stride":@}}],)"
+                R"("max_connections":@,"engine":{"stride":@,"kv_capacity":@}}],)"
                 R"("limits":{"max_header_bytes":@,"header_timeout_ms":@},)"
                 R"("tenants":[{"name":"khan","api_keys":["k"],)"
                 R"("prepaid":@}]})"),
