Weigh what a kept prefix saves by how likely it is kept

A prefix counted as cached for good once it was sent, and always at its preferred upstream. Where the configuration states the memory, its tokens now count by the probability that they are still held: tokens that came in since its last use, against the memory that running calls leave free.

With the former estimate, a hot prefix stays at an upstream whose memory is full, and a prefix counts as cached after 100 calls of 17,000 tokens passed through a memory of 350,000. Both tests fail with it and pass now.

--- a/bronzeward/src/Relay/UpstreamMemory.h
+++ b/bronzeward/src/Relay/UpstreamMemory.h
@@ -38,6 +38,10 @@
   void remove(const CallFootprint &Call);
 
   [[nodiscard]] std::int64_t total() const { return Total; }
+  /// \returns whether a call runs with a shared prefix.
+  [[nodiscard]] bool holds(std::uint64_t Prefix) const {
+    return Shared.contains(Prefix);
+  }
   /// \returns the tokens that a call would hold beside those held already.
   /// \param CachedParts number of its leading parts that are in memory anyway.
   [[nodiscard]] std::int64_t addedBy(const CallFootprint &Call,
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -37,6 +37,8 @@
 constexpr double ResidualSmoothing = 0.1;
 constexpr double LowerTokenTimeWeight = 0.2;
 constexpr double HigherTokenTimeWeight = 0.01;
+/// Probability from which a part counts as one that needs no further room.
+constexpr double LikelyHeld = 0.5;
 /// Weight of one call in the mean tokens that calls add to an upstream's
 /// memory.
 constexpr double AddedTokensSmoothing = 0.05;
@@ -150,13 +152,16 @@
   Begun.SentAt = Now;
   if (Query.MemoryTokens) {
     Begun.Footprint = footprintOf(Query);
-    recordAddedTokens(*Item, Query, Now);
+    const std::int64_t Added = recordAddedTokens(*Item, Query, Now);
     Item->Held.add(Begun.Footprint);
+    countTokensOfOthers(*Item, Now);
+    Item->Retention.onCall(Query.Prefixes, Added, *Query.MemoryTokens);
   }
   Item->PendingTokens += Begun.FreshTokens;
   ++Item->Outstanding;
   Item->Unanswered.emplace(Attempt, Now);
-  Item->Prefixes.insert(Query.Prefixes);
+  if (!Query.MemoryTokens)
+    Item->Prefixes.insert(Query.Prefixes);
   RunningAttempts.emplace(Attempt, std::move(Begun));
 }
 
@@ -282,6 +287,7 @@
       std::clamp(2 * Item.EjectionTime, MinEjection, MaxEjection);
   Item.EjectedUntil = Now + Item.EjectionTime;
   Item.Prefixes.clear();
+  Item.Retention.clear();
 }
 
 void UpstreamPool::onRefused(const UpstreamName &Name, TimePoint Now) {
@@ -294,6 +300,7 @@
   State *Item = state(Name);
   if (Item == nullptr)
     return;
+  countTokensOfOthers(*Item, Now);
   Item->Load = Load;
   Item->LoadReportedAt = Now;
   if (Load.HostSlowness)
@@ -385,9 +392,9 @@
       Own, Reported * decayWeight(Now - *Item.LoadReportedAt, LoadDecayTime));
 }
 
-void UpstreamPool::recordAddedTokens(const State &Item,
-                                     const PlacementQuery &Query,
-                                     TimePoint Now) {
+std::int64_t UpstreamPool::recordAddedTokens(const State &Item,
+                                             const PlacementQuery &Query,
+                                             TimePoint Now) {
   ServiceState &Service = Services[Item.Entry.Service];
   const std::uint64_t Key = sharedPrefixHash(Query.Prefixes);
   const std::vector<std::size_t> Preferred =
@@ -396,29 +403,75 @@
       !Preferred.empty() && Service.Names[Preferred.front()] == Item.Entry.Name;
   const Candidate Estimate =
       makeCandidate(Item, Query, IsPreferred ? 0 : MaxPreferred, Now);
-  const double Added = static_cast<double>(
+  const std::int64_t Added =
       std::max<std::int64_t>(0, Query.PromptTokens - Estimate.CachedTokens) +
-      Query.OutputTokens);
+      Query.OutputTokens;
   double &Mean = Service.MeanAddedTokens;
-  Mean = Mean == 0.0 ? Added : Mean + (Added - Mean) * AddedTokensSmoothing;
+  Mean = Mean == 0.0 ? static_cast<double>(Added)
+                     : Mean + (static_cast<double>(Added) - Mean) *
+                                  AddedTokensSmoothing;
+  return Added;
 }
 
-Duration UpstreamPool::roomDelay(const State &Item, const PlacementQuery &Query,
-                                 double Load, std::size_t CachedParts) const {
-  if (!Query.MemoryTokens)
-    return {};
+std::int64_t UpstreamPool::tokensOfOthers(const State &Item,
+                                          TimePoint Now) const {
+  const auto Service = Services.find(Item.Entry.Service);
+  if (Service == Services.end())
+    return 0;
+  const double Calls = std::max(0.0, estimatedLoad(Item, Now) -
+                                         static_cast<double>(Item.Outstanding));
+  return static_cast<std::int64_t>(Calls * Service->second.MeanAddedTokens);
+}
+
+void UpstreamPool::countTokensOfOthers(State &Item, TimePoint Now) const {
+  const std::chrono::duration<double> Elapsed =
+      std::min(Now - Item.OthersCountedAt, LoadReportLifetime);
+  Item.OthersCountedAt = Now;
   const auto Service = Services.find(Item.Entry.Service);
-  const double OthersCalls =
-      std::max(0.0, Load - static_cast<double>(Item.Outstanding));
-  const std::int64_t OthersTokens =
-      Service == Services.end()
-          ? 0
-          : static_cast<std::int64_t>(OthersCalls *
-                                      Service->second.MeanAddedTokens);
-  return timeUntilRoom(
+  if (Service == Services.end() || Service->second.TokenTime <= Duration() ||
+      Item.ServiceTime <= Duration())
+    return;
+  const double Turns = Elapsed / Item.ServiceTime;
+  const double MostComputed = Elapsed / Service->second.TokenTime;
+  Item.Retention.onOthersTokens(std::min(
+      MostComputed, Turns * static_cast<double>(tokensOfOthers(Item, Now))));
+}
+
+void UpstreamPool::estimateMemory(Candidate &Result, const State &Item,
+                                  const PlacementQuery &Query,
+                                  std::size_t PreferenceRank,
+                                  TimePoint Now) const {
+  const std::int64_t Held = Item.Held.total() + tokensOfOthers(Item, Now);
+  const std::int64_t Spare = *Query.MemoryTokens - Held;
+  double Cached = 0.0;
+  double Probability = 1.0;
+  std::int64_t Evictable = 0;
+  std::size_t LikelyParts = 0;
+  for (std::size_t Index = 0; Index < Query.Prefixes.size(); ++Index) {
+    const std::uint64_t Prefix = Query.Prefixes[Index];
+    const bool Shared = Index + 1 < Query.Prefixes.size();
+    const PrefixRetention::Users Who =
+        Shared && PreferenceRank == 0 ? PrefixRetention::Users::AllInstances
+                                      : PrefixRetention::Users::ThisInstance;
+    // Parts that running calls have are not evicted. A part is of use only
+    // after all parts before it.
+    if (!Shared || !Item.Held.holds(Prefix)) {
+      Evictable += Query.PartTokens[Index];
+      Probability =
+          Evictable > Spare
+              ? 0.0
+              : std::min(Probability,
+                         Item.Retention.heldProbability(Prefix, Spare, Who));
+    }
+    Cached += Probability * static_cast<double>(Query.PartTokens[Index]);
+    if (Probability >= LikelyHeld)
+      ++LikelyParts;
+  }
+  Result.CachedTokens = static_cast<std::int64_t>(Cached);
+  Result.RoomDelay = timeUntilRoom(
       {.Memory = *Query.MemoryTokens,
-       .Held = Item.Held.total() + OthersTokens,
-       .Needed = Item.Held.addedBy(footprintOf(Query), CachedParts)},
+       .Held = Held,
+       .Needed = Item.Held.addedBy(footprintOf(Query), LikelyParts)},
       Item.ServiceTime);
 }
 
@@ -451,6 +504,26 @@
   return true;
 }
 
+void UpstreamPool::estimateCached(Candidate &Result, const State &Item,
+                                  const PlacementQuery &Query,
+                                  std::size_t PreferenceRank) const {
+  // Other instances send prompts with the same shared parts to the same
+  // preferred upstream, so they are probably cached there.
+  std::size_t Cached = Item.Prefixes.matching(Query.Prefixes);
+  const std::size_t Shared =
+      Query.Prefixes.empty() ? 0 : Query.Prefixes.size() - 1;
+  if (PreferenceRank == 0)
+    Cached = std::max(Cached, Shared);
+  for (std::size_t Index = 0; Index < Cached; ++Index)
+    Result.CachedTokens += Query.PartTokens[Index];
+  for (std::size_t Index = Cached; Index < Shared; ++Index)
+    Result.RecomputedTokens += Query.PartTokens[Index];
+  // Calls that spill over from the first preferred upstream all go to the
+  // second one, which then has the shared parts cached.
+  if (PreferenceRank == 1)
+    Result.RecomputedTokens -= Result.RecomputedTokens / SecondPreferredDivisor;
+}
+
 Candidate UpstreamPool::makeCandidate(const State &Item,
                                       const PlacementQuery &Query,
                                       std::size_t PreferenceRank,
@@ -469,22 +542,10 @@
       Item.Entry.Domain == Domain ? Duration() : CrossDomainDelay;
   Result.Slowdown = currentSlowdown(Item, Now) * Item.Speed.slowness(Now);
   Result.FailureFraction = failureRate(Item, Now);
-  // Other instances send prompts with the same shared parts to the same
-  // preferred upstream, so they are probably cached there.
-  std::size_t Cached = Item.Prefixes.matching(Query.Prefixes);
-  const std::size_t Shared =
-      Query.Prefixes.empty() ? 0 : Query.Prefixes.size() - 1;
-  if (PreferenceRank == 0)
-    Cached = std::max(Cached, Shared);
-  Result.RoomDelay = roomDelay(Item, Query, Result.Load, Cached);
-  for (std::size_t Index = 0; Index < Cached; ++Index)
-    Result.CachedTokens += Query.PartTokens[Index];
-  for (std::size_t Index = Cached; Index < Shared; ++Index)
-    Result.RecomputedTokens += Query.PartTokens[Index];
-  // Calls that spill over from the first preferred upstream all go to the
-  // second one, which then has the shared parts cached.
-  if (PreferenceRank == 1)
-    Result.RecomputedTokens -= Result.RecomputedTokens / SecondPreferredDivisor;
+  if (Query.MemoryTokens)
+    estimateMemory(Result, Item, Query, PreferenceRank, Now);
+  else
+    estimateCached(Result, Item, Query, PreferenceRank);
   return Result;
 }
 
@@ -514,6 +575,18 @@
   return Order;
 }
 
+/// Counts, for each candidate, the tokens that are computed again there but not
+/// where most are cached.
+static void compareCached(std::vector<Candidate> &Candidates,
+                          const PlacementQuery &Query) {
+  std::int64_t Most = 0;
+  for (const Candidate &Item : Candidates)
+    Most = std::max(Most, Item.CachedTokens);
+  Most = std::min(Most, Query.PromptTokens);
+  for (Candidate &Item : Candidates)
+    Item.RecomputedTokens = std::max<std::int64_t>(0, Most - Item.CachedTokens);
+}
+
 std::vector<Candidate> UpstreamPool::candidates(const PlacementQuery &Query,
                                                 Random &Source,
                                                 TimePoint Now) const {
@@ -540,7 +613,11 @@
     (isHealthy(Item, Now) ? Healthy : Unhealthy)
         .push_back(makeCandidate(Item, Query, Rank, Now));
   }
-  return Healthy.empty() ? Unhealthy : Healthy;
+  if (Healthy.empty())
+    Healthy.swap(Unhealthy);
+  if (Query.MemoryTokens)
+    compareCached(Healthy, Query);
+  return Healthy;
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -4,6 +4,7 @@
 #include "bronzeward/src/Budget/PeerPort.h"
 #include "bronzeward/src/Relay/DispatchGate.h"
 #include "bronzeward/src/Relay/Placement.h"
+#include "bronzeward/src/Relay/PrefixRetention.h"
 #include "bronzeward/src/Relay/UpstreamDirectory.h"
 #include "bronzeward/src/Relay/UpstreamMemory.h"
 #include "bronzeward/src/Relay/UpstreamSpeed.h"
@@ -158,6 +159,10 @@
     std::map<AttemptId, TimePoint> Unanswered;
     Duration ServiceTime{};
     PrefixIndex Prefixes{0};
+    /// Replaces Prefixes where the memory is stated.
+    PrefixRetention Retention;
+    /// Up to when tokens of other instances' calls were counted in Retention.
+    TimePoint OthersCountedAt;
   };
   /// State shared by all upstreams of a service.
   struct ServiceState {
@@ -175,13 +180,25 @@
                                               const PlacementQuery &Query,
                                               TimePoint Now);
   /// \brief Updates the mean tokens that calls add to an upstream's memory.
-  void recordAddedTokens(const State &Item, const PlacementQuery &Query,
-                         TimePoint Now);
-  /// \returns the expected time until an upstream has memory for a call.
-  /// \param Load estimated number of requests running or queued there.
-  [[nodiscard]] Duration roomDelay(const State &Item,
-                                   const PlacementQuery &Query, double Load,
-                                   std::size_t CachedParts) const;
+  /// \returns the tokens that this call adds.
+  std::int64_t recordAddedTokens(const State &Item, const PlacementQuery &Query,
+                                 TimePoint Now);
+  /// \returns the tokens that calls of other instances hold in an upstream's
+  /// memory.
+  [[nodiscard]] std::int64_t tokensOfOthers(const State &Item,
+                                            TimePoint Now) const;
+  /// \brief Counts the tokens that calls of other instances brought into an
+  /// upstream's memory since the last time.
+  void countTokensOfOthers(State &Item, TimePoint Now) const;
+  /// \brief Estimates what is cached from the parts that the upstream was sent.
+  void estimateCached(Candidate &Result, const State &Item,
+                      const PlacementQuery &Query,
+                      std::size_t PreferenceRank) const;
+  /// \brief Estimates what is cached, and the time until there is room, from
+  /// the upstream's memory.
+  void estimateMemory(Candidate &Result, const State &Item,
+                      const PlacementQuery &Query, std::size_t PreferenceRank,
+                      TimePoint Now) const;
   [[nodiscard]] bool isHealthy(const State &Item, TimePoint Now) const;
   [[nodiscard]] Candidate makeCandidate(const State &Item,
                                         const PlacementQuery &Query,
--- a/bronzeward/src/Routing/ChoicePolicy.h
+++ b/bronzeward/src/Routing/ChoicePolicy.h
@@ -22,7 +22,7 @@
   std::int64_t Outstanding = 0;
   /// Requests that it can run concurrently.
   std::int64_t Slots = 1;
-  /// Estimated prompt tokens in its prefix cache.
+  /// Expected number of the prompt's tokens in its prefix cache.
   std::int64_t CachedTokens = 0;
   /// Prompt tokens that it would have to compute although another upstream
   /// probably has them cached.
