Custody of grants, and requests charged to several grants

Cause: in a large fleet, a budget that is worth few requests at each instance lies in parts that cover none. Change: such a workspace's grants are held by four instances, chosen by rendezvous hashing weighted with capacity, whose reserve covers the fleet's spending; the others borrow in one round trip, with further lenders after 40 ms and a draw after 60 ms.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -14,6 +14,9 @@
 constexpr Duration LoanRequestDelay = 60ms;
 /// Amount of a requested loan, in multiples of the waiting request.
 constexpr std::int64_t LoanMultiple = 4;
+/// Where loans are combined, a lender lends no less than the missing amount
+/// divided by this.
+constexpr std::int64_t MinLoanPartDivisor = 12;
 /// Requests are refused without waiting for this time after neither a draw nor
 /// a loan succeeded: half of the delay that refused callers are asked to wait.
 constexpr Duration RefusalTime = 250ms;
@@ -24,6 +27,8 @@
 /// Time after which a search continues with further peers: a round trip between
 /// failure domains and the peers' event loops.
 constexpr Duration LoanRoundTime = 40ms;
+/// Weight of a new value in the moving average of bounds.
+constexpr std::int64_t BoundSmoothingDivisor = 8;
 /// While the store is unreachable, an instance requests a loan below the
 /// low-water mark divided by this.
 constexpr std::int64_t LoanTriggerDivisor = 3;
@@ -59,11 +64,69 @@
 BudgetAgent::Book &BudgetAgent::book(const WorkspaceId &Workspace) {
   const auto Inserted = Books.try_emplace(Workspace);
   Book &Budget = Inserted.first->second;
-  if (Inserted.second)
+  if (Inserted.second) {
     Budget.Grant.setRounding(roundingPosition(Workspace));
+    updateCustodians(Workspace, Budget);
+  }
   return Budget;
 }
 
+// Custody.
+
+void BudgetAgent::updateCustodians(const WorkspaceId &Workspace, Book &Budget) {
+  Budget.Custodians =
+      custodiansOf(Members.members(), Workspace, Policy.Custodians);
+}
+
+void BudgetAgent::recordBound(Book &Budget, Money Bound) {
+  if (Budget.TypicalBound.isZero())
+    Budget.TypicalBound = Bound;
+  else
+    Budget.TypicalBound +=
+        Money((Bound - Budget.TypicalBound).micros() / BoundSmoothingDivisor);
+}
+
+bool BudgetAgent::isCustodian(const Book &Budget) const {
+  return std::find(Budget.Custodians.begin(), Budget.Custodians.end(),
+                   Self.Instance) != Budget.Custodians.end();
+}
+
+BudgetAgent::GrantRole BudgetAgent::roleFor(const Book &Budget) const {
+  if (!needsCustody(Policy, Members.members().size(), Budget.TargetPrepaid,
+                    Budget.TypicalBound))
+    return GrantRole::Holder;
+  return isCustodian(Budget) ? GrantRole::Custodian : GrantRole::Borrower;
+}
+
+void BudgetAgent::updateReserve(Book &Budget) const {
+  switch (roleFor(Budget)) {
+  case GrantRole::Holder:
+    Budget.Grant.setReserve(std::nullopt);
+    return;
+  case GrantRole::Borrower:
+    Budget.Grant.setReserve(Money());
+    return;
+  case GrantRole::Custodian:
+    const std::int64_t Part =
+        Budget.Forecast.fleetReserve().micros() /
+        static_cast<std::int64_t>(Budget.Custodians.size());
+    Budget.Grant.setReserve(std::max(Budget.TypicalBound, Money(Part)));
+    return;
+  }
+}
+
+Money BudgetAgent::waitingBounds(const Book &Budget) {
+  Money Sum;
+  for (const WaitingReservation &Waiter : Budget.Waiting)
+    Sum += Waiter.Bound;
+  return Sum;
+}
+
+void BudgetAgent::drawForWaiting(const WorkspaceId &Workspace, TimePoint Now) {
+  if (!Books[Workspace].Waiting.empty() && !Deps.Store.failingSince())
+    draw(Workspace, Now);
+}
+
 double BudgetAgent::roundingPosition(const WorkspaceId &Workspace) const {
   const auto Weight = [&Workspace](const InstanceId &Instance) {
     return hash64(Workspace.Value + Instance.Value);
@@ -104,6 +167,7 @@
         Book &Budget = book(Workspace);
         Budget.Forecast.onBalance(Outcome.Balance, Policy, At);
         Budget.Grant.setHorizon(Budget.Forecast.horizon(Policy, At));
+        updateReserve(Budget);
         Done(Outcome, At);
       });
 }
@@ -121,7 +185,9 @@
   const bool TotalKnown = !Budget.TargetPrepaid.isZero();
   if (TotalKnown && Budget.Unsettled && Bound > *Budget.Unsettled)
     return ReserveOutcome::Exhausted;
-  Reservation Requested{Workspace, Bound, 0, false, {}, {}};
+  recordBound(Budget, Bound);
+  const GrantRole Role = roleFor(Budget);
+  Reservation Requested{Workspace, Bound, 0, {}, {}};
   const bool NextInLine = Budget.Waiting.empty() || Bound.isZero();
   if (NextInLine && tryReserve(Requested)) {
     Reservations.emplace(Request, std::move(Requested));
@@ -129,7 +195,7 @@
     return ReserveOutcome::Granted;
   }
   if (Now < Budget.RefuseUntil && Budget.Waiting.empty()) {
-    requestLoan(Workspace, Bound, scaled(Bound, LoanMultiple), Now);
+    requestLoanFor(Workspace, Bound, Now);
     return shortage(Budget, Bound);
   }
   Reservations.emplace(Request, std::move(Requested));
@@ -138,6 +204,13 @@
         expireWaiting(Workspace, Request, At);
       });
   Budget.Waiting.push_back({Request, Bound, Timeout});
+  if (Role == GrantRole::Borrower) {
+    requestLoanForWaiting(Workspace, Now);
+    Deps.Timers.schedule(
+        Now + LoanRequestDelay,
+        [this, Workspace](TimePoint At) { drawForWaiting(Workspace, At); });
+    return ReserveOutcome::Waiting;
+  }
   if (Deps.Store.failingSince())
     requestLoanForWaiting(Workspace, Now);
   else
@@ -153,10 +226,26 @@
   Book &Budget = Books[Item.Workspace];
   Item.LostGrants = Budget.LostGrants;
   // Loans are spent first, to clear their lenders' grants in the ledger.
+  std::optional<LoanOrigin> Lender;
   if (!Item.Bound.isZero())
-    Item.Borrowed = Loans.reserve(Item.Workspace, Item.Bound);
-  Item.Granted = Item.Borrowed.has_value() || Budget.Grant.reserve(Item.Bound);
-  return Item.Granted;
+    Lender = Loans.reserve(Item.Workspace, Item.Bound);
+  if (!Lender && !Budget.Grant.reserve(Item.Bound))
+    return roleFor(Budget) != GrantRole::Holder && reserveCombined(Item);
+  Item.Parts = {{Item.Bound, Lender}};
+  return true;
+}
+
+bool BudgetAgent::reserveCombined(Reservation &Item) {
+  GrantBook &Grant = Books[Item.Workspace].Grant;
+  if (Loans.free(Item.Workspace) + Grant.free() < Item.Bound)
+    return false;
+  Item.Parts = Loans.reserveParts(Item.Workspace, Item.Bound);
+  Money Missing = Item.Bound;
+  for (const ChargePart &Part : Item.Parts)
+    Missing -= Part.Amount;
+  if (!Missing.isZero() && Grant.reserve(Missing))
+    Item.Parts.push_back({Missing, {}});
+  return true;
 }
 
 // Loans.
@@ -174,7 +263,21 @@
     Deps.Peers.send(Peer, LoanRequest{Workspace, Minimum, Wanted});
 }
 
+void BudgetAgent::requestLoanFor(const WorkspaceId &Workspace, Money Bounds,
+                                 TimePoint Now) {
+  const Book &Budget = Books[Workspace];
+  if (roleFor(Budget) == GrantRole::Holder) {
+    requestLoan(Workspace, Bounds, scaled(Bounds, LoanMultiple), Now);
+    return;
+  }
+  const Money Free = Loans.free(Workspace) + Budget.Grant.free();
+  const Money Missing = Bounds - std::min(Bounds, Free);
+  requestLoan(Workspace, Money(Missing.micros() / MinLoanPartDivisor + 1),
+              Missing + Money(1), Now);
+}
+
 std::vector<InstanceId> BudgetAgent::nextLenders(Book &Budget) {
+  std::size_t Fanout = LoanFanout;
   if (Budget.NotAsked.empty()) {
     Budget.NotAsked = otherMembers();
     Deps.Source.shuffle(Budget.NotAsked);
@@ -182,21 +285,44 @@
                                 Budget.LastLender);
     if (Last != Budget.NotAsked.end())
       std::iter_swap(Last, std::prev(Budget.NotAsked.end()));
+    if (roleFor(Budget) != GrantRole::Holder) {
+      preferCustodians(Budget);
+      Fanout = 1;
+    }
   }
-  const std::size_t Count = std::min(Budget.NotAsked.size(), LoanFanout);
+  const std::size_t Count = std::min(Budget.NotAsked.size(), Fanout);
   const auto First = Budget.NotAsked.end() - static_cast<std::ptrdiff_t>(Count);
   std::vector<InstanceId> Next(First, Budget.NotAsked.end());
   Budget.NotAsked.erase(First, Budget.NotAsked.end());
   return Next;
 }
 
+void BudgetAgent::preferCustodians(Book &Budget) const {
+  const auto Rank = [&](const InstanceId &Peer) -> std::size_t {
+    const auto Found =
+        std::find(Budget.Custodians.begin(), Budget.Custodians.end(), Peer);
+    if (Found == Budget.Custodians.end())
+      return 0;
+    // Each borrower prefers another custodian, which spreads the loans.
+    const std::size_t Index =
+        static_cast<std::size_t>(Found - Budget.Custodians.begin());
+    return 1 + (Index + hash64(Self.Instance.Value)) % Budget.Custodians.size();
+  };
+  std::stable_sort(Budget.NotAsked.begin(), Budget.NotAsked.end(),
+                   [&](const InstanceId &Left, const InstanceId &Right) {
+                     return Rank(Left) < Rank(Right);
+                   });
+}
+
 void BudgetAgent::requestLoanForWaiting(const WorkspaceId &Workspace,
                                         TimePoint Now) {
   Book &Budget = Books[Workspace];
   if (Budget.Waiting.empty())
     return;
-  const Money Bound = Budget.Waiting.front().Bound;
-  requestLoan(Workspace, Bound, scaled(Bound, LoanMultiple), Now);
+  Money Bounds = Budget.Waiting.front().Bound;
+  if (roleFor(Budget) != GrantRole::Holder)
+    Bounds = waitingBounds(Budget);
+  requestLoanFor(Workspace, Bounds, Now);
   if (Budget.NotAsked.empty() || Budget.LoanRoundScheduled)
     return;
   Budget.LoanRoundScheduled = true;
@@ -208,17 +334,24 @@
 
 void BudgetAgent::onLoanRequest(const InstanceId &From,
                                 const LoanRequest &Message, TimePoint Now) {
-  const auto Found = Books.find(Message.Workspace);
-  if (!Policy.Lending || Found == Books.end() || !Found->second.Waiting.empty())
+  if (!Policy.Lending)
+    return;
+  Book &Budget = book(Message.Workspace);
+  if (!Budget.Waiting.empty())
     return;
-  Book &Budget = Found->second;
   const Money Lent = Budget.Grant.lend(Message.Minimum, Message.Wanted);
   if (!Lent.isZero()) {
     ++LoanCounts.Granted;
     Deps.Peers.send(
         From, loanOf(Message.Workspace, {holder(Budget), Now}, Lent, Now));
-    return;
   }
+  if (isCustodian(Budget)) {
+    recordBound(Budget, Message.Wanted);
+    updateReserve(Budget);
+    refill(Message.Workspace, Now);
+  }
+  if (!Lent.isZero())
+    return;
   // A loan held here can be passed on; it stays charged to its lender's
   // grant.
   const std::optional<LoanOrigin> Borrowed =
@@ -255,7 +388,7 @@
   if (Item.Opened && Disposition == ClaimDisposition::Release)
     releaseClaim(Item.Workspace, Item.Opened->Key, Request, Now);
   Book &Budget = Books[Item.Workspace];
-  if (!Item.Granted) {
+  if (Item.Parts.empty()) {
     const auto Waiter = std::find_if(
         Budget.Waiting.begin(), Budget.Waiting.end(),
         [&](const WaitingReservation &W) { return W.Request == Request; });
@@ -265,10 +398,12 @@
     }
     return;
   }
-  if (Item.Borrowed)
-    Loans.credit(Item.Workspace, *Item.Borrowed, Item.Bound);
-  else if (Item.LostGrants == Budget.LostGrants)
-    Budget.Grant.release(Item.Bound);
+  for (const ChargePart &Part : Item.Parts) {
+    if (Part.Borrowed)
+      Loans.credit(Item.Workspace, *Part.Borrowed, Part.Amount);
+    else if (Item.LostGrants == Budget.LostGrants)
+      Budget.Grant.release(Part.Amount);
+  }
   serveWaiting(Item.Workspace, Now);
   if (Draining)
     returnFreeBudget(Item.Workspace, Now);
@@ -281,9 +416,7 @@
   // The last draw was refused a moment ago.
   if (Policy.Lending && Now < Budget.NextRefill)
     return;
-  Money Missing;
-  for (const WaitingReservation &Waiter : Budget.Waiting)
-    Missing += Waiter.Bound;
+  const Money Missing = waitingBounds(Budget);
   Money Minimum(1);
   if (!Budget.Waiting.empty())
     Minimum =
@@ -468,8 +601,9 @@
                Book &Budget = Books[Workspace];
                Budget.Unsettled.reset();
                // In a large fleet, most instances serve few workspaces.
-               Budget.DrawAhead =
-                   Budget.DrawAhead && Members.members().size() <= SmallFleet;
+               Budget.DrawAhead = Budget.DrawAhead &&
+                                  (Members.members().size() <= SmallFleet ||
+                                   isCustodian(Budget));
                if (Budget.DrawAhead)
                  draw(Workspace, At);
              });
@@ -483,6 +617,11 @@
 
 void BudgetAgent::returnExcess(TimePoint Now) {
   dropExpiredLoans(Now);
+  for (auto &[Workspace, Budget] : Books) {
+    updateReserve(Budget);
+    if (roleFor(Budget) == GrantRole::Borrower && Budget.Waiting.empty())
+      forwardLoans(Workspace, Now);
+  }
   // Spending rates are unknown before one full window.
   if (!FirstSettled || Now < *FirstSettled + Policy.RateWindow ||
       Deps.Store.failingSince())
@@ -537,7 +676,8 @@
 
 void BudgetAgent::refill(const WorkspaceId &Workspace, TimePoint Now) {
   Book &Budget = Books[Workspace];
-  if (Draining || Now < Budget.NextRefill)
+  if (Draining || Now < Budget.NextRefill ||
+      roleFor(Budget) == GrantRole::Borrower)
     return;
   const Money Free = Budget.Grant.free() + Loans.free(Workspace);
   const Money Needed = Budget.Grant.lowWater(Policy, Now);
@@ -705,7 +845,8 @@
     return;
   }
   const WorkspaceId Workspace = Found->second.Workspace;
-  const std::uint64_t Number = addBill(Request, std::move(Settled), Now);
+  const std::uint64_t Number =
+      addBills(Request, std::move(Settled), Now).front();
   Bills.at(Number).HoldTimer = Deps.Timers.schedule(
       Now + Policy.AnswerHold,
       [this, Number](TimePoint At) { expireAnswerHold(Number, At); });
@@ -720,38 +861,58 @@
   if (Found == Reservations.end())
     return;
   const WorkspaceId Workspace = Found->second.Workspace;
-  const std::uint64_t Number = addBill(Request, std::move(Settled), Now);
-  Bills.at(Number).Answered = true;
-  Bills.at(Number).Released = true;
-  submitBill(Number, Now);
+  for (const std::uint64_t Number :
+       addBills(Request, std::move(Settled), Now)) {
+    Bills.at(Number).Answered = true;
+    Bills.at(Number).Released = true;
+    submitBill(Number, Now);
+  }
   serveWaiting(Workspace, Now);
   refill(Workspace, Now);
 }
 
-std::uint64_t BudgetAgent::addBill(const RequestId &Request, Bill Settled,
-                                   TimePoint Now) {
+std::vector<std::uint64_t> BudgetAgent::addBills(const RequestId &Request,
+                                                 Bill Settled, TimePoint Now) {
   const auto Found = Reservations.find(Request);
   const Reservation Item = std::move(Found->second);
   Reservations.erase(Found);
-  Book &Budget = Books[Item.Workspace];
   if (!FirstSettled)
     FirstSettled = Now;
   Settled.Cost = std::min(Settled.Cost, Item.Bound);
-  Settled.Holder = {Self.Instance, Self.Epoch + Item.LostGrants};
-  if (Item.Borrowed) {
-    Settled.Holder = Item.Borrowed->Lender;
-    Loans.credit(Item.Workspace, *Item.Borrowed, Item.Bound - Settled.Cost);
-    Budget.Grant.recordSpending(Settled.Cost, Policy, Now);
+  const std::vector<Money> Costs = shareCost(Item.Parts, Settled.Cost);
+  for (std::size_t Index = 0; Index < Costs.size(); ++Index)
+    chargePart(Item, Item.Parts[Index], Costs[Index], Now);
+  std::vector<std::uint64_t> Numbers;
+  for (std::pair<Bill, std::size_t> &Part : splitBill(Settled, Costs))
+    Numbers.push_back(addBill(Request, Item, Item.Parts[Part.second],
+                              std::move(Part.first), Now));
+  return Numbers;
+}
+
+void BudgetAgent::chargePart(const Reservation &Item, const ChargePart &Part,
+                             Money Cost, TimePoint Now) {
+  Book &Budget = Books[Item.Workspace];
+  if (Part.Borrowed) {
+    Loans.credit(Item.Workspace, *Part.Borrowed, Part.Amount - Cost);
+    Budget.Grant.recordSpending(Cost, Policy, Now);
   } else if (Item.LostGrants == Budget.LostGrants) {
-    Budget.Grant.settle(Item.Bound, Settled.Cost, Policy, Now);
+    Budget.Grant.settle(Part.Amount, Cost, Policy, Now);
   }
+}
 
+std::uint64_t BudgetAgent::addBill(const RequestId &Request,
+                                   const Reservation &Item,
+                                   const ChargePart &Part, Bill Settled,
+                                   TimePoint Now) {
+  Settled.Holder =
+      Part.Borrowed ? Part.Borrowed->Lender
+                    : Incarnation{Self.Instance, Self.Epoch + Item.LostGrants};
   const std::uint64_t Number = ++LastBill;
   PendingBill Waiting;
   Waiting.Request = Request;
   Waiting.Settled = std::move(Settled);
   Waiting.LostGrants = Item.LostGrants;
-  Waiting.Borrowed = Item.Borrowed.has_value();
+  Waiting.Borrowed = Part.Borrowed.has_value();
   Waiting.CarryTimer = Deps.Timers.schedule(
       Now + Policy.CarryAfter,
       [this, Number](TimePoint At) { carryBill(Number, At); });
@@ -973,9 +1134,14 @@
 void BudgetAgent::onMembers(std::vector<Member> Listed, TimePoint Now) {
   const bool Changed = Listed != Members.members();
   Members.update(std::move(Listed));
-  if (Changed && Members.members().size() <= SmallFleet)
-    for (auto &[Workspace, Budget] : Books)
+  for (auto &[Workspace, Budget] : Books) {
+    if (!Changed)
+      break;
+    if (Members.members().size() <= SmallFleet)
       Budget.Grant.setRounding(roundingPosition(Workspace));
+    updateCustodians(Workspace, Budget);
+    updateReserve(Budget);
+  }
   Router.onMembersUpdated(Now);
   Reclaimer.onMembersUpdated(Now);
 }
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -2,7 +2,9 @@
 
 #include "bronzeward/src/Budget/BudgetForecast.h"
 #include "bronzeward/src/Budget/CarriedBills.h"
+#include "bronzeward/src/Budget/ChargeParts.h"
 #include "bronzeward/src/Budget/GrantBook.h"
+#include "bronzeward/src/Budget/GrantCustody.h"
 #include "bronzeward/src/Budget/GrantReclaimer.h"
 #include "bronzeward/src/Budget/LoanBook.h"
 
@@ -209,14 +211,26 @@
     /// fall until the prepaid amount is raised.
     std::optional<Money> Unsettled;
     BudgetForecast Forecast;
+    /// Instances that hold the workspace's grants if it needs custody.
+    std::vector<InstanceId> Custodians;
+    /// Moving average of the bounds of requests.
+    Money TypicalBound;
+  };
+  /// How this instance gets the budget of a workspace.
+  enum class GrantRole {
+    /// It holds a grant for its own requests.
+    Holder,
+    /// It holds a grant for all instances.
+    Custodian,
+    /// It borrows what its requests need.
+    Borrower,
   };
   struct Reservation {
     WorkspaceId Workspace;
     Money Bound;
     std::uint64_t LostGrants = 0;
-    bool Granted = false;
-    /// Lender whose grant is charged, if not this instance's own.
-    std::optional<LoanOrigin> Borrowed;
+    /// What the reservation is charged to; empty until it is granted.
+    std::vector<ChargePart> Parts;
     std::optional<Claim> Opened;
   };
   struct PendingClaim {
@@ -244,6 +258,18 @@
 
   /// \returns a workspace's book, created if missing.
   Book &book(const WorkspaceId &Workspace);
+  /// Updates who holds a workspace's grants after a change of the members.
+  void updateCustodians(const WorkspaceId &Workspace, Book &Budget);
+  /// Adds a request to the moving average of bounds.
+  static void recordBound(Book &Budget, Money Bound);
+  [[nodiscard]] GrantRole roleFor(const Book &Budget) const;
+  [[nodiscard]] bool isCustodian(const Book &Budget) const;
+  /// Sets the reserve of the grant from this instance's role.
+  void updateReserve(Book &Budget) const;
+  /// \returns the sum of the bounds of waiting requests.
+  [[nodiscard]] static Money waitingBounds(const Book &Budget);
+  /// Draws for requests that still wait although loans were requested.
+  void drawForWaiting(const WorkspaceId &Workspace, TimePoint Now);
   /// \returns this instance's position, from 0 to 1, for rounding a
   /// workspace's reserve; see GrantBook::setRounding().
   [[nodiscard]] double roundingPosition(const WorkspaceId &Workspace) const;
@@ -254,7 +280,16 @@
   [[nodiscard]] SlotId slot(const WorkspaceId &Workspace) const;
 
   void submitPrepaid(const WorkspaceId &Workspace, Money Total, TimePoint Now);
-  std::uint64_t addBill(const RequestId &Request, Bill Settled, TimePoint Now);
+  /// Ends a reservation and adds a bill for each part that is charged.
+  /// \returns the numbers of the bills, at least one.
+  std::vector<std::uint64_t> addBills(const RequestId &Request, Bill Settled,
+                                      TimePoint Now);
+  /// Charges a cost to a part of a reservation and frees the rest of the part.
+  void chargePart(const Reservation &Item, const ChargePart &Part, Money Cost,
+                  TimePoint Now);
+  /// Adds a bill that is charged to one part of a reservation.
+  std::uint64_t addBill(const RequestId &Request, const Reservation &Item,
+                        const ChargePart &Part, Bill Settled, TimePoint Now);
   /// Submits an operation on a workspace's account and updates the forecast
   /// from the balance in its result.
   std::uint64_t submit(const WorkspaceId &Workspace, Operation Change,
@@ -274,8 +309,13 @@
   /// \returns reachable peers that are not leaving, in random order.
   [[nodiscard]] std::vector<InstanceId> successors(TimePoint Now);
   void returnAmount(const WorkspaceId &Workspace, Money Amount, TimePoint Now);
-  /// Reserves Item.Bound from a loan or from this instance's grant.
+  /// Reserves Item.Bound from a loan, from this instance's grant or, if the
+  /// policy allows it, from all of them together.
   [[nodiscard]] bool tryReserve(Reservation &Item);
+  [[nodiscard]] bool reserveCombined(Reservation &Item);
+  /// Requests a loan that lets requests with these bounds be served here.
+  void requestLoanFor(const WorkspaceId &Workspace, Money Bounds,
+                      TimePoint Now);
   void requestLoan(const WorkspaceId &Workspace, Money Minimum, Money Wanted,
                    TimePoint Now);
   /// Requests a loan for the first waiting request, if any.
@@ -286,6 +326,9 @@
   /// \returns the next peers to ask for a loan. Successive calls return all
   /// peers before any is returned again.
   [[nodiscard]] std::vector<InstanceId> nextLenders(Book &Budget);
+  /// Moves a workspace's custodians to the end of the peers to ask, a preferred
+  /// one last.
+  void preferCustodians(Book &Budget) const;
   void draw(const WorkspaceId &Workspace, TimePoint Now);
   /// \returns the divisor of the free budget that limits one draw.
   [[nodiscard]] std::uint32_t drawDivisor(const Book &Budget) const;
--- a/bronzeward/src/Budget/BudgetForecast.h
+++ b/bronzeward/src/Budget/BudgetForecast.h
@@ -28,13 +28,23 @@
   [[nodiscard]] Duration horizon(const BudgetPolicy &Policy,
                                  TimePoint Now) const;
 
+  /// \returns the amount that all instances together should hold: their
+  /// spending within the policy's horizon with a margin, or the policy's
+  /// fraction of the remaining budget if that is less. Computed when a balance
+  /// arrives: between two balances, nothing is known of others' spending.
+  [[nodiscard]] Money fleetReserve() const { return FleetReserve; }
+
   /// \returns the latest balance, if any.
   [[nodiscard]] const std::optional<AccountBalance> &balance() const {
     return Latest;
   }
 
 private:
+  [[nodiscard]] Money reserveAt(const BudgetPolicy &Policy,
+                                TimePoint Now) const;
+
   std::optional<AccountBalance> Latest;
+  Money FleetReserve;
   SpendingRate FleetRate;
 };
 
--- a/bronzeward/src/Budget/GrantBook.cpp
+++ b/bronzeward/src/Budget/GrantBook.cpp
@@ -58,7 +58,8 @@
 void GrantBook::uncharged(Money Cost) { Unbilled -= std::min(Unbilled, Cost); }
 
 Money GrantBook::lend(Money Minimum, Money Wanted) {
-  Money Lent = std::min(Wanted, Money(free().micros() / LendDivisor));
+  const std::int64_t Divisor = FixedReserve ? 1 : LendDivisor;
+  Money Lent = std::min(Wanted, Money(free().micros() / Divisor));
   if (Lent < Minimum)
     Lent = free() < Minimum ? Money() : Minimum;
   // The amount stays in this instance's grant in the ledger, to which the
@@ -118,6 +119,8 @@
 }
 
 Money GrantBook::lowWater(const BudgetPolicy &Policy, TimePoint Now) const {
+  if (FixedReserve)
+    return *FixedReserve;
   const std::chrono::duration<double> Covered =
       std::min(Policy.GrantHorizon, Horizon);
   const double Rate = Spending.perSecond(Policy.RateWindow, Now);
--- a/bronzeward/src/Budget/GrantBook.h
+++ b/bronzeward/src/Budget/GrantBook.h
@@ -25,6 +25,10 @@
   /// if it is shorter.
   void setHorizon(Duration Covered) { Horizon = Covered; }
 
+  /// \brief Fixes the free amount to keep, regardless of the spending here;
+  /// empty to keep what the spending here needs.
+  void setReserve(std::optional<Money> Amount) { FixedReserve = Amount; }
+
   /// \brief Reserves Bound.
   /// \returns false, without effect, if less than that is free.
   [[nodiscard]] bool reserve(Money Bound);
@@ -35,7 +39,8 @@
               TimePoint Now);
   /// \brief Adds to the spending rate without a charge to this grant.
   void recordSpending(Money Cost, const BudgetPolicy &Policy, TimePoint Now);
-  /// \brief Lends up to half of the free amount, or Minimum if that is more.
+  /// \brief Lends up to half of the free amount, or up to all of it if the
+  /// reserve is fixed, which is kept for borrowers; or Minimum if that is more.
   /// \returns the amount, or zero if Minimum is not free. Bills of the borrower
   /// are not counted here.
   [[nodiscard]] Money lend(Money Minimum, Money Wanted);
@@ -102,6 +107,7 @@
   std::uint64_t Sequence = 0;
   SpendingRate Spending;
   Duration Horizon = Duration::max();
+  std::optional<Money> FixedReserve;
 };
 
 } // namespace bronzeward
--- a/bronzeward/src/Budget/LoanBook.cpp
+++ b/bronzeward/src/Budget/LoanBook.cpp
@@ -47,6 +47,32 @@
   return From;
 }
 
+std::vector<ChargePart> LoanBook::reserveParts(const WorkspaceId &Workspace,
+                                               Money Amount) {
+  std::vector<ChargePart> Parts;
+  const auto Found = Loans.find(Workspace);
+  if (Found == Loans.end())
+    return Parts;
+  for (const auto &[Lender, Item] : Found->second)
+    Parts.push_back({Item.Free, LoanOrigin{Lender, Item.Since}});
+  // Few large parts need few bills.
+  std::stable_sort(Parts.begin(), Parts.end(),
+                   [](const ChargePart &Left, const ChargePart &Right) {
+                     return Left.Amount > Right.Amount;
+                   });
+  for (ChargePart &Part : Parts) {
+    Part.Amount = std::min(Part.Amount, Amount);
+    Amount -= Part.Amount;
+    const auto Item = Found->second.find(Part.Borrowed->Lender);
+    Item->second.Free -= Part.Amount;
+    if (Item->second.Free.isZero())
+      Found->second.erase(Item);
+  }
+  std::erase_if(Parts,
+                [](const ChargePart &Part) { return Part.Amount.isZero(); });
+  return Parts;
+}
+
 std::vector<Loan> LoanBook::take(const WorkspaceId &Workspace, TimePoint Now) {
   std::vector<Loan> Taken;
   const auto Found = Loans.find(Workspace);
--- a/bronzeward/src/Budget/LoanBook.h
+++ b/bronzeward/src/Budget/LoanBook.h
@@ -17,6 +17,14 @@
   TimePoint Since;
 };
 
+/// \ingroup Budget
+/// \brief Part of a reserved amount and the grant that it is charged to.
+struct ChargePart {
+  Money Amount;
+  /// Lender whose grant is charged; empty for this instance's own grant.
+  std::optional<LoanOrigin> Borrowed;
+};
+
 /// \ingroup Budget
 /// \brief Amounts of other instances' grants that this instance may spend.
 ///
@@ -33,6 +41,11 @@
   [[nodiscard]] std::optional<LoanOrigin> reserve(const WorkspaceId &Workspace,
                                                   Money Amount);
 
+  /// \brief Reserves an amount from several loans, the largest first, or as
+  /// much of it as there is.
+  [[nodiscard]] std::vector<ChargePart>
+  reserveParts(const WorkspaceId &Workspace, Money Amount);
+
   /// \brief Removes and returns a workspace's loans.
   [[nodiscard]] std::vector<Loan> take(const WorkspaceId &Workspace,
                                        TimePoint Now);
--- a/bronzeward/src/Config/BudgetPolicy.h
+++ b/bronzeward/src/Config/BudgetPolicy.h
@@ -53,6 +53,14 @@
   bool AwaitMembers = false;
   /// Whether instances lend parts of their grants to each other.
   bool Lending = false;
+  /// Number of instances that hold a workspace's grants for a large fleet if
+  /// its budget is small; the others borrow from them, and a request may be
+  /// charged to several grants. Zero if every instance holds grants of its own.
+  /// Used with Lending, and only where answers do not wait for their bills.
+  std::size_t Custodians = 0;
+  /// Number of requests that an instance's equal part of the prepaid amount has
+  /// to cover for it to hold grants of its own.
+  std::int64_t MinGrantRequests = 16;
   /// How long a request waits for budget before it is refused.
   Duration BudgetWait = 400ms;
   /// How long a claim may take to become durable before it is refused.
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -37,6 +37,10 @@
 DEFINE_double(joint_loss_part, 0.35,
               "maximum fraction of a workspace's remaining budget that all "
               "instances together may hold");
+DEFINE_int32(grant_custodians, 0,
+             "number of instances that hold a workspace's grants for a large "
+             "fleet if its budget is worth few requests at each instance; 0 if "
+             "every instance holds grants of its own");
 DEFINE_int32(watch_wait_ms, 1500,
              "maximum wait of one watch; a connection without data fails after "
              "it plus the store's timeout");
@@ -54,6 +58,8 @@
   if (!(FLAGS_joint_loss_part > 0.0 && FLAGS_joint_loss_part <= 1.0))
     return fail(ErrorKind::InvalidArgument, "check flag", "joint_loss_part",
                 "is not above 0 and at most 1");
+  BOOST_OUTCOME_TRY(
+      requireRange("grant_custodians", FLAGS_grant_custodians, 0, 64));
   BOOST_OUTCOME_TRY(
       requireRange("watch_wait_ms", FLAGS_watch_wait_ms, 100, 30'000));
   return requireRange("unready_notice_ms", FLAGS_unready_notice_ms, 0, 60'000);
@@ -88,6 +94,7 @@
   Policy.MinDrawDivisor = 18;
   Policy.DrawAhead = true;
   Policy.Lending = true;
+  Policy.Custodians = static_cast<std::size_t>(FLAGS_grant_custodians);
   Policy.AwaitMembers = true;
   Policy.CommitterTimeout = 2500ms;
   Policy.BudgetWait = 250ms;
--- a/test/LargeFleetOutageTest.cpp
+++ b/test/LargeFleetOutageTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -159,5 +160,115 @@
   }
 }
 
+/// Requests of which one costs a hundredth of its workspace's budget, spread
+/// evenly over the instances.
+class CostlyRequests {
+public:
+  CostlyRequests(FakeFleet &Target, std::size_t Size, Duration Time)
+      : Fleet(Target), Instances(Size), Pause(Time), Source(1) {
+    for (std::size_t Index = 0; Index < Workspaces; ++Index)
+      Fleet.topUp(workspace(Index), Money(Prepaid));
+  }
+
+  /// \returns the fraction of the requests of a time span that were granted.
+  double replay(Duration Length) {
+    std::vector<std::string> Names;
+    for (Duration Spent{}; Spent < Length; Spent += Pause) {
+      FakeRequest Request;
+      Request.Id.Value = Request.Key = "r" + std::to_string(++Last);
+      Request.Node = Source.below(Instances);
+      Request.Workspace = workspace(Source.below(Workspaces));
+      constexpr std::uint64_t LeastCost = 9'000;
+      Request.Bound = Request.Cost = Money(
+          static_cast<std::int64_t>(LeastCost + Source.below(2 * LeastCost)));
+      Request.Work = 900ms;
+      Request.Released = true;
+      Fleet.start(Request);
+      Names.push_back(Request.Id.Value);
+      Fleet.runFor(Pause);
+    }
+    Fleet.runFor(300ms);
+    const auto Granted =
+        std::count_if(Names.begin(), Names.end(), [&](const std::string &Name) {
+          return granted(Fleet, Name);
+        });
+    return static_cast<double>(Granted) / static_cast<double>(Names.size());
+  }
+
+private:
+  static constexpr std::int64_t Prepaid = 1'800'000;
+
+  static WorkspaceId workspace(std::size_t Index) {
+    return WorkspaceId{"w" + std::to_string(Index)};
+  }
+
+  FakeFleet &Fleet;
+  std::size_t Instances = 0;
+  Duration Pause{};
+  Random Source;
+  int Last = 0;
+};
+
+/// \returns the fraction of requests that a fleet grants in an outage of nine
+/// seconds, after twelve seconds with the store.
+double grantedInOutage(std::size_t Size, std::size_t Custodians,
+                       Duration Pause) {
+  BudgetPolicy Policy = fleetPolicy();
+  Policy.Custodians = Custodians;
+  FakeFleet Fleet(Size, Policy, 1);
+  CostlyRequests Requests(Fleet, Size, Pause);
+  CHECK(Requests.replay(12s) > 0.98);
+  Fleet.setStoreUnreachable(true);
+  const double Granted = Requests.replay(9s);
+  Fleet.setStoreUnreachable(false);
+  Fleet.runFor(5s);
+  CHECK(Fleet.violations().empty());
+  return Granted;
+}
+
+// Load pattern: requests cost more than any instance of a fleet holds of their
+// workspace's budget, and the store is unreachable for nine seconds.
+TEST_CASE("Custodians grant more requests in an outage than all instances do",
+          "[LargeFleetOutage]") {
+  const std::size_t Size = GENERATE(76, 300);
+  const Duration Pause = GENERATE(12ms, 24ms);
+  CAPTURE(Size, Pause);
+  CHECK(grantedInOutage(Size, 4, Pause) > grantedInOutage(Size, 0, Pause));
+}
+
+TEST_CASE("Custodians bridge an outage while a budget lasts",
+          "[CustodyOutage]") {
+  const std::size_t Size = GENERATE(76, 300);
+  CAPTURE(Size);
+  CHECK(grantedInOutage(Size, 4, 24ms) >= 0.9);
+}
+
+TEST_CASE("The bills of a request that is charged to several grants add up",
+          "[LargeFleetOutage]") {
+  Bill Whole;
+  Whole.Key.Value = "r1";
+  Whole.Rate.InputToken = Whole.Rate.OutputToken = Money(1);
+  Whole.Tokens = {1'000, 0, 200};
+  Whole.Cost = Money(1'200);
+  const std::vector<ChargePart> Parts{
+      {Money(700), {}}, {Money(400), LoanOrigin{}}, {Money(300), LoanOrigin{}}};
+  const std::vector<Money> Costs = shareCost(Parts, Whole.Cost);
+  CHECK(Costs == std::vector<Money>{Money(700), Money(400), Money(100)});
+  Money Sum;
+  Usage Tokens;
+  std::set<std::string> Keys;
+  for (const auto &[Part, Index] : splitBill(Whole, Costs)) {
+    CHECK(Part.Cost == Costs[Index]);
+    CHECK(Part.Cost == costOf(Part.Rate, Part.Tokens));
+    Sum += Part.Cost;
+    Tokens.InputTokens += Part.Tokens.InputTokens;
+    Tokens.OutputTokens += Part.Tokens.OutputTokens;
+    Keys.insert(Part.Key.Value);
+  }
+  CHECK(Sum == Whole.Cost);
+  CHECK(Tokens == Whole.Tokens);
+  CHECK(Keys.size() == 3);
+}
+
 } // namespace
 } // namespace bronzeward::fakes
