Place calls by upstreams' memory only under the terms that ask for it

Cause: every deployment states the memory of its upstreams, so that placement by memory and the estimate of kept prefixes took effect everywhere. Result: the deployments without these terms place calls as before.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -293,6 +293,9 @@
   Deps.Log.onEvent("configuration", "version " +
                                         std::to_string(Version.Number) +
                                         " from " + From);
+  if (!Policy.PlaceByMemory)
+    for (RoutedService &Service : Parsed.value().Services)
+      Service.MemoryTokens.reset();
   Engine.configure(std::move(Parsed).value(), Now);
   sendFollowerDigests();
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -22,6 +22,9 @@
   RetryAllowance Retries;
   /// Longest wait of one watch on the store.
   std::chrono::milliseconds WatchWait{1500};
+  /// Whether calls are placed by the memory that services state for their
+  /// upstreams.
+  bool PlaceByMemory = false;
   /// Time for the load balancer to notice that the instance is not ready.
   Duration UnreadyNotice = 2600ms;
   /// Time after the start of a drain at which the process is ended.
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -6,6 +6,7 @@
 #include "platform/PlatformCallCodec.h"
 #include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
+#include "platform/PlatformTerms.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
@@ -41,6 +42,10 @@
              "number of instances that hold a workspace's grants for a large "
              "fleet if its budget is worth few requests at each instance; 0 if "
              "every instance holds grants of its own");
+DEFINE_string(contracts, "",
+              "names of the parts of the platform's rules that are in force, "
+              "comma-separated; \"pressure\" places calls by the memory that "
+              "services state for their upstreams");
 DEFINE_int32(watch_wait_ms, 1500,
              "maximum wait of one watch; a connection without data fails after "
              "it plus the store's timeout");
@@ -113,6 +118,7 @@
   Policy.Retries.Ratio = FLAGS_retry_ratio;
   Policy.Retries.Extra = FLAGS_retry_extra;
   Policy.Retries.Window = std::chrono::milliseconds(FLAGS_retry_window_ms);
+  Policy.PlaceByMemory = platform::parseTerms(FLAGS_contracts).MemoryPressure;
   Policy.WatchWait = std::chrono::milliseconds(FLAGS_watch_wait_ms);
   Policy.UnreadyNotice = std::chrono::milliseconds(FLAGS_unready_notice_ms);
   BOOST_OUTCOME_TRY(Policy.PeerSeeds, readSeeds());
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -381,7 +381,7 @@
     RefusedAttempts.push_back({From, Call.Attempt});
     return;
   }
-  Arrivals.push_back({Call.Upstream, From, Now, Parts, Call.Body});
+  Arrivals.push_back({Call.Upstream, From, Now, Parts, Call.Body.text()});
   PendingAnswers.push_back({Now + AnswerTime, From, Starts[From], Call.Attempt,
                             Call.Upstream, std::move(Parts),
                             crashes(Arrivals.back())});
