Custodians only in large fleets

Cause: custodians were selected in fleets of any size, so that in a small fleet a lender that was one drew again at once, which it did not do before. Change: the selection is empty up to 16 instances.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -74,8 +74,9 @@
 // Custody.
 
 void BudgetAgent::updateCustodians(const WorkspaceId &Workspace, Book &Budget) {
+  const bool Large = Members.members().size() > SmallFleet;
   Budget.Custodians =
-      custodiansOf(Members.members(), Workspace, Policy.Custodians);
+      custodiansOf(Members.members(), Workspace, Large ? Policy.Custodians : 0);
 }
 
 void BudgetAgent::recordBound(Book &Budget, Money Bound) {
