--- a/test/HttpFramingTest.cpp
+++ b/test/HttpFramingTest.cpp
@@ -211,7 +211,7 @@
   Request.Target = "/";
   Request.IdleTimeout = 5s;
   boost::asio::io_context Io;
-  const std::shared_ptr<Recorder> Listener = std::make_shared<Recorder>(Io);
+  std::shared_ptr<Recorder> Listener = std::make_shared<Recorder>(Io);
   startExchange(makeHttpConnectionPool(Io), Request, Listener);
   Io.run_for(10s);
   ServerIo.stop();
