--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform on loopback: store, engines, machines."""
