Log memory, descriptors, signals and the reason of a termination

A process that ended by an exception left the C++ library's text on standard error and no event, and nothing showed how near a process was to its limits. The process line states resident memory, address space, threads and descriptors at the start and every 30 s, the signal line each signal that was handled, and the terminated line the exception that ended the process, written without allocations.

--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -1,5 +1,7 @@
 #include "daemons/InstanceProcess.h"
 
+#include "daemons/ProcessReport.h"
+
 #include <gflags/gflags.h>
 
 #include <csignal>
@@ -48,6 +50,8 @@
 
 /// Time between two checks whether the last answers are written.
 constexpr Duration AnswerCheckPeriod = 10ms;
+/// Time between two log lines about memory and descriptors.
+constexpr Duration FiguresPeriod = 30s;
 
 static Result<void> checkNumbers() {
   if (!(FLAGS_capacity > 0.0 && FLAGS_capacity <= 1024.0))
@@ -156,7 +160,7 @@
            Time, coreCallbacks()),
       Operators(Core, sharedLoop()), Metrics(Core, sharedLoop()),
       Signals(Main, SIGTERM, SIGINT, SIGHUP), DrainTimer(Main),
-      AnswerTimer(Main) {
+      AnswerTimer(Main), FiguresTimer(Main) {
   Callers.setMemoryNotice([this](const std::string &Detail) {
     if (const std::optional<std::string> Line =
             MemoryShort.report(Detail, Time.now()))
@@ -196,6 +200,7 @@
   Log.onEvent("started", "callers at " + FLAGS_listen + ", machine up for " +
                              std::to_string(secondsSinceBoot(Time.now())) +
                              " s, boot " + bootId());
+  logFigures();
   runLoop(Main);
   Log.onEvent("stopped", DrainTimedOut ? "drain timed out" : "drained");
   // Threads that post to the core stop before it does.
@@ -283,12 +288,23 @@
 }
 
 void InstanceProcess::onSignal(int Number) {
+  Log.onEvent("signal", std::to_string(Number));
   if (Number == SIGHUP)
     Reload(Log);
   else
     drain();
 }
 
+void InstanceProcess::logFigures() {
+  const std::optional<ProcessFigures> Figures = readProcessFigures();
+  Log.onEvent("process", Figures ? describe(*Figures) : "not stated");
+  FiguresTimer.expires_after(FiguresPeriod);
+  FiguresTimer.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      logFigures();
+  });
+}
+
 void InstanceProcess::stopAfterAnswers() {
   if (Callers.answering() == 0) {
     Main.stop();
--- a/daemons/InstanceProcess.h
+++ b/daemons/InstanceProcess.h
@@ -58,6 +58,8 @@
   void onSignal(int Number);
   void drain();
   void stopAfterAnswers();
+  /// Logs memory, threads and descriptors now and periodically.
+  void logFigures();
   [[nodiscard]] boost::asio::io_context *sharedLoop();
   /// Passes a caller's event to the core.
   /// \returns false if the core cannot accept a request now.
@@ -82,6 +84,7 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer DrainTimer;
   boost::asio::steady_timer AnswerTimer;
+  boost::asio::steady_timer FiguresTimer;
   bool DrainTimedOut = false;
 };
 
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -3,6 +3,7 @@
 /// platform that its callers use.
 
 #include "daemons/InstanceProcess.h"
+#include "daemons/ProcessReport.h"
 #include "platform/PlatformCallCodec.h"
 #include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
@@ -180,6 +181,7 @@
 } // namespace bronzeward
 
 int main(int Argc, char **Argv) {
+  bronzeward::reportTermination();
   gflags::SetUsageMessage(
       "routes calls of a fleet that is configured through the platform");
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
--- a/daemons/bronzeward.cpp
+++ b/daemons/bronzeward.cpp
@@ -2,6 +2,7 @@
 /// The router instance that serves a configuration written by its operators.
 
 #include "daemons/InstanceProcess.h"
+#include "daemons/ProcessReport.h"
 
 #include <gflags/gflags.h>
 
@@ -9,6 +10,7 @@
 
 int main(int Argc, char **Argv) {
   using namespace bronzeward;
+  reportTermination();
   gflags::SetUsageMessage("routes callers' requests against prepaid budgets");
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
   const Result<InstanceSettings> Settings = readInstanceSettings();
