Signals during the start and the end of a process are held back

A SIGHUP sent while bronzeward-fleet started ended it, and a SIGTERM ended it with the signal in place of code 0. The handlers stood only once the settings were read and the parts built; until then, and again while the parts were destroyed after a stop, each signal had its default effect.

main() now blocks SIGTERM, SIGINT and SIGHUP and ignores SIGPIPE first of all. They are delivered once the handlers stand, and blocked again before the handlers go; a stop that came before the start ends it with 0. The first signal alone sets the drain timer, 0.2 s before the limit.

A signal within the first 2 ms, while the dynamic loader runs, still ends the process.

--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -1,6 +1,7 @@
 #include "daemons/InstanceProcess.h"
 
 #include "daemons/ProcessReport.h"
+#include "daemons/ProcessSignals.h"
 
 #include <gflags/gflags.h>
 
@@ -50,6 +51,8 @@
 
 /// Time between two checks whether the last answers are written.
 constexpr Duration AnswerCheckPeriod = 10ms;
+/// Part of the drain timeout that is left for the end of the process.
+constexpr Duration ExitTime = 200ms;
 /// Time between two log lines about memory and descriptors.
 constexpr Duration FiguresPeriod = 30s;
 
@@ -191,18 +194,30 @@
 }
 
 int InstanceProcess::run() {
+  if (stopSignalHeld()) {
+    Log.onEvent("stopped", "signal received before the start");
+    return 0;
+  }
   if (!listen())
     return SettingsExitCode;
   Store.start();
   Upstreams.start();
   Core.start();
   awaitSignal();
+  releaseSignals();
   Log.onEvent("started", "callers at " + FLAGS_listen + ", machine up for " +
                              std::to_string(secondsSinceBoot(Time.now())) +
                              " s, boot " + bootId());
   logFigures();
   runLoop(Main);
+  // The end of the handlers would restore the default action.
+  holdSignals();
   Log.onEvent("stopped", DrainTimedOut ? "drain timed out" : "drained");
+  stopParts();
+  return 0;
+}
+
+void InstanceProcess::stopParts() {
   // Threads that post to the core stop before it does.
   Callers.stop();
   Operators.stop();
@@ -211,7 +226,6 @@
   Store.stop();
   Peers.stop();
   Core.stop();
-  return DrainTimedOut ? 1 : 0;
 }
 
 CoreThread::Callbacks InstanceProcess::coreCallbacks() {
@@ -318,9 +332,12 @@
 }
 
 void InstanceProcess::drain() {
+  if (Draining)
+    return;
+  Draining = true;
   Log.onEvent("draining", "signal received");
   Core.post(DrainRequested{});
-  DrainTimer.expires_after(Settings.DrainTimeout);
+  DrainTimer.expires_after(Settings.DrainTimeout - ExitTime);
   DrainTimer.async_wait([this](boost::system::error_code Failure) {
     if (Failure)
       return;
--- a/daemons/InstanceProcess.h
+++ b/daemons/InstanceProcess.h
@@ -46,8 +46,9 @@
                   std::function<void(StructuredLog &)> OnReload);
 
   /// \brief Serves until the instance has drained after a signal or the drain
-  /// timed out.
-  /// \returns the exit code: 0 after a drain, 1 if it timed out, and
+  /// timed out. The signals must be held back, see holdSignals(); they are
+  /// again when this returns.
+  /// \returns the exit code: 0 after a signal that stops it, and
   /// SettingsExitCode if an address could not be bound.
   int run();
 
@@ -57,6 +58,7 @@
   void awaitSignal();
   void onSignal(int Number);
   void drain();
+  void stopParts();
   void stopAfterAnswers();
   /// Logs memory, threads and descriptors now and periodically.
   void logFigures();
@@ -85,6 +87,7 @@
   boost::asio::steady_timer DrainTimer;
   boost::asio::steady_timer AnswerTimer;
   boost::asio::steady_timer FiguresTimer;
+  bool Draining = false;
   bool DrainTimedOut = false;
 };
 
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -4,6 +4,7 @@
 
 #include "daemons/InstanceProcess.h"
 #include "daemons/ProcessReport.h"
+#include "daemons/ProcessSignals.h"
 #include "platform/PlatformCallCodec.h"
 #include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
@@ -181,6 +182,7 @@
 } // namespace bronzeward
 
 int main(int Argc, char **Argv) {
+  bronzeward::holdSignals();
   bronzeward::reportTermination();
   gflags::SetUsageMessage(
       "routes calls of a fleet that is configured through the platform");
--- a/daemons/bronzeward.cpp
+++ b/daemons/bronzeward.cpp
@@ -3,6 +3,7 @@
 
 #include "daemons/InstanceProcess.h"
 #include "daemons/ProcessReport.h"
+#include "daemons/ProcessSignals.h"
 
 #include <gflags/gflags.h>
 
@@ -10,6 +11,7 @@
 
 int main(int Argc, char **Argv) {
   using namespace bronzeward;
+  holdSignals();
   reportTermination();
   gflags::SetUsageMessage("routes callers' requests against prepaid budgets");
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
--- a/test/process/StartAndStopTest.py
+++ b/test/process/StartAndStopTest.py
@@ -136,6 +136,10 @@
         self.addCleanup(holder.close)
         return holder
 
+    def accepts(self, port):
+        with socket.socket() as probe:
+            return probe.connect_ex((self.fleet.ip(1), port)) == 0
+
     def test_address_held_for_a_moment_does_not_end_the_process(self):
         for port in (fleet.FRONT_PORT, fleet.READY_PORT, fleet.PEER_PORT):
             holder = self.take(port)
@@ -151,8 +155,8 @@
         self.fleet.await_ready(0)
         self.assertIn("listen for metrics", self.fleet.log(0))
         holder.close()
-        self.wait_until("metrics are served", lambda: socket.socket().connect_ex(
-            (self.fleet.ip(1), fleet.METRICS_PORT)) == 0)
+        self.wait_until("metrics are served",
+                        lambda: self.accepts(fleet.METRICS_PORT))
 
     def test_stop_while_an_address_is_in_use_ends_with_success(self):
         self.take(fleet.FRONT_PORT)
