--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -46,9 +46,6 @@
 constexpr Duration CongestionRest = 3s;
 /// Time for which news about prompt parts is collected before it is sent.
 constexpr Duration PartNewsDelay = 200ms;
-/// Longest value of an entry that cannot be read that is sent to peers; of a
-/// longer one they receive the key only.
-constexpr std::size_t MaxUnreadableBytes = 4096;
 /// Time between two checks of state that changes without an event.
 constexpr Duration HousekeepingPeriod = 100ms;
 /// Delay of the housekeeping that is logged.
@@ -98,6 +95,7 @@
                    Store, Timers, RandomSource, OperatorChanges),
       UpstreamKeys(PlatformCodecs.Deployment.upstreamPrefix(), Policy.WatchWait,
                    Store, Timers, RandomSource, UpstreamChanges),
+      Upstreams(PlatformCodecs.Deployment, Dependencies.Log),
       Election(Identity.Instance, Identity.Domain),
       Limits(Identity.Instance,
              {Dependencies.Peers, Timers, RandomSource, Dependencies.Log}),
@@ -397,15 +395,16 @@
 void FleetCore::UpstreamListener::onListed(
     const std::vector<StoreEntry> &Listed, std::uint64_t Revision,
     TimePoint Now) {
-  Owner.applyUpstreamList(Listed, Revision, Owner.storeRecoveredAt(), Now);
+  Owner.Upstreams.onListed(Listed, Revision, Owner.storeRecoveredAt(), Now);
+  Owner.updateUsableUpstreams(Now);
   Owner.sendFollowerDigests();
 }
 
 void FleetCore::UpstreamListener::onChanged(const StoreEntry &Entry,
                                             TimePoint Now) {
-  Owner.applyUpstreamEntry(Entry, Owner.storeRecoveredAt(), Now);
-  Owner.queueChange(Owner.Entries[Entry.Key], Now);
-  Owner.Directory.onCaughtUp(Entry.Revision);
+  Owner.queueChange(
+      Owner.Upstreams.onChanged(Entry, Owner.storeRecoveredAt(), Now), Now);
+  Owner.Upstreams.onCaughtUp(Entry.Revision);
   Owner.updateUsableUpstreams(Now);
 }
 
@@ -415,7 +414,7 @@
 
 void FleetCore::queueChange(const StoreEntry &Entry, TimePoint Now) {
   if (UnsentChanges.empty()) {
-    UnsentSince = Directory.revision();
+    UnsentSince = Upstreams.revision();
     Timers.schedule(Now + ChangeBatchDelay,
                     [this](TimePoint At) { sendChanges(At); });
   }
@@ -438,85 +437,23 @@
     Deps.Peers.send(Peer, Changed);
 }
 
-UpstreamList FleetCore::changesSince(std::uint64_t Revision) const {
-  UpstreamList List;
-  List.Revision = Directory.revision();
-  List.Whole = Revision < EntriesListRevision;
-  List.Since = Revision;
-  for (const auto &[Key, Entry] : Entries)
-    if (List.Whole ? !Entry.Deleted : Entry.Revision > Revision)
-      List.Entries.push_back(Entry);
-  return List;
-}
-
-void FleetCore::applyUpstreamList(const std::vector<StoreEntry> &Listed,
-                                  std::uint64_t Revision,
-                                  std::optional<TimePoint> RecoveredAt,
-                                  TimePoint Now) {
-  std::vector<std::pair<UpstreamEntry, std::uint64_t>> Upstreams;
-  std::map<std::string, StoreEntry> Replacement;
-  for (const StoreEntry &Entry : Listed) {
-    const Result<UpstreamEntry> Parsed = Codecs.Deployment.parseUpstream(Entry);
-    StoreEntry &Stored = Replacement[Entry.Key] = Entry;
-    if (Parsed)
-      Upstreams.emplace_back(Parsed.value(), Entry.Revision);
-    else
-      skipUpstreamEntry(Stored, Parsed.error(), Now);
-  }
-  Entries = std::move(Replacement);
-  EntriesListRevision = Revision;
-  Directory.onListed(Upstreams, Revision, RecoveredAt, Now);
-  updateUsableUpstreams(Now);
-}
-
-void FleetCore::applyUpstreamEntry(const StoreEntry &Entry,
-                                   std::optional<TimePoint> RecoveredAt,
-                                   TimePoint Now) {
-  StoreEntry &Stored = Entries[Entry.Key];
-  if (Entry.Revision < Stored.Revision)
-    return;
-  Stored = Entry;
-  if (Entry.Deleted) {
-    Directory.onRemoved(Codecs.Deployment.upstreamOf(Entry.Key), Entry.Revision,
-                        RecoveredAt, Now);
-    return;
-  }
-  const Result<UpstreamEntry> Parsed = Codecs.Deployment.parseUpstream(Entry);
-  if (Parsed) {
-    Directory.onEntry(Parsed.value(), Entry.Revision, Now);
-    return;
-  }
-  skipUpstreamEntry(Stored, Parsed.error(), Now);
-  // It names no upstream, as if it were missing from a list.
-  Directory.onRemoved(Codecs.Deployment.upstreamOf(Entry.Key), Entry.Revision,
-                      std::nullopt, Now);
-}
-
-void FleetCore::skipUpstreamEntry(StoreEntry &Entry, const Error &Problem,
-                                  TimePoint Now) {
-  if (Entry.Value.size() > MaxUnreadableBytes)
-    Entry.Value.clear();
-  if (const std::optional<std::string> Line =
-          SkippedEntries.report(describe(Problem), Now))
-    Deps.Log.onEvent("upstream-entry-skipped", *Line);
-}
-
 void FleetCore::onUpstreamList(const UpstreamList &Message, TimePoint Now) {
-  if (Message.Whole && Message.Revision > Directory.revision()) {
-    applyUpstreamList(Message.Entries, Message.Revision, std::nullopt, Now);
+  if (Message.Whole && Message.Revision > Upstreams.revision()) {
+    Upstreams.onListed(Message.Entries, Message.Revision, std::nullopt, Now);
+    updateUsableUpstreams(Now);
     return;
   }
-  const bool NoGap = Message.Since <= Directory.revision();
+  const bool NoGap = Message.Since <= Upstreams.revision();
   for (const StoreEntry &Entry : Message.Entries)
-    applyUpstreamEntry(Entry, storeRecoveredAt(), Now);
+    Upstreams.onChanged(Entry, storeRecoveredAt(), Now);
   if (NoGap)
-    Directory.onCaughtUp(Message.Revision);
+    Upstreams.onCaughtUp(Message.Revision);
   updateUsableUpstreams(Now);
 }
 
 void FleetCore::updateUsableUpstreams(TimePoint Now) {
-  Engine.setUsable(Evacuated.withoutEvacuated(Directory.usable(Now)), Now);
-  NextLapse = Directory.nextRemoval(Now);
+  Engine.setUsable(Evacuated.withoutEvacuated(Upstreams.usable(Now)), Now);
+  NextLapse = Upstreams.nextRemoval(Now);
 }
 
 // Peers.
@@ -525,7 +462,7 @@
   PeerDigest Digest;
   Digest.Configuration = Version;
   Digest.Draining = DrainingSince.has_value();
-  Digest.UpstreamRevision = Directory.revision();
+  Digest.UpstreamRevision = Upstreams.revision();
   Digest.StoreUnreachable = storeUnreachable();
   Digest.PeerAddress = Identity.PeerAddress;
   Digest.Evacuations = Evacuated.notice();
@@ -667,10 +604,10 @@
 
 void FleetCore::compareUpstreams(const InstanceId &From,
                                  const PeerDigest &Message, TimePoint Now) {
-  const std::uint64_t OwnRevision = Directory.revision();
+  const std::uint64_t OwnRevision = Upstreams.revision();
   if (Message.UpstreamRevision < OwnRevision) {
     if (!Message.WatchesStore && !storeUnreachable())
-      Deps.Peers.send(From, changesSince(Message.UpstreamRevision));
+      Deps.Peers.send(From, Upstreams.changesSince(Message.UpstreamRevision));
   } else if (Message.UpstreamRevision > OwnRevision) {
     // The watcher replies to a digest with the entries that are missing here.
     if (Message.WatchesStore && !Election.watches(Now))
@@ -729,7 +666,7 @@
   StoreWasUnreachable = !StoreWasUnreachable;
   Deps.Log.onEvent(StoreWasUnreachable ? "store-lost" : "store-regained",
                    "upstreams known to revision " +
-                       std::to_string(Directory.revision()));
+                       std::to_string(Upstreams.revision()));
   if (!StoreWasUnreachable && Budgets)
     Budgets->onStoreRegained(Now);
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -4,6 +4,7 @@
 #include "bronzeward/src/Router/ConfigurationPull.h"
 #include "bronzeward/src/Router/InstanceCore.h"
 #include "bronzeward/src/Router/InstanceRegistry.h"
+#include "bronzeward/src/Router/UpstreamRegistry.h"
 #include "bronzeward/src/Router/WatcherElection.h"
 
 #include <map>
@@ -140,14 +141,6 @@
   void confirmMembershipByPeers(TimePoint Now);
   void onConfigurationText(const std::string &Text, const std::string &From,
                            TimePoint Now);
-  void applyUpstreamList(const std::vector<StoreEntry> &Entries,
-                         std::uint64_t Revision,
-                         std::optional<TimePoint> RecoveredAt, TimePoint Now);
-  void applyUpstreamEntry(const StoreEntry &Entry,
-                          std::optional<TimePoint> RecoveredAt, TimePoint Now);
-  /// Logs an entry that cannot be read and drops its bytes where they are many.
-  void skipUpstreamEntry(StoreEntry &Entry, const Error &Problem,
-                         TimePoint Now);
   void onUpstreamList(const UpstreamList &Message, TimePoint Now);
   void updateUsableUpstreams(TimePoint Now);
   /// \returns when this instance regained contact with the store or a watcher;
@@ -161,9 +154,6 @@
   void queueChange(const StoreEntry &Entry, TimePoint Now);
   /// Sends the batch of changes.
   void sendChanges(TimePoint Now);
-  /// \returns every entry that changed after a revision, or the whole list
-  /// where not all changes since are known.
-  [[nodiscard]] UpstreamList changesSince(std::uint64_t Revision) const;
   /// Applies the configuration among entries of the store.
   void applyConfiguration(const std::vector<StoreEntry> &Listed, TimePoint Now);
   /// Stops or resumes new calls to failure domains and tells the peers.
@@ -228,7 +218,7 @@
   UpstreamListener UpstreamChanges;
   StoreFollower OperatorKeys;
   StoreFollower UpstreamKeys;
-  UpstreamDirectory Directory;
+  UpstreamRegistry Upstreams;
   EvacuatedDomains Evacuated;
   WatcherElection Election;
   RateLimitAgent Limits;
@@ -240,13 +230,6 @@
   /// Compressed CurrentText, created when it is first sent.
   std::optional<PackedText> CurrentPacked;
   ConfigurationTextCounters Texts;
-  /// Registry entries as stored, to be sent to peers.
-  std::map<std::string, StoreEntry> Entries;
-  /// Revision of the list from which Entries was built; all later changes are
-  /// known.
-  std::uint64_t EntriesListRevision = 0;
-  /// Limits the log lines about entries that cannot be read.
-  UnreadableReplies SkippedEntries;
   /// Batch of changes that is sent next.
   std::vector<StoreEntry> UnsentChanges;
   /// Revision after which UnsentChanges holds every change.
--- /dev/null
+++ b/bronzeward/src/Router/UpstreamRegistry.cpp
@@ -0,0 +1,73 @@
+#include "bronzeward/src/Router/UpstreamRegistry.h"
+
+namespace bronzeward {
+
+/// Longest value of an entry that cannot be read that is sent to peers; of a
+/// longer one they receive the key only.
+constexpr std::size_t MaxUnreadableBytes = 4096;
+
+void UpstreamRegistry::onListed(const std::vector<StoreEntry> &Listed,
+                                std::uint64_t Revision,
+                                std::optional<TimePoint> OutageEndedAt,
+                                TimePoint Now) {
+  std::vector<std::pair<UpstreamEntry, std::uint64_t>> Upstreams;
+  std::map<std::string, StoreEntry> Replacement;
+  for (const StoreEntry &Entry : Listed) {
+    const Result<UpstreamEntry> Parsed = Codec.parseUpstream(Entry);
+    StoreEntry &Stored = Replacement[Entry.Key] = Entry;
+    if (Parsed)
+      Upstreams.emplace_back(Parsed.value(), Entry.Revision);
+    else
+      skipEntry(Stored, Parsed.error(), Now);
+  }
+  Entries = std::move(Replacement);
+  ListRevision = Revision;
+  Directory.onListed(Upstreams, Revision, OutageEndedAt, Now);
+}
+
+const StoreEntry &
+UpstreamRegistry::onChanged(const StoreEntry &Entry,
+                            std::optional<TimePoint> OutageEndedAt,
+                            TimePoint Now) {
+  StoreEntry &Stored = Entries[Entry.Key];
+  if (Entry.Revision < Stored.Revision)
+    return Stored;
+  Stored = Entry;
+  if (Entry.Deleted) {
+    Directory.onRemoved(Codec.upstreamOf(Entry.Key), Entry.Revision,
+                        OutageEndedAt, Now);
+    return Stored;
+  }
+  const Result<UpstreamEntry> Parsed = Codec.parseUpstream(Entry);
+  if (Parsed) {
+    Directory.onEntry(Parsed.value(), Entry.Revision, Now);
+    return Stored;
+  }
+  skipEntry(Stored, Parsed.error(), Now);
+  // It names no upstream, as if it were missing from a list.
+  Directory.onRemoved(Codec.upstreamOf(Entry.Key), Entry.Revision, std::nullopt,
+                      Now);
+  return Stored;
+}
+
+UpstreamList UpstreamRegistry::changesSince(std::uint64_t Revision) const {
+  UpstreamList List;
+  List.Revision = Directory.revision();
+  List.Whole = Revision < ListRevision;
+  List.Since = Revision;
+  for (const auto &[Key, Entry] : Entries)
+    if (List.Whole ? !Entry.Deleted : Entry.Revision > Revision)
+      List.Entries.push_back(Entry);
+  return List;
+}
+
+void UpstreamRegistry::skipEntry(StoreEntry &Entry, const Error &Problem,
+                                 TimePoint Now) {
+  if (Entry.Value.size() > MaxUnreadableBytes)
+    Entry.Value.clear();
+  if (const std::optional<std::string> Line =
+          SkippedEntries.report(describe(Problem), Now))
+    Log.onEvent("upstream-entry-skipped", *Line);
+}
+
+} // namespace bronzeward
