Log when and how an instance learns that an upstream left

The log could not distinguish a late notice from an upstream that is kept in spite of its missing entry, or from a choice made earlier.

--- a/bronzeward/src/Net/StructuredLog.cpp
+++ b/bronzeward/src/Net/StructuredLog.cpp
@@ -96,15 +96,22 @@
     Listed.push_back(json::object{{"upstream", Option->Name.Value},
                                   {"load", Option->Load},
                                   {"cached_tokens", Option->CachedTokens}});
-  return {{"event", "choice"},
-          {"request", Item.Request.Value},
-          {"service", Item.Service.Value},
-          {"attempt", Item.Attempt},
-          {"upstream", Item.Candidates[Item.Chosen.Index].Name.Value},
-          {"score", Item.Chosen.Score},
-          {"reason", Item.Chosen.Reason},
-          {"candidates", Item.Candidates.size()},
-          {"least_loaded", std::move(Listed)}};
+  json::object Line{{"event", "choice"},
+                    {"request", Item.Request.Value},
+                    {"service", Item.Service.Value},
+                    {"attempt", Item.Attempt},
+                    {"upstream", Item.Candidates[Item.Chosen.Index].Name.Value},
+                    {"score", Item.Chosen.Score},
+                    {"reason", Item.Chosen.Reason},
+                    {"candidates", Item.Candidates.size()},
+                    {"least_loaded", std::move(Listed)}};
+  if (Item.RegistryRevision) {
+    Line["list_revision"] = *Item.RegistryRevision;
+    Line["list_age_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Item.RegistryAge)
+            .count();
+  }
+  return Line;
 }
 
 void StructuredLog::write(const Record &Item) {
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -360,7 +360,8 @@
   }
   Deps.Log.onChoice({RequestId{Item.Call.CallerAttemptId},
                      Item.Admitted.Service, Candidates, *Chosen,
-                     static_cast<int>(Item.Query.Excluded.size()) + 1});
+                     static_cast<int>(Item.Query.Excluded.size()) + 1,
+                     Registry.Revision, Now - Registry.ConfirmedAt});
   send(Item, Best.Name, Now);
   armSilenceTimer(Item, Expected, Now);
 }
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -65,6 +65,9 @@
   /// \brief Replaces the set of upstreams that may receive new calls.
   void setUsable(const std::vector<UpstreamEntry> &Usable, TimePoint Now);
 
+  /// \brief Sets the state of the list of upstreams, for the decision log.
+  void setRegistryState(const RegistryState &Known) { Registry = Known; }
+
   /// \brief Sets who is told about news for the peers.
   void notify(PartNewsListener &Listener) { NewsListener = &Listener; }
 
@@ -274,6 +277,7 @@
   Incarnation OwnIncarnation;
   std::shared_ptr<const RouteTable> Routes;
   UpstreamPool Pool;
+  RegistryState Registry;
   LocalCongestion Congestion;
   PartQuarantine Parts;
   PartNewsListener *NewsListener = nullptr;
--- a/bronzeward/src/Relay/UpstreamDirectory.cpp
+++ b/bronzeward/src/Relay/UpstreamDirectory.cpp
@@ -23,14 +23,17 @@
 /// delayed change cannot restore it.
 constexpr Duration RemovedRetention = 60s;
 
-void UpstreamDirectory::onListed(
+std::vector<UpstreamDeparture> UpstreamDirectory::onListed(
     const std::vector<std::pair<UpstreamEntry, std::uint64_t>> &All,
     std::uint64_t Revision, std::optional<TimePoint> OutageEndedAt,
     TimePoint Now) {
+  std::vector<UpstreamDeparture> Departures;
   std::set<UpstreamName> Listed;
   for (const auto &[Entry, Changed] : All) {
     Listed.insert(Entry.Name);
-    onEntry(Entry, Changed, Now);
+    if (const std::optional<UpstreamDeparture> Announced =
+            onEntry(Entry, Changed, Now))
+      Departures.push_back(*Announced);
   }
   const bool AfterOutage =
       !OutageEndedAt || Now < *OutageEndedAt + OutageAftermath;
@@ -39,38 +42,51 @@
         Current.Revision > Revision)
       continue;
     Current.Revision = Revision;
-    remove(Current, AfterOutage, Now);
+    Departures.push_back(remove(Current, AfterOutage, Now));
   }
   KnownRevision = std::max(KnownRevision, Revision);
   prune(Now);
+  return Departures;
 }
 
-void UpstreamDirectory::onEntry(const UpstreamEntry &Entry,
-                                std::uint64_t Revision, TimePoint) {
+std::optional<UpstreamDeparture>
+UpstreamDirectory::onEntry(const UpstreamEntry &Entry, std::uint64_t Revision,
+                           TimePoint Now) {
   Item &Current = Items[Entry.Name];
   if (Revision < Current.Revision)
-    return;
+    return std::nullopt;
+  const bool Announced = Entry.Draining && !Current.Entry.Draining;
   Current = {Entry, Revision, std::nullopt};
+  if (!Announced)
+    return std::nullopt;
+  return UpstreamDeparture{Entry.Name, Revision, true, KeptReason::None, Now};
 }
 
-void UpstreamDirectory::onRemoved(const UpstreamName &Name,
-                                  std::uint64_t Revision,
-                                  std::optional<TimePoint> OutageEndedAt,
-                                  TimePoint Now) {
+std::optional<UpstreamDeparture>
+UpstreamDirectory::onRemoved(const UpstreamName &Name, std::uint64_t Revision,
+                             std::optional<TimePoint> OutageEndedAt,
+                             TimePoint Now) {
   const auto Found = Items.find(Name);
   if (Found == Items.end() || Revision < Found->second.Revision)
-    return;
+    return std::nullopt;
   Found->second.Revision = Revision;
   const bool AfterOutage =
       OutageEndedAt && Now < *OutageEndedAt + OutageAftermath;
-  remove(Found->second, AfterOutage, Now);
+  return remove(Found->second, AfterOutage, Now);
 }
 
-void UpstreamDirectory::remove(Item &Removed, bool MayReturn, TimePoint Now) {
+UpstreamDeparture UpstreamDirectory::remove(Item &Removed, bool MayReturn,
+                                            TimePoint Now) {
+  KeptReason Kept = KeptReason::None;
   // A draining upstream announced its shutdown, so it will not register again.
-  const bool Keep = !Removed.Entry.Draining &&
-                    (MayReturn || manyRemoved(Removed.Entry.Service, Now));
-  Removed.UnusableFrom = Keep ? Now + ReregistrationTime : Now;
+  if (!Removed.Entry.Draining && MayReturn)
+    Kept = KeptReason::Outage;
+  else if (!Removed.Entry.Draining && manyRemoved(Removed.Entry.Service, Now))
+    Kept = KeptReason::ManyRemoved;
+  Removed.UnusableFrom =
+      Kept == KeptReason::None ? Now : Now + ReregistrationTime;
+  return {Removed.Entry.Name, Removed.Revision, Removed.Entry.Draining, Kept,
+          *Removed.UnusableFrom};
 }
 
 bool UpstreamDirectory::manyRemoved(const ServiceName &Service,
--- a/bronzeward/src/Relay/UpstreamDirectory.h
+++ b/bronzeward/src/Relay/UpstreamDirectory.h
@@ -33,6 +33,19 @@
   bool operator==(const UpstreamEntry &) const = default;
 };
 
+/// \brief Why an upstream stays usable although its entry disappeared.
+enum class KeptReason { None, Outage, ManyRemoved };
+
+/// \brief An upstream that may receive no new calls, now or soon.
+struct UpstreamDeparture {
+  UpstreamName Name;
+  std::uint64_t Revision = 0;
+  /// Whether the upstream announced it; otherwise its entry disappeared.
+  bool Draining = false;
+  KeptReason Kept = KeptReason::None;
+  TimePoint UnusableFrom;
+};
+
 /// \brief Tracks the upstreams that may receive new calls, from registry
 /// entries that are delayed, and that expire and reappear when the store is
 /// unreachable.
@@ -47,16 +60,21 @@
   /// \param All entries, each with the revision of its last change.
   /// \param OutageEndedAt when the store became reachable again after an
   /// outage; empty if there was no outage.
-  void onListed(const std::vector<std::pair<UpstreamEntry, std::uint64_t>> &All,
-                std::uint64_t Revision, std::optional<TimePoint> OutageEndedAt,
-                TimePoint Now);
+  /// \returns the upstreams that left since the state known before.
+  std::vector<UpstreamDeparture>
+  onListed(const std::vector<std::pair<UpstreamEntry, std::uint64_t>> &All,
+           std::uint64_t Revision, std::optional<TimePoint> OutageEndedAt,
+           TimePoint Now);
   /// \brief Updates an upstream from its created or changed entry.
-  void onEntry(const UpstreamEntry &Entry, std::uint64_t Revision,
-               TimePoint Now);
+  /// \returns the departure that the upstream announced by this change.
+  std::optional<UpstreamDeparture>
+  onEntry(const UpstreamEntry &Entry, std::uint64_t Revision, TimePoint Now);
   /// \brief Records that an entry was deleted or has expired.
   /// \param OutageEndedAt as for onListed.
-  void onRemoved(const UpstreamName &Name, std::uint64_t Revision,
-                 std::optional<TimePoint> OutageEndedAt, TimePoint Now);
+  /// \returns the departure; empty if the upstream is unknown or the news old.
+  std::optional<UpstreamDeparture>
+  onRemoved(const UpstreamName &Name, std::uint64_t Revision,
+            std::optional<TimePoint> OutageEndedAt, TimePoint Now);
 
   /// \brief Records that all changes up to a store revision were applied.
   void onCaughtUp(std::uint64_t Revision) {
@@ -79,7 +97,7 @@
     std::optional<TimePoint> UnusableFrom;
   };
 
-  void remove(Item &Removed, bool MayReturn, TimePoint Now);
+  UpstreamDeparture remove(Item &Removed, bool MayReturn, TimePoint Now);
   [[nodiscard]] bool manyRemoved(const ServiceName &Service,
                                  TimePoint Now) const;
   void prune(TimePoint Now);
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -132,6 +132,14 @@
   virtual void probe(const UpstreamProbe &Probe) = 0;
 };
 
+/// \brief How recent an instance's list of upstreams is.
+struct RegistryState {
+  /// Store revision up to which all changes are known.
+  std::uint64_t Revision = 0;
+  /// When the store or a watcher last confirmed it.
+  TimePoint ConfirmedAt;
+};
+
 /// \brief The choice of an upstream for one attempt, for the decision log.
 struct ChoiceRecord {
   RequestId Request;
@@ -140,6 +148,9 @@
   Choice Chosen;
   /// Number of the attempt, starting at 1.
   int Attempt = 0;
+  /// Revision and age of the list of upstreams; empty where it is configured.
+  std::optional<std::uint64_t> RegistryRevision = std::nullopt;
+  Duration RegistryAge{};
 };
 
 /// \brief Receives the decisions to log.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -395,7 +395,8 @@
 void FleetCore::UpstreamListener::onListed(
     const std::vector<StoreEntry> &Listed, std::uint64_t Revision,
     TimePoint Now) {
-  Owner.Upstreams.onListed(Listed, Revision, Owner.storeRecoveredAt(), Now);
+  Owner.Upstreams.onListed(Listed, Revision, Owner.storeNews("store list"),
+                           Now);
   Owner.updateUsableUpstreams(Now);
   Owner.sendFollowerDigests();
 }
@@ -403,7 +404,8 @@
 void FleetCore::UpstreamListener::onChanged(const StoreEntry &Entry,
                                             TimePoint Now) {
   Owner.queueChange(
-      Owner.Upstreams.onChanged(Entry, Owner.storeRecoveredAt(), Now), Now);
+      Owner.Upstreams.onChanged(Entry, Owner.storeNews("store watch"), Now),
+      Now);
   Owner.Upstreams.onCaughtUp(Entry.Revision);
   Owner.updateUsableUpstreams(Now);
 }
@@ -412,6 +414,19 @@
   return std::max(UpstreamKeys.recoveredAt(), Election.recoveredAt());
 }
 
+std::optional<TimePoint> FleetCore::upstreamsConfirmedAt() const {
+  return std::max(UpstreamKeys.lastReplyAt(), Election.confirmedAt());
+}
+
+RegistryNews FleetCore::storeNews(const char *Source) const {
+  return {Source, false, upstreamsConfirmedAt(), storeRecoveredAt()};
+}
+
+void FleetCore::updateRegistryState() {
+  Engine.setRegistryState(
+      {Upstreams.revision(), upstreamsConfirmedAt().value_or(TimePoint())});
+}
+
 void FleetCore::queueChange(const StoreEntry &Entry, TimePoint Now) {
   if (UnsentChanges.empty()) {
     UnsentSince = Upstreams.revision();
@@ -437,15 +452,19 @@
     Deps.Peers.send(Peer, Changed);
 }
 
-void FleetCore::onUpstreamList(const UpstreamList &Message, TimePoint Now) {
+void FleetCore::onUpstreamList(const InstanceId &From,
+                               const UpstreamList &Message, TimePoint Now) {
+  RegistryNews News{"peer " + From.Value, true, upstreamsConfirmedAt(),
+                    std::nullopt};
   if (Message.Whole && Message.Revision > Upstreams.revision()) {
-    Upstreams.onListed(Message.Entries, Message.Revision, std::nullopt, Now);
+    Upstreams.onListed(Message.Entries, Message.Revision, News, Now);
     updateUsableUpstreams(Now);
     return;
   }
+  News.OutageEndedAt = storeRecoveredAt();
   const bool NoGap = Message.Since <= Upstreams.revision();
   for (const StoreEntry &Entry : Message.Entries)
-    Upstreams.onChanged(Entry, storeRecoveredAt(), Now);
+    Upstreams.onChanged(Entry, News, Now);
   if (NoGap)
     Upstreams.onCaughtUp(Message.Revision);
   updateUsableUpstreams(Now);
@@ -454,6 +473,7 @@
 void FleetCore::updateUsableUpstreams(TimePoint Now) {
   Engine.setUsable(Evacuated.withoutEvacuated(Upstreams.usable(Now)), Now);
   NextLapse = Upstreams.nextRemoval(Now);
+  updateRegistryState();
 }
 
 // Peers.
@@ -630,7 +650,7 @@
   else if (std::holds_alternative<ConfigurationRequest>(Message))
     sendConfiguration(From);
   else if (const auto *List = std::get_if<UpstreamList>(&Message))
-    onUpstreamList(*List, Now);
+    onUpstreamList(From, *List, Now);
   else if (const auto *Load = std::get_if<LoadNotice>(&Message))
     Engine.upstreams().onPeerLoad(From, *Load, Now);
   else if (const auto *News = std::get_if<PartNews>(&Message))
@@ -729,6 +749,7 @@
   if (Engine.congested(Now))
     CongestedUntil = Now + CongestionRest;
   updateWatchRole(Now);
+  updateRegistryState();
   if (NextLapse && Now >= *NextLapse)
     updateUsableUpstreams(Now);
   if (Budgets && Now >= NextExcessReturn) {
@@ -816,6 +837,10 @@
   Status.StoreFailing = storeUnreachable();
   Status.Upstreams = Engine.upstreams().size();
   Status.RateLimitedUpstreams = Limits.limited();
+  Status.UpstreamsRevision = Upstreams.revision();
+  if (const std::optional<TimePoint> ConfirmedAt = upstreamsConfirmedAt())
+    Status.UpstreamsAge = Now - *ConfirmedAt;
+  Status.Departures = Upstreams.departures();
   Status.EvacuatedDomains = Evacuated.notice().Domains;
   Status.InFlight = static_cast<std::int64_t>(Engine.inFlight());
   Status.Requests = Engine.counters();
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -141,11 +141,17 @@
   void confirmMembershipByPeers(TimePoint Now);
   void onConfigurationText(const std::string &Text, const std::string &From,
                            TimePoint Now);
-  void onUpstreamList(const UpstreamList &Message, TimePoint Now);
+  void onUpstreamList(const InstanceId &From, const UpstreamList &Message,
+                      TimePoint Now);
   void updateUsableUpstreams(TimePoint Now);
   /// \returns when this instance regained contact with the store or a watcher;
   /// from then on, upstreams whose entries had lapsed register again.
   [[nodiscard]] std::optional<TimePoint> storeRecoveredAt() const;
+  /// \returns when all entries of upstreams were last known to be current.
+  [[nodiscard]] std::optional<TimePoint> upstreamsConfirmedAt() const;
+  /// \returns the origin of news that the store sent.
+  [[nodiscard]] RegistryNews storeNews(const char *Source) const;
+  void updateRegistryState();
   /// Resumes or pauses watching the store, as the election demands.
   void updateWatchRole(TimePoint Now);
   /// Sends a digest to the instances that rely on this one as their watcher.
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -94,6 +94,13 @@
             static_cast<std::int64_t>(Status.Configuration.Number));
   Out.gauge("upstreams", "Upstreams that may get new requests.",
             static_cast<std::int64_t>(Status.Upstreams));
+  Out.gauge("upstreams_revision",
+            "Store revision up to which changes of upstreams are known.",
+            static_cast<std::int64_t>(Status.UpstreamsRevision));
+  Out.gauge(
+      "upstreams_age_ms", "Time since that revision was confirmed.",
+      std::chrono::duration_cast<std::chrono::milliseconds>(Status.UpstreamsAge)
+          .count());
   Out.gauge("rate_limited_upstreams", "Upstreams that state a rate limit.",
             static_cast<std::int64_t>(Status.RateLimitedUpstreams));
   Out.gauge("evacuated_failure_domains",
@@ -171,6 +178,15 @@
   Out.counter("store_calls_held_back_total",
               "Store calls not sent: breaker open or too many in flight.",
               Status.Store.NotSent);
+  Out.counter("upstream_departures_total",
+              "Upstreams that announced their end or lost their entry.",
+              Status.Departures.Departures);
+  Out.counter("upstream_departures_kept_total",
+              "Departed upstreams that stayed usable for a while.",
+              Status.Departures.Kept);
+  Out.counter("upstream_departures_from_peers_total",
+              "Departures that became known by a peer.",
+              Status.Departures.FromPeers);
   for (const RingCount &Ring : Status.Connections.Rings)
     Out.counter(("ring_" + Ring.Name + "_refused_total").c_str(),
                 "Items rejected by the full ring into this thread.",
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Request"
 #include "bronzeward/Store"
+#include "bronzeward/src/Router/DepartureLog.h"
 
 #include <string>
 #include <vector>
@@ -52,6 +53,11 @@
   bool Draining = false;
   ConfigurationVersion Configuration;
   std::size_t Upstreams = 0;
+  /// Store revision up to which changes of upstreams are known, and the time
+  /// since it was last confirmed.
+  std::uint64_t UpstreamsRevision = 0;
+  Duration UpstreamsAge{};
+  DepartureCounters Departures;
   /// Upstreams that state a rate limit in their answers.
   std::size_t RateLimitedUpstreams = 0;
   /// Failure domains whose upstreams get no calls.
--- a/bronzeward/src/Router/UpstreamRegistry.cpp
+++ b/bronzeward/src/Router/UpstreamRegistry.cpp
@@ -8,8 +8,7 @@
 
 void UpstreamRegistry::onListed(const std::vector<StoreEntry> &Listed,
                                 std::uint64_t Revision,
-                                std::optional<TimePoint> OutageEndedAt,
-                                TimePoint Now) {
+                                const RegistryNews &News, TimePoint Now) {
   std::vector<std::pair<UpstreamEntry, std::uint64_t>> Upstreams;
   std::map<std::string, StoreEntry> Replacement;
   for (const StoreEntry &Entry : Listed) {
@@ -22,32 +21,36 @@
   }
   Entries = std::move(Replacement);
   ListRevision = Revision;
-  Directory.onListed(Upstreams, Revision, OutageEndedAt, Now);
+  for (const UpstreamDeparture &Item :
+       Directory.onListed(Upstreams, Revision, News.OutageEndedAt, Now))
+    Departures.onDeparture(Item, News, Now);
 }
 
-const StoreEntry &
-UpstreamRegistry::onChanged(const StoreEntry &Entry,
-                            std::optional<TimePoint> OutageEndedAt,
-                            TimePoint Now) {
+const StoreEntry &UpstreamRegistry::onChanged(const StoreEntry &Entry,
+                                              const RegistryNews &News,
+                                              TimePoint Now) {
   StoreEntry &Stored = Entries[Entry.Key];
   if (Entry.Revision < Stored.Revision)
     return Stored;
   Stored = Entry;
-  if (Entry.Deleted) {
-    Directory.onRemoved(Codec.upstreamOf(Entry.Key), Entry.Revision,
-                        OutageEndedAt, Now);
-    return Stored;
-  }
+  if (const std::optional<UpstreamDeparture> Departure =
+          apply(Stored, News.OutageEndedAt, Now))
+    Departures.onDeparture(*Departure, News, Now);
+  return Stored;
+}
+
+std::optional<UpstreamDeparture>
+UpstreamRegistry::apply(StoreEntry &Entry,
+                        std::optional<TimePoint> OutageEndedAt, TimePoint Now) {
+  const UpstreamName Name = Codec.upstreamOf(Entry.Key);
+  if (Entry.Deleted)
+    return Directory.onRemoved(Name, Entry.Revision, OutageEndedAt, Now);
   const Result<UpstreamEntry> Parsed = Codec.parseUpstream(Entry);
-  if (Parsed) {
-    Directory.onEntry(Parsed.value(), Entry.Revision, Now);
-    return Stored;
-  }
-  skipEntry(Stored, Parsed.error(), Now);
+  if (Parsed)
+    return Directory.onEntry(Parsed.value(), Entry.Revision, Now);
+  skipEntry(Entry, Parsed.error(), Now);
   // It names no upstream, as if it were missing from a list.
-  Directory.onRemoved(Codec.upstreamOf(Entry.Key), Entry.Revision, std::nullopt,
-                      Now);
-  return Stored;
+  return Directory.onRemoved(Name, Entry.Revision, std::nullopt, Now);
 }
 
 UpstreamList UpstreamRegistry::changesSince(std::uint64_t Revision) const {
--- a/bronzeward/src/Router/UpstreamRegistry.h
+++ b/bronzeward/src/Router/UpstreamRegistry.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/Relay"
 #include "bronzeward/Store"
+#include "bronzeward/src/Router/DepartureLog.h"
 
 #include <map>
 #include <optional>
@@ -16,16 +17,14 @@
 class UpstreamRegistry {
 public:
   UpstreamRegistry(const DeploymentCodec &Format, DecisionLog &Output)
-      : Codec(Format), Log(Output) {}
+      : Codec(Format), Log(Output), Departures(Output) {}
 
   /// \brief Replaces the entries by a complete list of a store revision.
-  /// \param OutageEndedAt as for \ref UpstreamDirectory::onListed.
   void onListed(const std::vector<StoreEntry> &Listed, std::uint64_t Revision,
-                std::optional<TimePoint> OutageEndedAt, TimePoint Now);
+                const RegistryNews &News, TimePoint Now);
   /// \brief Applies one entry that was changed or deleted.
   /// \returns the newest known state of the entry, to be sent to peers.
-  const StoreEntry &onChanged(const StoreEntry &Entry,
-                              std::optional<TimePoint> OutageEndedAt,
+  const StoreEntry &onChanged(const StoreEntry &Entry, const RegistryNews &News,
                               TimePoint Now);
   /// \brief Records that all changes up to a store revision were applied.
   void onCaughtUp(std::uint64_t Revision) { Directory.onCaughtUp(Revision); }
@@ -44,12 +43,21 @@
     return Directory.nextRemoval(Now);
   }
 
+  [[nodiscard]] const DepartureCounters &departures() const {
+    return Departures.counters();
+  }
+
 private:
+  /// Updates the directory from the newest state of an entry.
+  std::optional<UpstreamDeparture> apply(StoreEntry &Entry,
+                                         std::optional<TimePoint> OutageEndedAt,
+                                         TimePoint Now);
   /// Logs an entry that cannot be read and drops its bytes where they are many.
   void skipEntry(StoreEntry &Entry, const Error &Problem, TimePoint Now);
 
   const DeploymentCodec &Codec;
   DecisionLog &Log;
+  DepartureLog Departures;
   UpstreamDirectory Directory;
   /// Entries as stored, to be sent to peers.
   std::map<std::string, StoreEntry> Entries;
--- a/bronzeward/src/Router/WatcherElection.h
+++ b/bronzeward/src/Router/WatcherElection.h
@@ -35,6 +35,10 @@
   [[nodiscard]] const std::vector<InstanceId> &followers() const {
     return Followers;
   }
+  /// \returns when the latest confirmation arrived.
+  [[nodiscard]] std::optional<TimePoint> confirmedAt() const {
+    return ConfirmedAt;
+  }
   /// \returns when a confirmation last arrived after the one before it had
   /// expired; nothing where none ever expired.
   [[nodiscard]] std::optional<TimePoint> recoveredAt() const {
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -38,6 +38,7 @@
                recordReply(At);
                Revision = std::max(Revision, Reply.Revision);
                Listener.onListed(Reply.Entries, Reply.Revision, At);
+               LastReplyAt = At;
                watch(At);
              });
 }
@@ -63,6 +64,7 @@
   for (const StoreEntry &Entry : Reply.Entries)
     Listener.onChanged(Entry, Now);
   Revision = std::max(Revision, Reply.Revision);
+  LastReplyAt = Now;
   watch(Now);
 }
 
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -48,6 +48,11 @@
   [[nodiscard]] std::optional<TimePoint> recoveredAt() const {
     return RecoveredAt;
   }
+  /// \returns when the latest reply was passed to the listener; nothing before
+  /// the first one.
+  [[nodiscard]] std::optional<TimePoint> lastReplyAt() const {
+    return LastReplyAt;
+  }
   /// \returns the revision up to which all changes were received.
   [[nodiscard]] std::uint64_t revision() const { return Revision; }
 
@@ -73,6 +78,7 @@
   bool InContact = false;
   bool LostContact = false;
   std::optional<TimePoint> RecoveredAt;
+  std::optional<TimePoint> LastReplyAt;
 };
 
 } // namespace bronzeward
