Read upstreams again soon after a watch without a reply

Requests reached an upstream 2.59 s after its `draining` was acknowledged. One reply had been lost on the watch's connection, which stayed open; the follower noticed it after the wait and the timeout of the call, 2.4 s, paused for up to 0.4 s, and took the loss for an outage of the store.

A watch whose reply is 300 ms late, or that was cut, is now followed by a list at once, on another connection; contact counts as lost only if that list fails. Watches of upstreams wait for 1 s at most, so a change is known after 1.3 s and the time of a list.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -5,6 +5,11 @@
 
 namespace bronzeward {
 
+/// Longest wait of a watch on the upstreams' keys. Together with the time after
+/// which a reply counts as lost, it is the longest time for which a change goes
+/// unnoticed if a connection stalls; an upstream that leaves must receive no
+/// new calls after two seconds.
+constexpr std::chrono::milliseconds MaxUpstreamWatchWait{1000};
 /// Time between two digests to peers while the store is reachable, and while it
 /// is not.
 constexpr Duration GossipPeriod = 500ms;
@@ -93,8 +98,9 @@
       OperatorChanges(*this), UpstreamChanges(*this),
       OperatorKeys(PlatformCodecs.Deployment.operatorPrefix(), Policy.WatchWait,
                    Store, Timers, RandomSource, OperatorChanges),
-      UpstreamKeys(PlatformCodecs.Deployment.upstreamPrefix(), Policy.WatchWait,
-                   Store, Timers, RandomSource, UpstreamChanges),
+      UpstreamKeys(PlatformCodecs.Deployment.upstreamPrefix(),
+                   std::min(Policy.WatchWait, MaxUpstreamWatchWait), Store,
+                   Timers, RandomSource, UpstreamChanges),
       Upstreams(PlatformCodecs.Deployment, Dependencies.Log),
       Election(Identity.Instance, Identity.Domain),
       Limits(Identity.Instance,
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -6,6 +6,9 @@
 
 /// Longest delay before a failed list is repeated; jitter takes off up to half.
 constexpr Duration MaxRetryDelay = 400ms;
+/// Time after the end of a watch's wait from which its reply counts as lost. A
+/// slower store is followed by lists.
+constexpr Duration MaxReplyDelay = 300ms;
 
 StoreFollower::StoreFollower(std::string KeyPrefix,
                              std::chrono::milliseconds Wait,
@@ -46,20 +49,39 @@
 void StoreFollower::watch(TimePoint Now) {
   if (!mayCall())
     return;
-  Store.call(
-      WatchKeys{Prefix, Revision, WatchWait}, Now,
-      [this](const StoreReply &Reply, TimePoint At) { onWatched(Reply, At); });
+  const std::uint64_t Number = ++LastWatch;
+  PendingWatch = Number;
+  Store.call(WatchKeys{Prefix, Revision, WatchWait}, Now,
+             [this, Number](const StoreReply &Reply, TimePoint At) {
+               if (PendingWatch == Number)
+                 onWatched(Reply, At);
+             });
+  // The call may have failed at once.
+  if (PendingWatch == Number)
+    Silence = Timers.schedule(Now + WatchWait + MaxReplyDelay,
+                              [this](TimePoint At) { onSilentWatch(At); });
+}
+
+void StoreFollower::endWatch() {
+  PendingWatch.reset();
+  if (Silence)
+    Timers.cancel(*Silence);
+  Silence.reset();
+}
+
+void StoreFollower::onSilentWatch(TimePoint Now) {
+  endWatch();
+  list(Now);
 }
 
 void StoreFollower::onWatched(const StoreReply &Reply, TimePoint Now) {
-  if (Reply.HistoryLost) {
+  endWatch();
+  // A watch may be cut, or its reply lost, while the store serves others. Only
+  // a new call shows whether contact is lost.
+  if (Reply.HistoryLost || Reply.Status != StoreStatus::Ok) {
     list(Now);
     return;
   }
-  if (Reply.Status != StoreStatus::Ok) {
-    retry(Now);
-    return;
-  }
   recordReply(Now);
   for (const StoreEntry &Entry : Reply.Entries)
     Listener.onChanged(Entry, Now);
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -23,7 +23,8 @@
 /// \brief Follows every key under a prefix by one list and then watches.
 ///
 /// Lists again after a gap in the history, a failed call or a watch without a
-/// reply in time, since a connection may stall without an error.
+/// reply in time, since a connection may stall without an error. Contact counts
+/// as lost when a list fails.
 class StoreFollower {
 public:
   /// \param Wait longest wait of one watch; it limits how long a stalled
@@ -61,6 +62,9 @@
   [[nodiscard]] bool mayCall();
   void list(TimePoint Now);
   void watch(TimePoint Now);
+  /// Ends the wait for the reply of the latest watch.
+  void endWatch();
+  void onSilentWatch(TimePoint Now);
   void onWatched(const StoreReply &Reply, TimePoint Now);
   void retry(TimePoint Now);
   void recordReply(TimePoint Now);
@@ -72,6 +76,11 @@
   Random &Jitter;
   StoreFollowerListener &Listener;
   std::uint64_t Revision = 0;
+  std::uint64_t LastWatch = 0;
+  /// Number of the watch whose reply is awaited.
+  std::optional<std::uint64_t> PendingWatch;
+  /// Set while PendingWatch is.
+  std::optional<TimerQueue::Handle> Silence;
   bool Paused = false;
   /// Whether neither a call nor a retry timer is pending.
   bool Stopped = false;
