Log the evidence of crashes for single contents

An upstream that crashes, a call that broke for another reason, and a crash that was taken for part of an outage all looked alike in the logs: there was one line with the number of interrupted calls, and none for what was not counted. Three hypotheses on requests that go on crashing upstreams (the crash is not seen; it is not counted; the quarantine's trials add up) could not be told apart.

crash-evidence tells for each crash of a content its upstream, age, source and verdict, interruption-unproven the calls whose upstream was not found down, suspect-sent the calls that are sent although their content has crashes. upstream-crashed tells the sign.

The tracking of crashes moves from RelayEngine to CrashTracker, unchanged.

--- a/bronzeward/src/Relay/CrashEvidence.cpp
+++ b/bronzeward/src/Relay/CrashEvidence.cpp
@@ -1,5 +1,7 @@
 #include "bronzeward/src/Relay/CrashEvidence.h"
 
+#include <utility>
+
 namespace bronzeward {
 
 /// Longest time between an interrupted call and the detection that its upstream
@@ -13,6 +15,8 @@
 constexpr Duration ProbePause = 500ms;
 /// Number of upstreams above which outdated histories are removed.
 constexpr std::size_t MaxHistories = 4096;
+/// Maximum number of calls kept to be reported as unproven.
+constexpr std::size_t MaxUnproven = 64;
 
 void CrashEvidence::prune(TimePoint Now) {
   if (Histories.size() < MaxHistories)
@@ -25,15 +29,28 @@
   });
 }
 
+void CrashEvidence::expireCalls(UpstreamHistory &History, TimePoint Now) {
+  while (!History.Calls.empty() &&
+         Now > History.Calls.front().At + DetectionTime) {
+    if (Unproven.size() < MaxUnproven)
+      Unproven.push_back(std::move(History.Calls.front()));
+    History.Calls.pop_front();
+  }
+}
+
+std::vector<InterruptedCall> CrashEvidence::takeUnproven(TimePoint Now) {
+  for (auto &[Name, History] : Histories)
+    expireCalls(History, Now);
+  return std::exchange(Unproven, {});
+}
+
 std::vector<InterruptedCall>
 CrashEvidence::onInterrupted(const InterruptedCall &Call, TimePoint Now) {
   prune(Now);
   UpstreamHistory &History = Histories[Call.Upstream.Name];
   if (History.WasDown && Now < History.DownAt + CrashAftermath)
     return {Call};
-  while (!History.Calls.empty() &&
-         Now > History.Calls.front().At + DetectionTime)
-    History.Calls.pop_front();
+  expireCalls(History, Now);
   History.Calls.push_back(Call);
   return {};
 }
@@ -43,10 +60,9 @@
   UpstreamHistory &History = Histories[Upstream];
   History.WasDown = true;
   History.DownAt = Now;
-  std::vector<InterruptedCall> Calls;
-  for (const InterruptedCall &Call : History.Calls)
-    if (Now <= Call.At + DetectionTime)
-      Calls.push_back(Call);
+  expireCalls(History, Now);
+  std::vector<InterruptedCall> Calls(History.Calls.begin(),
+                                     History.Calls.end());
   History.Calls.clear();
   return Calls;
 }
--- a/bronzeward/src/Relay/CrashEvidence.h
+++ b/bronzeward/src/Relay/CrashEvidence.h
@@ -41,6 +41,10 @@
   /// \returns false if the result is known or a test was begun shortly before.
   [[nodiscard]] bool beginProbe(const UpstreamName &Upstream, TimePoint Now);
 
+  /// \returns calls that were interrupted and whose upstream was not found down
+  /// in time, once each.
+  [[nodiscard]] std::vector<InterruptedCall> takeUnproven(TimePoint Now);
+
 private:
   struct UpstreamHistory {
     std::deque<InterruptedCall> Calls;
@@ -49,8 +53,11 @@
     std::optional<TimePoint> ProbedAt;
   };
   void prune(TimePoint Now);
+  /// Moves the outdated calls of an upstream to Unproven.
+  void expireCalls(UpstreamHistory &History, TimePoint Now);
 
   std::map<UpstreamName, UpstreamHistory> Histories;
+  std::vector<InterruptedCall> Unproven;
 };
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -51,6 +51,24 @@
 
 bool isContent(PartId Suspect) { return (Suspect & ContentBit) != 0; }
 
+std::string nameOf(CrashVerdict Verdict) {
+  switch (Verdict) {
+  case CrashVerdict::Counted:
+    return "counted";
+  case CrashVerdict::Known:
+    return "not counted: known";
+  case CrashVerdict::CommonCause:
+    return "not counted: at the time of another crash";
+  case CrashVerdict::AnsweredSince:
+    return "not counted: answered since";
+  case CrashVerdict::Lifted:
+    return "not counted: lifted by an operator";
+  case CrashVerdict::Full:
+    return "not counted: too many are stored";
+  }
+  return "";
+}
+
 static std::chrono::milliseconds ageOf(TimePoint At, TimePoint Now) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       std::max(Duration(), Now - At));
@@ -99,25 +117,33 @@
   return Entries.size() < MaxEntries ? &Entries[Part] : nullptr;
 }
 
-bool PartQuarantine::addCrash(PartId Part, const UpstreamRun &Upstream,
-                              TimePoint At, TimePoint Now) {
+CrashVerdict PartQuarantine::addCrash(PartId Part, const UpstreamRun &Upstream,
+                                      TimePoint At, TimePoint Now) {
   Entry *Item = entryFor(Part, Now);
-  if (Item == nullptr || Now < Item->LiftedUntil ||
-      (Item->AnsweredAt && At <= *Item->AnsweredAt))
-    return false;
+  if (Item == nullptr)
+    return CrashVerdict::Full;
+  if (Now < Item->LiftedUntil)
+    return CrashVerdict::Lifted;
+  if (Item->AnsweredAt && At <= *Item->AnsweredAt)
+    return CrashVerdict::AnsweredSince;
   // A crash under a trial confirms the quarantine.
   if (Item->QuarantinedAt && Item->TrialsLeft < MaxTrials &&
       At >= *Item->QuarantinedAt)
     Item->TrialsLeft = 0;
-  const bool Counted = std::any_of(
-      Item->Crashes.begin(), Item->Crashes.end(), [&](const Crash &Stored) {
-        const Duration Apart = At < Stored.At ? Stored.At - At : At - Stored.At;
-        return Stored.Upstream == Upstream || Apart < CommonCauseTime;
-      });
-  if (Counted || Item->Crashes.size() >= MaxCrashes)
-    return false;
+  const std::vector<Crash> &Crashes = Item->Crashes;
+  if (std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash &Stored) {
+        return Stored.Upstream == Upstream;
+      }))
+    return CrashVerdict::Known;
+  if (std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash &Stored) {
+        return (At < Stored.At ? Stored.At - At : At - Stored.At) <
+               CommonCauseTime;
+      }))
+    return CrashVerdict::CommonCause;
+  if (Crashes.size() >= MaxCrashes)
+    return CrashVerdict::Full;
   Item->Crashes.push_back({Upstream, At, Now});
-  return true;
+  return CrashVerdict::Counted;
 }
 
 bool PartQuarantine::addAnswer(PartId Part, TimePoint At, TimePoint Now) {
@@ -181,12 +207,21 @@
   return static_cast<std::uint64_t>(Due / TrialTurn);
 }
 
-void PartQuarantine::onCrash(const UpstreamRun &Upstream,
-                             const std::vector<PartId> &Parts,
-                             TimePoint CrashedAt, TimePoint Now) {
-  for (const PartId Part : Parts)
-    if (addCrash(Part, Upstream, CrashedAt, Now))
-      queueCrash(Upstream, Part, ageOf(CrashedAt, Now));
+std::vector<CrashFinding>
+PartQuarantine::onCrash(const UpstreamRun &Upstream,
+                        const std::vector<PartId> &Parts, TimePoint CrashedAt,
+                        TimePoint Now) {
+  std::vector<CrashFinding> Findings;
+  for (const PartId Part : Parts) {
+    const CrashVerdict Verdict = addCrash(Part, Upstream, CrashedAt, Now);
+    if (Verdict == CrashVerdict::Known)
+      continue;
+    const std::chrono::milliseconds Age = ageOf(CrashedAt, Now);
+    if (Verdict == CrashVerdict::Counted)
+      queueCrash(Upstream, Part, Age);
+    Findings.push_back({Part, Upstream.Name, Age, Verdict, crashes(Part)});
+  }
+  return Findings;
 }
 
 void PartQuarantine::onAnswered(const std::vector<PartId> &Parts,
@@ -201,16 +236,20 @@
   }
 }
 
-void PartQuarantine::onNews(const PartNews &News, TimePoint Now) {
+std::vector<CrashFinding> PartQuarantine::onNews(const PartNews &News,
+                                                 TimePoint Now) {
+  std::vector<CrashFinding> Findings;
   for (const PartNotice &Item : News.Answered)
     if (addAnswer(Item.Part, Now - Item.Age, Now))
       queueAnswer(Item);
-  for (const CrashNotice &Item : News.Crashes)
-    for (const PartId Part : Item.Parts)
-      if (addCrash(Part, Item.Upstream, Now - Item.Age, Now))
-        queueCrash(Item.Upstream, Part, Item.Age);
+  for (const CrashNotice &Item : News.Crashes) {
+    const std::vector<CrashFinding> New =
+        onCrash(Item.Upstream, Item.Parts, Now - Item.Age, Now);
+    Findings.insert(Findings.end(), New.begin(), New.end());
+  }
   for (const PartNotice &Item : News.Quarantined)
     addQuarantine(Item.Part, Now - Item.Age, Now);
+  return Findings;
 }
 
 std::vector<PartQuarantine::Begun> PartQuarantine::review(TimePoint Now) {
@@ -261,6 +300,11 @@
          Now < *Found->second.QuarantinedAt + QuarantineTime;
 }
 
+std::size_t PartQuarantine::crashes(PartId Part) const {
+  const auto Found = Entries.find(Part);
+  return Found == Entries.end() ? 0 : Found->second.Crashes.size();
+}
+
 bool PartQuarantine::suspected(PartId Part) const {
   const auto Found = Entries.find(Part);
   if (Found == Entries.end() || Found->second.Crashes.empty())
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -27,6 +27,37 @@
 /// \returns whether a suspect is the whole content of a call.
 [[nodiscard]] bool isContent(PartId Suspect);
 
+/// \ingroup Relay
+/// \brief Whether a crash counts against a suspect, and if not, why.
+enum class CrashVerdict {
+  Counted,
+  /// The crash was known.
+  Known,
+  /// At the same time as another crash.
+  CommonCause,
+  /// An upstream has answered since.
+  AnsweredSince,
+  /// An operator lifted the quarantine.
+  Lifted,
+  /// Too many suspects or crashes are stored.
+  Full,
+};
+
+/// \ingroup Relay
+/// \returns the verdict's name in log lines.
+[[nodiscard]] std::string nameOf(CrashVerdict Verdict);
+
+/// \ingroup Relay
+/// \brief How a crash was judged against a suspect.
+struct CrashFinding {
+  PartId Suspect = 0;
+  UpstreamName Upstream;
+  std::chrono::milliseconds Age{0};
+  CrashVerdict Verdict = CrashVerdict::Counted;
+  /// Crashes that now count.
+  std::size_t Crashes = 0;
+};
+
 /// \ingroup Relay
 /// \brief Finds prompt parts and contents that crash every upstream that
 /// answers on them, from the crashes that all instances of the fleet met.
@@ -54,12 +85,15 @@
 
   /// \brief Records suspects of calls that the crash of an upstream
   /// interrupted.
-  void onCrash(const UpstreamRun &Upstream, const std::vector<PartId> &Parts,
-               TimePoint CrashedAt, TimePoint Now);
+  /// \returns the verdicts, but those on known crashes.
+  std::vector<CrashFinding> onCrash(const UpstreamRun &Upstream,
+                                    const std::vector<PartId> &Parts,
+                                    TimePoint CrashedAt, TimePoint Now);
   /// \brief Records that an upstream answered completely on these suspects.
   void onAnswered(const std::vector<PartId> &Parts, TimePoint Now);
   /// \brief Applies what a peer learned.
-  void onNews(const PartNews &News, TimePoint Now);
+  /// \returns the verdicts, but those on known crashes.
+  std::vector<CrashFinding> onNews(const PartNews &News, TimePoint Now);
   /// \brief Quarantines the parts against which the evidence suffices, and ends
   /// quarantines that are over.
   /// \returns the new quarantines, for the log.
@@ -83,6 +117,8 @@
   /// part was in several crashes and in no answer since. An outage of several
   /// upstreams counts as one crash.
   [[nodiscard]] bool suspected(PartId Part) const;
+  /// \returns the number of crashes that count against a suspect.
+  [[nodiscard]] std::size_t crashes(PartId Part) const;
   [[nodiscard]] std::vector<PartId> quarantinedParts(TimePoint Now) const;
   [[nodiscard]] bool hasUnsent() const { return UnsentParts > 0; }
   /// \returns the quarantined parts, and what was learned a short time ago
@@ -110,9 +146,8 @@
 
   /// \returns the part's entry, or null if the table is full.
   Entry *entryFor(PartId Part, TimePoint Now);
-  /// \returns whether the crash counts in addition to the known ones.
-  bool addCrash(PartId Part, const UpstreamRun &Upstream, TimePoint At,
-                TimePoint Now);
+  CrashVerdict addCrash(PartId Part, const UpstreamRun &Upstream, TimePoint At,
+                        TimePoint Now);
   /// \returns whether the answer refutes evidence that was known. Only then is
   /// it passed on; otherwise every instance would tell all others of its own.
   bool addAnswer(PartId Part, TimePoint At, TimePoint Now);
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -52,10 +52,6 @@
 /// Maximum number of parts of one call that are checked and recorded.
 constexpr std::size_t MaxSharedParts = 64;
 
-/// Turns until every instance may begin a trial. A suspect of many calls is
-/// tried in the first ones, by few instances.
-constexpr std::uint64_t TurnsForAll = 16;
-
 /// \returns the content, then the parts that other calls may share: all but
 /// the last, which belongs to the call or its session.
 static std::vector<PartId> suspectsOf(const ContentFingerprint &Content,
@@ -75,7 +71,8 @@
 
 RelayEngine::RelayEngine(FailureDomain OwnDomain, RetryAllowance FleetRetries,
                          RelayDependencies Dependencies)
-    : Allowance(FleetRetries), Deps(Dependencies), Pool(std::move(OwnDomain)) {
+    : Allowance(FleetRetries), Deps(Dependencies), Pool(std::move(OwnDomain)),
+      Crashes(Deps.Log, Deps.Members) {
   Deps.Limits.notify(*this);
 }
 
@@ -83,6 +80,7 @@
                          TimePoint Now) {
   Budgets = &Agent;
   OwnIncarnation = OwnId;
+  Crashes.setInstance(OwnId.Instance);
   raisePrepaidBudgets(Now);
 }
 
@@ -102,7 +100,7 @@
 void RelayEngine::setUsable(const std::vector<UpstreamEntry> &Usable,
                             TimePoint Now) {
   for (const UpstreamName &Restarted : Pool.setUsable(Usable, Now))
-    recordDown(Restarted, Now);
+    Crashes.onDown(Restarted, "restarted", Now);
 }
 
 RelayEngine::ActiveCall *RelayEngine::find(const RequestId &Id) {
@@ -169,7 +167,7 @@
                                        Admitted.Workspace.Value + "\n" +
                                        Call.Body.text())};
   std::vector<PartId> Suspects = suspectsOf(Content, Call.Parts);
-  if (holdsBack(Suspects, Now)) {
+  if (Crashes.holdsBack(Suspects, Now)) {
     refuse(Call.Ticket, &Call, Reason::Quarantined);
     return;
   }
@@ -208,40 +206,6 @@
     onReserved(Id, Reserved, Now);
 }
 
-bool RelayEngine::holdsBack(const std::vector<PartId> &Suspects,
-                            TimePoint Now) {
-  std::vector<PartId> Held;
-  std::copy_if(Suspects.begin(), Suspects.end(), std::back_inserter(Held),
-               [&](PartId Item) { return Parts.quarantined(Item, Now); });
-  if (Held.empty())
-    return false;
-  const bool AllDue = std::all_of(Held.begin(), Held.end(), [&](PartId Item) {
-    return Parts.trialTurn(Item, Now).has_value();
-  });
-  // Suspects that always come together need a common turn.
-  const PartId First = *std::min_element(Held.begin(), Held.end());
-  if (!AllDue || !triesInTurn(First, *Parts.trialTurn(First, Now)))
-    return true;
-  for (const PartId Item : Held) {
-    Parts.beginTrial(Item, Now);
-    Deps.Log.onEvent("quarantine-trial", fingerprintOf(Item).Value);
-  }
-  announcePartNews(Now);
-  return false;
-}
-
-bool RelayEngine::triesInTurn(PartId Suspect, std::uint64_t Turn) const {
-  const std::vector<Member> &Listed = Deps.Members.members();
-  const std::uint64_t Seed = Suspect + Turn;
-  const std::uint64_t Own = hash64(OwnIncarnation.Instance.Value, Seed);
-  const auto Before =
-      std::count_if(Listed.begin(), Listed.end(), [&](const Member &Item) {
-        return hash64(Item.Identity.Instance.Value, Seed) < Own;
-      });
-  return static_cast<std::size_t>(Before) <=
-         Listed.size() * std::min(Turn, TurnsForAll) / TurnsForAll;
-}
-
 void RelayEngine::onReserved(const RequestId &Request, ReserveOutcome Reserved,
                              TimePoint Now) {
   ActiveCall *Item = find(Request);
@@ -427,6 +391,8 @@
     ++Counters.SentToRateLimited;
   Deps.Limits.onDispatched(Run, Now);
   Item.Query.Excluded.push_back(Upstream);
+  Crashes.onSent(RequestId{Item.Call.CallerAttemptId}, Item.Suspects, Upstream,
+                 Now);
   Deps.Upstreams.dispatch(upstreamCall(Item, Now));
 }
 
@@ -613,10 +579,9 @@
 void RelayEngine::clearSuspects(const ActiveCall &Item, TimePoint Now) {
   // An error may have been answered before the upstream read the parts.
   const bool Success = Item.Head->Status < 300;
-  Parts.onAnswered(Success ? Item.Suspects
-                           : std::vector<PartId>{Item.Suspects.front()},
-                   Now);
-  announcePartNews(Now);
+  Crashes.onAnswered(Success ? Item.Suspects
+                             : std::vector<PartId>{Item.Suspects.front()},
+                     Now);
 }
 
 void RelayEngine::endAttempt(ActiveCall &Item, AttemptEnd End, TimePoint Now) {
@@ -712,7 +677,7 @@
     }
   }
   endAttempt(*Item, AttemptEnd::Unreachable, Now);
-  recordDown(Item->Upstream, Now);
+  Crashes.onDown(Item->Upstream, "could not be connected to", Now);
   retry(*Item, Now);
 }
 
@@ -728,9 +693,8 @@
 void RelayEngine::onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure,
                                  TimePoint Now) {
   endAttempt(Item, AttemptEnd::Broken, Now);
-  const InterruptedCall Interrupted{
-      Item.Suspects, {Item.Upstream, Item.UpstreamStarted}, Now};
-  recordCrashes(Evidence.onInterrupted(Interrupted, Now), Now);
+  Crashes.onInterrupted(
+      {Item.Suspects, {Item.Upstream, Item.UpstreamStarted}, Now}, Now);
   if (Failure == UpstreamFailure::Closed)
     probe(Item.Upstream, Now);
   const bool Retry = acquireRetry(Item, Now);
@@ -746,11 +710,7 @@
          Item.PossibleRuns + 1 < Item.Admitted.Route->Attempts &&
          Now + MinTimeLeft < Item.ExpiresAt &&
          Item.Query.Excluded.size() < MaxDispatches &&
-         std::none_of(Item.Suspects.begin(), Item.Suspects.end(),
-                      [this, Now](PartId Part) {
-                        return Parts.suspected(Part) ||
-                               Parts.quarantined(Part, Now);
-                      }) &&
+         !Crashes.forbidsRetry(Item.Suspects, Now) &&
          retryBudgetOf(Item.Admitted.Service)
              .takeRetry(Deps.Members.members().size(), Now);
 }
@@ -911,54 +871,20 @@
 
 // Crashes.
 
-void RelayEngine::recordDown(const UpstreamName &Upstream, TimePoint Now) {
-  recordCrashes(Evidence.onDown(Upstream, Now), Now);
-}
-
-void RelayEngine::recordCrashes(const std::vector<InterruptedCall> &Calls,
-                                TimePoint Now) {
-  if (Calls.empty())
-    return;
-  for (const InterruptedCall &Call : Calls)
-    Parts.onCrash(Call.Upstream, Call.Suspects, Call.At, Now);
-  Deps.Log.onEvent("upstream-crashed",
-                   "upstream " + Calls.front().Upstream.Name.Value +
-                       ", interrupted calls " + std::to_string(Calls.size()));
-  announcePartNews(Now);
-}
-
 void RelayEngine::probe(const UpstreamName &Upstream, TimePoint Now) {
   const UpstreamEntry *Entry = Pool.find(Upstream);
-  if (Entry != nullptr && Evidence.beginProbe(Upstream, Now))
+  if (Entry != nullptr && Crashes.beginProbe(Upstream, Now))
     Deps.Upstreams.probe({Upstream, Entry->Host, Entry->Port});
 }
 
 void RelayEngine::onUpstreamRefused(const UpstreamName &Upstream,
                                     TimePoint Now) {
   Pool.onRefused(Upstream, Now);
-  recordDown(Upstream, Now);
-}
-
-void RelayEngine::onPartNews(const PartNews &News, TimePoint Now) {
-  Parts.onNews(News, Now);
-  announcePartNews(Now);
-}
-
-void RelayEngine::announcePartNews(TimePoint Now) {
-  if (NewsListener != nullptr && Parts.hasUnsent())
-    NewsListener->onPartNewsLearned(Now);
+  Crashes.onDown(Upstream, "refused a probe", Now);
 }
 
 void RelayEngine::reviewParts(TimePoint Now) {
-  for (const PartQuarantine::Begun &Item : Parts.review(Now)) {
-    ++Counters.Quarantined;
-    std::string Upstreams;
-    for (const UpstreamName &Name : Item.Crashed)
-      Upstreams += " " + Name.Value;
-    Deps.Log.onEvent(
-        isContent(Item.Suspect) ? "content-quarantined" : "part-quarantined",
-        fingerprintOf(Item.Suspect).Value + " after crashes of" + Upstreams);
-  }
+  Counters.Quarantined += Crashes.review(Now);
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -2,10 +2,9 @@
 
 #include "bronzeward/Budget"
 #include "bronzeward/Routing"
-#include "bronzeward/src/Relay/CrashEvidence.h"
+#include "bronzeward/src/Relay/CrashTracker.h"
 #include "bronzeward/src/Relay/EventStream.h"
 #include "bronzeward/src/Relay/LocalCongestion.h"
-#include "bronzeward/src/Relay/PartQuarantine.h"
 #include "bronzeward/src/Relay/RateLimitAgent.h"
 #include "bronzeward/src/Relay/RelayAdmission.h"
 #include "bronzeward/src/Relay/SharedRetryBudget.h"
@@ -37,13 +36,6 @@
   RateLimitAgent &Limits;
 };
 
-/// \brief Is told when there is news about crash suspects for the peers.
-class PartNewsListener {
-public:
-  virtual ~PartNewsListener() = default;
-  virtual void onPartNewsLearned(TimePoint Now) = 0;
-};
-
 /// \brief Forwards routed calls to upstreams unchanged and tells each caller
 /// whether its call may have run.
 ///
@@ -69,7 +61,7 @@
   void setRegistryState(const RegistryState &Known) { Registry = Known; }
 
   /// \brief Sets who is told about news for the peers.
-  void notify(PartNewsListener &Listener) { NewsListener = &Listener; }
+  void notify(PartNewsListener &Listener) { Crashes.notify(Listener); }
 
   /// \brief Admits a call and dispatches it, or refuses it.
   void onCallerRequest(CallerRequest In, TimePoint Now);
@@ -90,7 +82,9 @@
   /// \brief Handles a probe's result: the upstream refuses connections.
   void onUpstreamRefused(const UpstreamName &Upstream, TimePoint Now);
   /// \brief Applies what a peer learned about crash suspects.
-  void onPartNews(const PartNews &News, TimePoint Now);
+  void onPartNews(const PartNews &News, const InstanceId &From, TimePoint Now) {
+    Crashes.onNews(News, From, Now);
+  }
   /// \brief Quarantines suspects; called periodically.
   void reviewParts(TimePoint Now);
 
@@ -126,8 +120,10 @@
   [[nodiscard]] const RouteTable *routes() const { return Routes.get(); }
   [[nodiscard]] const UpstreamPool &upstreams() const { return Pool; }
   UpstreamPool &upstreams() { return Pool; }
-  PartQuarantine &partQuarantine() { return Parts; }
-  [[nodiscard]] const PartQuarantine &partQuarantine() const { return Parts; }
+  PartQuarantine &partQuarantine() { return Crashes.parts(); }
+  [[nodiscard]] const PartQuarantine &partQuarantine() const {
+    return Crashes.parts();
+  }
 
 private:
   /// \brief An admitted call until its caller has an answer or is gone.
@@ -179,12 +175,6 @@
   // Arrival.
   void refuse(CallerTicket Ticket, const RelayCall *Call, Reason Why);
   void admit(RelayCall Call, AdmittedCall Admitted, TimePoint Now);
-  /// \returns whether a call must not be sent because of a quarantine, of which
-  /// it is no trial either.
-  [[nodiscard]] bool holdsBack(const std::vector<PartId> &Suspects,
-                               TimePoint Now);
-  /// \returns whether this instance may begin a trial in a turn.
-  [[nodiscard]] bool triesInTurn(PartId Suspect, std::uint64_t Turn) const;
 
   // Dispatch.
   void dispatch(ActiveCall &Item, TimePoint Now);
@@ -261,12 +251,8 @@
   void settleBudget(ActiveCall &Item, TimePoint Now);
   void finish(const RequestId &Id);
 
-  void recordDown(const UpstreamName &Upstream, TimePoint Now);
-  void recordCrashes(const std::vector<InterruptedCall> &Calls, TimePoint Now);
   /// Tests whether an upstream that interrupted a call has ended.
   void probe(const UpstreamName &Upstream, TimePoint Now);
-  /// Tells the listener if there is news about crash suspects.
-  void announcePartNews(TimePoint Now);
   ActiveCall *find(const RequestId &Id);
   ActiveCall *find(AttemptId Attempt);
   SharedRetryBudget &retryBudgetOf(const ServiceName &Service);
@@ -279,9 +265,7 @@
   UpstreamPool Pool;
   RegistryState Registry;
   LocalCongestion Congestion;
-  PartQuarantine Parts;
-  PartNewsListener *NewsListener = nullptr;
-  CrashEvidence Evidence;
+  CrashTracker Crashes;
   std::map<ServiceName, SharedRetryBudget> RetryBudgets;
   std::map<RequestId, ActiveCall> Active;
   std::map<CallerTicket, RequestId> ByTicket;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -660,7 +660,7 @@
   else if (const auto *Load = std::get_if<LoadNotice>(&Message))
     Engine.upstreams().onPeerLoad(From, *Load, Now);
   else if (const auto *News = std::get_if<PartNews>(&Message))
-    Engine.onPartNews(*News, Now);
+    Engine.onPartNews(*News, From, Now);
   Limits.onPeerMessage(From, Message, Now);
   if (Budgets)
     Budgets->onPeerMessage(From, Message, Now);
