Ages of crash news as of its sending, and answers that refute late news

News for peers is collected for 200 ms, and its ages were those of its collection: a crash and an answer seemed 200 ms younger at peers than they were. An answer could clear a suspect of a crash that came after it, and two crashes in sequence at different instances could not be told from two at the same time.

Answers of the last 2 s now refute such crashes. Peers are told only about suspects with two crashes or more.

The calls of takeUnsent in tests get the time; nothing else in them changes.

--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace bronzeward {
 
@@ -34,6 +35,8 @@
 /// during an outage of upstreams, and the next one on a part does as well.
 constexpr Duration NewsLifetime = 5s;
 constexpr Duration AnswerNewsLifetime = 300ms;
+/// Time for which answers can refute crashes that are learned after them.
+constexpr Duration AnswerMemory = 2s;
 /// Maximum number of parts stored, and of crashes stored for each.
 constexpr std::size_t MaxEntries = 4096;
 constexpr std::size_t MaxCrashes = 8;
@@ -74,31 +77,33 @@
       std::max(Duration(), Now - At));
 }
 
-static void addCrashNotice(PartNews &News, const UpstreamRun &Upstream,
-                           PartId Part, std::chrono::milliseconds Age) {
+/// Adds a part to the notice on its crash.
+static void addCrashNotice(PartNews &News, PartId Part,
+                           const CrashNotice &Crash) {
   const auto Found = std::find_if(News.Crashes.begin(), News.Crashes.end(),
-                                  [&Upstream](const CrashNotice &Item) {
-                                    return Item.Upstream == Upstream;
+                                  [&Crash](const CrashNotice &Item) {
+                                    return Item.Upstream == Crash.Upstream &&
+                                           Item.Age == Crash.Age;
                                   });
-  if (Found == News.Crashes.end())
-    News.Crashes.push_back({Upstream, Age, {Part}});
-  else
+  if (Found == News.Crashes.end()) {
+    News.Crashes.push_back(Crash);
+    News.Crashes.back().Parts = {Part};
+  } else {
     Found->Parts.push_back(Part);
+  }
 }
 
-void PartQuarantine::queueCrash(const UpstreamRun &Upstream, PartId Part,
-                                std::chrono::milliseconds Age) {
+bool PartQuarantine::beginQueuing(TimePoint Now) {
   if (UnsentParts >= MaxPartsInMessage)
-    return;
-  addCrashNotice(Unsent, Upstream, Part, Age);
-  ++UnsentParts;
+    return false;
+  if (UnsentParts++ == 0)
+    UnsentSince = Now;
+  return true;
 }
 
-void PartQuarantine::queueAnswer(const PartNotice &Item) {
-  if (UnsentParts >= MaxPartsInMessage)
-    return;
-  Unsent.Answered.push_back(Item);
-  ++UnsentParts;
+std::chrono::milliseconds PartQuarantine::queuedAge(TimePoint At) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(UnsentSince -
+                                                               At);
 }
 
 PartQuarantine::Entry *PartQuarantine::entryFor(PartId Part, TimePoint Now) {
@@ -162,6 +167,17 @@
   return true;
 }
 
+bool PartQuarantine::refute(PartId Part, TimePoint CrashedAt, TimePoint Now) {
+  const auto Answer = LastAnswers.find(Part);
+  if (Answer == LastAnswers.end() || Answer->second < CrashedAt)
+    return false;
+  const bool Close = crashes(Part) >= CrashesToSuspect;
+  addAnswer(Part, Answer->second, Now);
+  if (Close && beginQueuing(Now))
+    Unsent.Answered.push_back({Part, queuedAge(Answer->second)});
+  return true;
+}
+
 void PartQuarantine::addQuarantine(PartId Part, TimePoint At, TimePoint Now) {
   Entry *Item = entryFor(Part, Now);
   if (Item == nullptr || Now < Item->LiftedUntil ||
@@ -185,10 +201,8 @@
                                  TimePoint Now) {
   Item.QuarantinedAt = At;
   --Item.TrialsLeft;
-  if (UnsentParts >= MaxPartsInMessage)
-    return;
-  Unsent.Quarantined.push_back({Part, ageOf(At, Now)});
-  ++UnsentParts;
+  if (beginQueuing(Now))
+    Unsent.Quarantined.push_back({Part, queuedAge(At)});
 }
 
 void PartQuarantine::beginTrial(PartId Part, TimePoint Now) {
@@ -213,12 +227,14 @@
                         TimePoint Now) {
   std::vector<CrashFinding> Findings;
   for (const PartId Part : Parts) {
-    const CrashVerdict Verdict = addCrash(Part, Upstream, CrashedAt, Now);
+    CrashVerdict Verdict = addCrash(Part, Upstream, CrashedAt, Now);
+    if (Verdict == CrashVerdict::Counted && refute(Part, CrashedAt, Now))
+      Verdict = CrashVerdict::AnsweredSince;
     if (Verdict == CrashVerdict::Known)
       continue;
     const std::chrono::milliseconds Age = ageOf(CrashedAt, Now);
-    if (Verdict == CrashVerdict::Counted)
-      queueCrash(Upstream, Part, Age);
+    if (Verdict == CrashVerdict::Counted && beginQueuing(Now))
+      addCrashNotice(Unsent, Part, {Upstream, queuedAge(CrashedAt), {}});
     Findings.push_back({Part, Upstream.Name, Age, Verdict, crashes(Part)});
   }
   return Findings;
@@ -227,12 +243,14 @@
 void PartQuarantine::onAnswered(const std::vector<PartId> &Parts,
                                 TimePoint Now) {
   for (const PartId Part : Parts) {
+    if (LastAnswers.size() < MaxEntries || LastAnswers.contains(Part))
+      LastAnswers[Part] = Now;
     const auto Found = Entries.find(Part);
     if (Found == Entries.end() ||
         (Found->second.Crashes.empty() && !Found->second.QuarantinedAt))
       continue;
-    if (addAnswer(Part, Now, Now))
-      queueAnswer({Part, {}});
+    if (addAnswer(Part, Now, Now) && beginQueuing(Now))
+      Unsent.Answered.push_back({Part, queuedAge(Now)});
   }
 }
 
@@ -240,8 +258,8 @@
                                                  TimePoint Now) {
   std::vector<CrashFinding> Findings;
   for (const PartNotice &Item : News.Answered)
-    if (addAnswer(Item.Part, Now - Item.Age, Now))
-      queueAnswer(Item);
+    if (addAnswer(Item.Part, Now - Item.Age, Now) && beginQueuing(Now))
+      Unsent.Answered.push_back({Item.Part, queuedAge(Now - Item.Age)});
   for (const CrashNotice &Item : News.Crashes) {
     const std::vector<CrashFinding> New =
         onCrash(Item.Upstream, Item.Parts, Now - Item.Age, Now);
@@ -253,6 +271,9 @@
 }
 
 std::vector<PartQuarantine::Begun> PartQuarantine::review(TimePoint Now) {
+  std::erase_if(LastAnswers, [Now](const auto &Item) {
+    return Now >= Item.second + AnswerMemory;
+  });
   std::vector<Begun> All;
   for (auto &[Part, Item] : Entries) {
     const bool Over =
@@ -287,10 +308,15 @@
   Item.LiftedUntil = Now + QuarantineTime;
 }
 
-PartNews PartQuarantine::takeUnsent() {
-  PartNews News;
-  std::swap(News, Unsent);
+PartNews PartQuarantine::takeUnsent(TimePoint Now) {
+  PartNews News = std::exchange(Unsent, {});
   UnsentParts = 0;
+  const std::chrono::milliseconds Queued = ageOf(UnsentSince, Now);
+  for (CrashNotice &Item : News.Crashes)
+    Item.Age = std::max(Item.Age + Queued, std::chrono::milliseconds{0});
+  for (std::vector<PartNotice> *List : {&News.Answered, &News.Quarantined})
+    for (PartNotice &Item : *List)
+      Item.Age = std::max(Item.Age + Queued, std::chrono::milliseconds{0});
   return News;
 }
 
@@ -344,7 +370,8 @@
     } else if (Item.Crashes.size() >= CrashesToSuspect) {
       for (const Crash &Stored : Item.Crashes)
         if (Now < Stored.LearnedAt + NewsLifetime)
-          addCrashNotice(News, Stored.Upstream, Part, ageOf(Stored.At, Now));
+          addCrashNotice(News, Part,
+                         {Stored.Upstream, ageOf(Stored.At, Now), {}});
       ++Count;
     } else if (Item.AnsweredAt &&
                Now < Item.AnswerLearnedAt + AnswerNewsLifetime) {
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -104,8 +104,9 @@
   /// \brief Ends a quarantine at an operator's request. For a while, neither
   /// crashes nor reports of peers restore it.
   void lift(PartId Part, TimePoint Now);
-  /// \returns what was learned since the last call, for the peers.
-  [[nodiscard]] PartNews takeUnsent();
+  /// \returns what was learned since the last call, for the peers, with ages
+  /// as of now.
+  [[nodiscard]] PartNews takeUnsent(TimePoint Now);
 
   /// \returns whether calls with the part must not be sent to an upstream.
   [[nodiscard]] bool quarantined(PartId Part, TimePoint Now) const;
@@ -151,16 +152,25 @@
   /// \returns whether the answer refutes evidence that was known. Only then is
   /// it passed on; otherwise every instance would tell all others of its own.
   bool addAnswer(PartId Part, TimePoint At, TimePoint Now);
+  /// \returns whether an upstream has answered since a crash that was learned
+  /// after the answer. Peers are told only about suspects close to a
+  /// quarantine, as every instance may have answers on a common part.
+  bool refute(PartId Part, TimePoint CrashedAt, TimePoint Now);
   void addQuarantine(PartId Part, TimePoint At, TimePoint Now);
   /// Records a trial and tells the peers.
   void recordTrial(PartId Part, Entry &Item, TimePoint At, TimePoint Now);
-  /// Adds facts to the next message, which is limited in size.
-  void queueCrash(const UpstreamRun &Upstream, PartId Part,
-                  std::chrono::milliseconds Age);
-  void queueAnswer(const PartNotice &Item);
+  /// \returns whether a part may be added to the next message, which is limited
+  /// in size.
+  bool beginQueuing(TimePoint Now);
+  /// \returns an age as of UnsentSince, which is negative for what was later.
+  [[nodiscard]] std::chrono::milliseconds queuedAge(TimePoint At) const;
 
   std::map<PartId, Entry> Entries;
+  /// Answers of a short time ago, most of them on parts without a crash.
+  std::map<PartId, TimePoint> LastAnswers;
+  /// The next message, with ages as of UnsentSince.
   PartNews Unsent;
+  TimePoint UnsentSince;
   /// Number of parts in Unsent.
   std::size_t UnsentParts = 0;
 };
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -541,9 +541,9 @@
   Timers.schedule(Now + Period, [this](TimePoint At) { gossip(At); });
 }
 
-void FleetCore::sendPartNews() {
+void FleetCore::sendPartNews(TimePoint Now) {
   PartNewsScheduled = false;
-  const PartNews News = Engine.partQuarantine().takeUnsent();
+  const PartNews News = Engine.partQuarantine().takeUnsent(Now);
   std::vector<InstanceId> Others = gossipPeers();
   RandomSource.shuffle(Others);
   if (Members.members().size() > SmallFleet)
@@ -556,7 +556,8 @@
   if (PartNewsScheduled)
     return;
   PartNewsScheduled = true;
-  Timers.schedule(Now + PartNewsDelay, [this](TimePoint) { sendPartNews(); });
+  Timers.schedule(Now + PartNewsDelay,
+                  [this](TimePoint At) { sendPartNews(At); });
 }
 
 void FleetCore::sendLoad(TimePoint Now) {
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -177,7 +177,7 @@
   void gossip(TimePoint Now);
   /// Sends what was learned about prompt parts to some peers at once, so that
   /// it spreads from peer to peer.
-  void sendPartNews();
+  void sendPartNews(TimePoint Now);
   void sendLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
--- a/test/PartQuarantineTest.cpp
+++ b/test/PartQuarantineTest.cpp
@@ -370,7 +370,7 @@
   CHECK(Parts.quarantined(7, Now));
   Parts.onAnswered({7}, Now);
   CHECK_FALSE(Parts.quarantined(7, Now));
-  CHECK(Parts.takeUnsent().Answered.size() >= 2);
+  CHECK(Parts.takeUnsent(Now).Answered.size() >= 2);
 }
 
 TEST_CASE("A report older than an answer does not quarantine a part",
@@ -431,10 +431,41 @@
   Parts.onCrash(runOf("flood"), Flood, Now, Now);
   CHECK(Parts.quarantined(7, Now));
   std::size_t Told = 0;
-  for (const CrashNotice &Item : Parts.takeUnsent().Crashes)
+  for (const CrashNotice &Item : Parts.takeUnsent(Now).Crashes)
     Told += Item.Parts.size();
   CHECK(Told < 4'096);
 }
 
+// News is collected before it is sent. An answer that seems younger than it is
+// would clear a suspect of a crash that came after it.
+TEST_CASE("An answer does not refute a crash between it and its report",
+          "[PartQuarantine]") {
+  PartQuarantine Here;
+  PartQuarantine There;
+  const TimePoint Now{1h};
+  Here.onCrash(runOf("a"), {7}, Now - 5s, Now - 5s);
+  Here.onAnswered({7}, Now);
+  There.onNews(Here.takeUnsent(Now + 200ms), Now + 200ms);
+  There.onCrash(runOf("b"), {7}, Now + 100ms, Now + 200ms);
+  CHECK(There.crashes(7) == 1);
+}
+
+// Reports of crashes arrive later than answers that came after the crashes.
+TEST_CASE("An answer refutes a crash that is learned after it",
+          "[PartQuarantine]") {
+  PartQuarantine Here;
+  PartQuarantine There;
+  TimePoint Now{1h};
+  for (const char *Name : {"a", "b", "c"}) {
+    There.onAnswered({7}, Now + 100ms);
+    Here.onCrash(runOf(Name), {7}, Now, Now);
+    There.onNews(Here.takeUnsent(Now + 200ms), Now + 200ms);
+    Now += ReviewTime;
+  }
+  CHECK(There.crashes(7) == 0);
+  There.review(Now);
+  CHECK_FALSE(There.quarantined(7, Now));
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -670,7 +670,7 @@
           std::vector<UpstreamName>{Fixture.Calls.back().Upstream});
   CHECK_FALSE(Fixture.Engine.partQuarantine().hasUnsent());
   Fixture.Engine.onUpstreamRefused(Fixture.Probes.back(), Fixture.Now);
-  const PartNews News = Fixture.Engine.partQuarantine().takeUnsent();
+  const PartNews News = Fixture.Engine.partQuarantine().takeUnsent(Fixture.Now);
   REQUIRE(News.Crashes.size() == 1);
   CHECK(News.Crashes.front().Upstream.Name == Fixture.Probes.back());
   // The last part belongs to the call; the content is a suspect of its own.
@@ -690,7 +690,7 @@
   Fixture.bytes("id: 2\n\n");
   Fixture.fail(UpstreamFailure::Closed);
   Fixture.Engine.onUpstreamRefused(Fixture.Calls.back().Upstream, Fixture.Now);
-  const PartNews News = Fixture.Engine.partQuarantine().takeUnsent();
+  const PartNews News = Fixture.Engine.partQuarantine().takeUnsent(Fixture.Now);
   REQUIRE(News.Crashes.size() == 1);
   CHECK(News.Crashes.front().Parts.size() == 2);
 }
