Log and count upstreams' answers that break off or are invalid

Nothing told which upstream sent an answer that broke off, or why an answer counted as invalid: the detail of a failed exchange was dropped. The line upstream-answer-broken names upstream, request and fault, once a second at most from the connections and once from the decisions; the counter invalid_answers_total counts answers against the protocol or a limit. No behaviour changes.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -297,7 +297,8 @@
           if (Self->Cancelled)
             return;
           if (Failure)
-            Self->fail(HttpFailure::Closed, Failure.message());
+            Self->fail(HttpFailure::Closed,
+                       Failure.message() + " before the request was sent");
           else
             Self->guarded([&] { Self->readHead(); });
         });
@@ -460,16 +461,19 @@
   }
 
   void failRead(error_code Failure) {
+    const std::string Detail =
+        Failure.message() +
+        (Parser && Parser->is_header_done() ? " in a body" : " in a head");
     if (Failure == beast::error::timeout) {
       Connections->closeIdle(Peer);
-      fail(HttpFailure::TimedOut, Failure.message());
+      fail(HttpFailure::TimedOut, Detail);
     } else if (Failure.category() ==
                    make_error_code(http::error::bad_version).category() &&
                Failure != http::error::end_of_stream &&
                Failure != http::error::partial_message)
-      fail(HttpFailure::Invalid, Failure.message());
+      fail(HttpFailure::Invalid, Detail);
     else
-      fail(HttpFailure::Closed, Failure.message());
+      fail(HttpFailure::Closed, Detail);
   }
 
   void fail(HttpFailure How, const std::string &Detail) {
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -22,8 +22,9 @@
 
 class UpstreamClient::AttemptListener : public HttpListener {
 public:
-  AttemptListener(UpstreamClient &Client, AttemptId Id)
-      : Owner(Client), Attempt(Id) {}
+  AttemptListener(UpstreamClient &Client, const UpstreamCall &Call)
+      : Owner(Client), Attempt(Call.Attempt), Upstream(Call.Upstream),
+        Request(Call.Match.Value) {}
 
   void onHead(const HttpHead &Head) override {
     Owner.Handler(UpstreamHead{Attempt, Head});
@@ -35,8 +36,14 @@
     Owner.Running.erase(Attempt);
     Owner.Handler(UpstreamEnded{Attempt});
   }
-  void onFailure(HttpFailure How, const std::string &) override {
+  void onFailure(HttpFailure How, const std::string &Detail) override {
     Owner.Running.erase(Attempt);
+    const bool Sent = How == HttpFailure::Closed ||
+                      How == HttpFailure::TimedOut ||
+                      How == HttpFailure::Invalid;
+    if (Sent && Owner.OnBrokenAnswer)
+      Owner.OnBrokenAnswer("upstream " + Upstream.Value + ", request " +
+                           Request + ": " + Detail);
     UpstreamFailure Kind = UpstreamFailure::Closed;
     if (How == HttpFailure::CallerLeft)
       ++Owner.LeftBeforeSend;
@@ -54,6 +61,9 @@
 private:
   UpstreamClient &Owner;
   AttemptId Attempt;
+  UpstreamName Upstream;
+  /// Identifies the request to the upstream.
+  std::string Request;
 };
 
 class UpstreamClient::LoadListener : public HttpListener {
@@ -192,7 +202,7 @@
   Request.Presence = Call.Presence;
   const std::shared_ptr<HttpExchange> Exchange =
       startExchange(Connections, std::move(Request),
-                    std::make_shared<AttemptListener>(*this, Call.Attempt));
+                    std::make_shared<AttemptListener>(*this, Call));
   // An exchange that fails at once has already told its listener.
   if (!Exchange->ended())
     Running.emplace(Call.Attempt, Exchange);
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -56,6 +56,11 @@
   UpstreamClient(boost::asio::io_context *Shared, EventHandler OnEvent);
   ~UpstreamClient() override { Thread.stop(); }
 
+  /// \brief Sets what is told about an answer that broke off or is invalid: the
+  /// upstream, the request and what was wrong. Called in the client's thread.
+  void setBrokenAnswerNotice(std::function<void(const std::string &)> Notice) {
+    OnBrokenAnswer = std::move(Notice);
+  }
   void start() { Thread.start(); }
   void stop() { Thread.stop(); }
   /// \brief Sends a request. If the ring is full, the attempt fails as not
@@ -97,6 +102,7 @@
   void pollLoads();
 
   EventHandler Handler;
+  std::function<void(const std::string &)> OnBrokenAnswer;
   EventLoopThread Thread;
   std::shared_ptr<HttpConnectionPool> Connections;
   std::map<AttemptId, std::shared_ptr<HttpExchange>> Running;
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -520,7 +520,9 @@
   Item->Body.append(Bytes);
   BufferedBytes += Bytes.size();
   if (Item->Body.size() > MaxAnswerBytes)
-    onUpstreamFailure(Attempt, UpstreamFailure::Invalid, Now);
+    rejectAnswer(
+        *Item, "body longer than " + std::to_string(MaxAnswerBytes) + " bytes",
+        Now);
   else if (BufferedBytes > MaxBufferedBytes)
     abortLongestAnswer(Now);
 }
@@ -541,7 +543,20 @@
                          return Active.at(Left.second).Body.size() <
                                 Active.at(Right.second).Body.size();
                        });
-  onUpstreamFailure(Longest->first, UpstreamFailure::Invalid, Now);
+  rejectAnswer(Active.at(Longest->second),
+               "longest of all unfinished answers, which hold " +
+                   std::to_string(BufferedBytes) + " bytes",
+               Now);
+}
+
+void RelayEngine::rejectAnswer(ActiveCall &Item, const std::string &Problem,
+                               TimePoint Now) {
+  if (const std::optional<std::string> Line = InvalidAnswers.report(
+          "upstream " + Item.Upstream.Value + ", request " +
+              Item.Call.CallerAttemptId + ": " + Problem,
+          Now))
+    Deps.Log.onEvent("upstream-answer-broken", *Line);
+  onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
 }
 
 bool RelayEngine::belongsToStream(const ActiveCall &Item) {
@@ -551,14 +566,17 @@
 void RelayEngine::forwardEvents(ActiveCall &Item, std::string_view Bytes,
                                 TimePoint Now) {
   if (!belongsToStream(Item)) {
-    onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
+    rejectAnswer(Item, "other representation than the begun stream", Now);
     return;
   }
   // Whole events count as sent, so they are passed on before a fault is.
   sendEvents(Item, Item.Events.feed(Bytes), Now);
-  if (Item.Events.faulty() ||
-      Item.Events.incompleteEvent().size() > MaxEventBytes)
-    onUpstreamFailure(Item.Attempt, UpstreamFailure::Invalid, Now);
+  if (Item.Events.faulty())
+    rejectAnswer(Item, "events that do not continue the stream", Now);
+  else if (Item.Events.incompleteEvent().size() > MaxEventBytes)
+    rejectAnswer(
+        Item, "event longer than " + std::to_string(MaxEventBytes) + " bytes",
+        Now);
 }
 
 void RelayEngine::sendEvents(ActiveCall &Item, const std::string &Events,
@@ -655,6 +673,8 @@
     onRejected(*Item, Now);
     return;
   }
+  if (Failure == UpstreamFailure::Invalid)
+    ++Counters.InvalidAnswers;
   if (Failure == UpstreamFailure::CallerLeft) {
     endAttempt(*Item, AttemptEnd::Cancelled, Now);
     disconnect(*Item, Now);
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -12,6 +12,7 @@
 #include "bronzeward/src/Request/LatencyHistogram.h"
 #include "bronzeward/src/Request/RequestCounters.h"
 #include "bronzeward/src/Request/RequestLifecycle.h"
+#include "bronzeward/src/Store/UnreadableReplies.h"
 
 #include <map>
 #include <memory>
@@ -221,6 +222,9 @@
   [[nodiscard]] static bool mustBeWithheld(const ActiveCall &Item);
   /// Discards the body of an answer that reports that the call did not run.
   void skipRejection(ActiveCall &Item, std::size_t Length, TimePoint Now);
+  /// Ends an attempt whose answer is invalid, and logs why.
+  void rejectAnswer(ActiveCall &Item, const std::string &Problem,
+                    TimePoint Now);
   /// Aborts the largest unfinished answer to free its memory.
   void abortLongestAnswer(TimePoint Now);
   void endAttempt(ActiveCall &Item, AttemptEnd End, TimePoint Now);
@@ -275,6 +279,8 @@
   /// Bytes of all unfinished answers that are buffered, which are those of all
   /// calls but successful streams.
   std::size_t BufferedBytes = 0;
+  /// Limits the rate of the lines about invalid answers.
+  UnreadableReplies InvalidAnswers;
   /// Set while only calls that end by then are admitted.
   std::optional<TimePoint> AdmittedUntil;
   std::uint64_t LastRequest = 0;
--- a/bronzeward/src/Request/RequestCounters.h
+++ b/bronzeward/src/Request/RequestCounters.h
@@ -22,6 +22,8 @@
   std::uint64_t CallersGone = 0;
   /// Answers whose reported usage exceeded the reservation.
   std::uint64_t OverReported = 0;
+  /// Answers that violated the protocol or a limit.
+  std::uint64_t InvalidAnswers = 0;
   /// Crashes after which the request's content was quarantined.
   std::uint64_t Quarantined = 0;
 };
--- a/bronzeward/src/Request/RequestEngine.cpp
+++ b/bronzeward/src/Request/RequestEngine.cpp
@@ -359,6 +359,8 @@
     onLeftBeforeSend(*Item, Now);
     return;
   }
+  if (Failure == UpstreamFailure::Invalid)
+    ++Counters.InvalidAnswers;
   const bool Sent = Failure != UpstreamFailure::NotSent &&
                     Failure != UpstreamFailure::ConnectTimedOut;
   failAttempt(*Item, Failure == UpstreamFailure::Closed, Now);
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -160,6 +160,9 @@
   Out.counter("over_reported_total",
               "Upstream usage reports cut to the reservation.",
               Requests.OverReported);
+  Out.counter("invalid_answers_total",
+              "Answers that violated the protocol or a limit.",
+              Requests.InvalidAnswers);
   Out.counter("quarantined_total", "Contents quarantined by this instance.",
               Requests.Quarantined);
   Out.counter("store_reads_total", "Reads of one key of the store.",
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -169,6 +169,11 @@
             MemoryShort.report(Detail, Time.now()))
       Log.onEvent("memory-short", *Line);
   });
+  Upstreams.setBrokenAnswerNotice([this](const std::string &Detail) {
+    if (const std::optional<std::string> Line =
+            BrokenAnswers.report(Detail, Time.now()))
+      Log.onEvent("upstream-answer-broken", *Line);
+  });
 }
 
 bool InstanceProcess::postCallerEvent(CallerEvent Event) {
--- a/daemons/InstanceProcess.h
+++ b/daemons/InstanceProcess.h
@@ -76,6 +76,8 @@
   UnreadableReplies Unreadable;
   /// Limits the rate of the lines about callers turned away.
   UnreadableReplies MemoryShort;
+  /// Used in the upstreams' thread.
+  UnreadableReplies BrokenAnswers;
   HttpStore Store;
   PeerTransport Peers;
   CallerServer Callers;
