Treat an answer with an undefined status as invalid at once

Callers of an upstream that answered with status 000 or 099 got 504 at their deadline; the answer of one with status 600 was passed on to them.

Cause: every status below 200 was taken for an interim answer and skipped, so that the exchange waited for a final one, and nothing checked the upper end of the range.

Now an answer whose status is outside of 100 to 599, or 101 without an upgrade that was asked for, fails the exchange as invalid before any of it is passed on. The call is repeated where its route allows that, and ends 502 otherwise. Every reader of answers (relay, requests, load reports, store) uses this exchange.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "bronzeward/src/Net/HttpExchange.h"
 
+#include "bronzeward/src/Net/AnswerValidity.h"
 #include "bronzeward/src/Net/LoopGuard.h"
 
 #include <boost/algorithm/string/predicate.hpp>
@@ -338,7 +339,9 @@
     for (const auto &Field : Parser->get().base())
       Head.Headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
-    const std::string Problem = matchProblem(Head);
+    std::string Problem = statusProblem(Head.Status);
+    if (Problem.empty())
+      Problem = matchProblem(Head);
     if (!Problem.empty()) {
       fail(HttpFailure::Invalid, Problem);
       return;
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -154,10 +154,11 @@
         self.do(self.store.put, "op/config", json.dumps(state).encode())
         return time.monotonic()
 
-    def add_engine(self, service_name, **more):
+    def add_engine(self, service_name, kind=Engine, **more):
+        """Adds an engine; `kind` is its class."""
         number = len(self.engines)
-        engine = Engine(self.store, service_name, self.ip(100 + number),
-                        ENGINE_PORT, f"{service_name}-{number + 1}", **more)
+        engine = kind(self.store, service_name, self.ip(100 + number),
+                      ENGINE_PORT, f"{service_name}-{number + 1}", **more)
         self.engines.append(engine)
         self.run(engine.start())
         self.spawn_task(engine.heartbeats())
--- /dev/null
+++ b/test/AnswerValidityTest.cpp
@@ -0,0 +1,121 @@
+#include "bronzeward/Net"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <optional>
+#include <thread>
+
+namespace bronzeward {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// Time after which an exchange without a result counts as hung.
+constexpr Duration HangTimeout = 5s;
+
+/// \brief What an exchange told its listener.
+struct ExchangeResult {
+  bool Complete = false;
+  std::optional<HttpFailure> Failure;
+  int Heads = 0;
+  std::string Body;
+};
+
+class ResultListener : public HttpListener {
+public:
+  explicit ResultListener(boost::asio::io_context &Context) : Io(Context) {}
+  void onHead(const HttpHead &) override { ++Result.Heads; }
+  void onBody(std::string_view Bytes) override { Result.Body += Bytes; }
+  void onEnd() override {
+    Result.Complete = true;
+    Io.stop();
+  }
+  void onFailure(HttpFailure How, const std::string &) override {
+    Result.Failure = How;
+    Io.stop();
+  }
+  ExchangeResult Result;
+
+private:
+  boost::asio::io_context &Io;
+};
+
+/// \brief Accepts one connection, reads a request's head and runs a function.
+class OneShotServer {
+public:
+  explicit OneShotServer(std::function<void(Tcp::socket &)> OnHead)
+      : Run(std::move(OnHead)),
+        Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Worker([this] {
+          Tcp::socket Socket = Acceptor.accept();
+          std::string Request;
+          boost::asio::read_until(Socket, boost::asio::dynamic_buffer(Request),
+                                  "\r\n\r\n");
+          Run(Socket);
+        }) {}
+  ~OneShotServer() { Worker.join(); }
+
+  [[nodiscard]] HttpRequest request() const {
+    HttpRequest Request;
+    Request.Host = "127.0.0.1";
+    Request.Port = Acceptor.local_endpoint().port();
+    Request.Method = "POST";
+    Request.Target = "/";
+    return Request;
+  }
+
+private:
+  std::function<void(Tcp::socket &)> Run;
+  boost::asio::io_context Io;
+  Tcp::acceptor Acceptor;
+  std::thread Worker;
+};
+
+ExchangeResult resultOf(const HttpRequest &Request) {
+  boost::asio::io_context Io;
+  const std::shared_ptr<ResultListener> Listener =
+      std::make_shared<ResultListener>(Io);
+  const std::shared_ptr<HttpExchange> Exchange =
+      startExchange(makeHttpConnectionPool(Io), Request, Listener);
+  Io.run_for(HangTimeout);
+  Exchange->cancel();
+  return Listener->Result;
+}
+
+/// \returns the result for an answer with a status. The server then keeps the
+/// connection until the client closes it.
+ExchangeResult resultOfStatus(const std::string &Status) {
+  const OneShotServer Server([&](Tcp::socket &Socket) {
+    boost::asio::write(
+        Socket, boost::asio::buffer("HTTP/1.1 " + Status +
+                                    " X\r\nContent-Length: 2\r\n\r\nab"));
+    char Byte = 0;
+    boost::system::error_code Closed;
+    Socket.receive(boost::asio::buffer(&Byte, 1), 0, Closed);
+  });
+  return resultOf(Server.request());
+}
+
+TEST_CASE("A status that HTTP does not define makes an answer invalid at once",
+          "[AnswerValidity]") {
+  for (const char *Status : {"000", "001", "099", "101", "600", "999"}) {
+    CAPTURE(Status);
+    const ExchangeResult Result = resultOfStatus(Status);
+    CHECK(Result.Failure == HttpFailure::Invalid);
+    CHECK(Result.Heads == 0);
+    CHECK(Result.Body.empty());
+  }
+  for (const char *Status : {"200", "299", "404", "599"}) {
+    CAPTURE(Status);
+    CHECK(resultOfStatus(Status).Body == "ab");
+  }
+}
+
+} // namespace
+} // namespace bronzeward
