Keep a ring's memory to the items that wait in it

The resident memory of an instance grew with the number of requests that it had served, whatever their rate: 13.7 MB at the start, 34 MB after 4,000 ordinary requests, 85 MB after 16,000 and 103.5 MB after 24,000 (one instance, two upstreams, four callers). Where an instance has 110 MB, nothing is left for callers.

Cause: the rings between threads are circular buffers allocated at their full capacity, 65,536 items of up to 528 bytes. A slot becomes resident when it is first used, and every slot is used in turn even if one item waits at a time. The rings into the core and to the upstreams alone add up to 58 MB; no budget counted them.

A ring now takes memory for the items that wait in it. The test, one item at a time through a ring of 32 MB, grew by 34 MB before.

--- a/bronzeward/src/Base/BoundedRing.h
+++ b/bronzeward/src/Base/BoundedRing.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include <boost/circular_buffer.hpp>
-
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <iterator>
 #include <limits>
 #include <mutex>
@@ -16,17 +15,18 @@
 /// \brief Bounded queue from any number of threads to one.
 ///
 /// A full ring refuses the new item and counts it; the producer decides what
-/// that means (a refusal to the caller, a failed call, a dropped report).
+/// that means (a refusal to the caller, a failed call, a dropped report). Takes
+/// memory for the waiting items only, not for its capacity.
 template <class Item> class BoundedRing {
 public:
   /// \param Capacity greatest number of waiting items.
-  explicit BoundedRing(std::size_t Capacity) : Items(Capacity) {}
+  explicit BoundedRing(std::size_t Capacity) : MaxItems(Capacity) {}
 
   /// \param Value moved from where there is room, else left as it was.
   /// \returns whether there was room.
   [[nodiscard]] bool push(Item &Value) {
     std::lock_guard<std::mutex> Guard(Lock);
-    if (Items.full()) {
+    if (Items.size() >= MaxItems) {
       ++Refused;
       return false;
     }
@@ -44,7 +44,7 @@
     const auto End = Items.begin() + static_cast<std::ptrdiff_t>(Count);
     Batch.insert(Batch.end(), std::make_move_iterator(Items.begin()),
                  std::make_move_iterator(End));
-    Items.erase_begin(Count);
+    Items.erase(Items.begin(), End);
     return !Items.empty();
   }
 
@@ -56,7 +56,8 @@
 
 private:
   mutable std::mutex Lock;
-  boost::circular_buffer<Item> Items;
+  std::size_t MaxItems;
+  std::deque<Item> Items;
   std::uint64_t Refused = 0;
 };
 
--- a/test/BoundedRingTest.cpp
+++ b/test/BoundedRingTest.cpp
@@ -3,7 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <fstream>
 #include <memory>
+#include <unistd.h>
 
 namespace bronzeward {
 namespace {
@@ -29,6 +32,31 @@
   CHECK(Ring.push(Extra));
 }
 
+/// \returns the bytes of this process that are in memory.
+std::size_t residentBytes() {
+  std::ifstream In("/proc/self/statm");
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  In >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+TEST_CASE("A ring that was never long takes little memory", "[BoundedRing]") {
+  constexpr std::size_t Capacity = 65536;
+  constexpr std::size_t MaxGrowth = std::size_t{4} * 1024 * 1024;
+  using Large = std::array<char, 512>;
+  BoundedRing<Large> Ring(Capacity);
+  const std::size_t Before = residentBytes();
+  std::vector<Large> Batch;
+  for (std::size_t Index = 0; Index < Capacity; ++Index) {
+    Large Item{};
+    REQUIRE(Ring.push(Item));
+    Batch.clear();
+    Ring.drain(Batch);
+  }
+  CHECK(residentBytes() < Before + MaxGrowth);
+}
+
 TEST_CASE("A mailbox hands items over in order, whoever wakes it",
           "[BoundedRing]") {
   constexpr int Count = 10000;
