Bound what the allocator and the threads' stacks reserve

With a limit of 110 MB on the address space bronzeward-fleet ended at the start with std::bad_alloc: besides its rings it reserved 64 MB for the arena of each further thread and 8 MB for each stack, 315 MB at the peak.

main() allows one arena, returns blocks of 512 KiB and more to the kernel when they are freed, and gives threads stacks of 1 MB. AddressSpaceLimit failed always, with bad_alloc before the first log line, and passes: two instances serve bodies of 17 kB and 4 MB under 110 MB.

--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -3,6 +3,7 @@
 /// platform that its callers use.
 
 #include "daemons/InstanceProcess.h"
+#include "daemons/ProcessMemory.h"
 #include "daemons/ProcessReport.h"
 #include "daemons/ProcessSignals.h"
 #include "platform/PlatformCallCodec.h"
@@ -183,6 +184,7 @@
 
 int main(int Argc, char **Argv) {
   bronzeward::holdSignals();
+  bronzeward::boundMemory();
   bronzeward::reportTermination();
   gflags::SetUsageMessage(
       "routes calls of a fleet that is configured through the platform");
--- a/daemons/bronzeward.cpp
+++ b/daemons/bronzeward.cpp
@@ -2,6 +2,7 @@
 /// The router instance that serves a configuration written by its operators.
 
 #include "daemons/InstanceProcess.h"
+#include "daemons/ProcessMemory.h"
 #include "daemons/ProcessReport.h"
 #include "daemons/ProcessSignals.h"
 
@@ -12,6 +13,7 @@
 int main(int Argc, char **Argv) {
   using namespace bronzeward;
   holdSignals();
+  boundMemory();
   reportTermination();
   gflags::SetUsageMessage("routes callers' requests against prepaid budgets");
   gflags::ParseCommandLineFlags(&Argc, &Argv, true);
