An address that is in use for a moment does not end a process

The message named callers whatever the address was for.

The three addresses are tried for 5 s; a stop ends the wait with code 0. Metrics are served once their address is free, and the instance without them. The errors name what the address is for.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -788,9 +788,12 @@
     Acceptor.listen(ListenBacklog, Failure);
   if (!Failure)
     Acceptor.non_blocking(true, Failure);
-  if (Failure)
+  if (Failure) {
+    error_code Ignored;
+    Acceptor.close(Ignored);
     return fail(ErrorKind::Unavailable, "listen for callers", Address,
                 Failure.message());
+  }
   const std::uint16_t BoundPort = Acceptor.local_endpoint().port();
   accept();
   Thread.start();
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <iostream>
 #include <random>
+#include <thread>
 
 DEFINE_string(instance, "", "name of this instance; unique in the fleet");
 DEFINE_string(failure_domain, "", "failure domain of this instance");
@@ -55,6 +56,11 @@
 constexpr Duration ExitTime = 200ms;
 /// Time between two log lines about memory and descriptors.
 constexpr Duration FiguresPeriod = 30s;
+/// Time for which an address that is in use is tried again.
+constexpr Duration AddressPatience = 5s;
+constexpr Duration AddressRetryPeriod = 50ms;
+/// Time between two attempts to bind the address for metrics.
+constexpr Duration MetricsRetryPeriod = 1s;
 
 static Result<void> checkNumbers() {
   if (!(FLAGS_capacity > 0.0 && FLAGS_capacity <= 1024.0))
@@ -163,7 +169,7 @@
            Time, coreCallbacks()),
       Operators(Core, sharedLoop()), Metrics(Core, sharedLoop()),
       Signals(Main, SIGTERM, SIGINT, SIGHUP), DrainTimer(Main),
-      AnswerTimer(Main), FiguresTimer(Main) {
+      AnswerTimer(Main), FiguresTimer(Main), MetricsTimer(Main) {
   Callers.setMemoryNotice([this](const std::string &Detail) {
     if (const std::optional<std::string> Line =
             MemoryShort.report(Detail, Time.now()))
@@ -199,12 +205,18 @@
 }
 
 int InstanceProcess::run() {
+  const Result<void> Bound = listen();
   if (stopSignalHeld()) {
-    Log.onEvent("stopped", "signal received before the start");
+    Log.onEvent("stopped", "signal received during the start");
+    stopParts();
     return 0;
   }
-  if (!listen())
+  if (!Bound) {
+    std::cerr << "bronzeward: " << describe(Bound.error()) << "\n";
     return SettingsExitCode;
+  }
+  if (Settings.Metrics.Port != 0)
+    listenForMetrics();
   Store.start();
   Upstreams.start();
   Core.start();
@@ -270,31 +282,53 @@
   return Handlers;
 }
 
-static bool reportFailure(const Error &Failure) {
-  std::cerr << "bronzeward: " << describe(Failure) << "\n";
-  return false;
+static Error listenError(const std::string &For, const Error &Failure) {
+  return {Failure.Kind, "listen for " + For, Failure.Peer, Failure.Detail};
 }
 
-bool InstanceProcess::listen() {
-  const Result<void> PeersBound =
-      Peers.listen(Settings.Peers.Host, Settings.Peers.Port);
-  if (!PeersBound)
-    return reportFailure(PeersBound.error());
-  const Result<std::uint16_t> OperatorsPort =
-      Operators.listen(Settings.Operators.Host, Settings.Operators.Port);
-  if (!OperatorsPort)
-    return reportFailure(OperatorsPort.error());
-  if (Settings.Metrics.Port != 0) {
-    const Result<std::uint16_t> MetricsPort =
-        Metrics.listen(Settings.Metrics.Host, Settings.Metrics.Port);
-    if (!MetricsPort)
-      return reportFailure(MetricsPort.error());
+/// Repeats an attempt to bind an address while a predecessor may still hold it.
+static Result<void> bindInTime(const std::string &For,
+                               const std::function<Result<void>()> &Bind) {
+  const TimePoint Until = SystemClock().now() + AddressPatience;
+  Result<void> Bound = Bind();
+  while (!Bound && !stopSignalHeld() && SystemClock().now() < Until) {
+    std::this_thread::sleep_for(AddressRetryPeriod);
+    Bound = Bind();
   }
-  const Result<std::uint16_t> CallersPort =
-      Callers.listen(Settings.Callers.Host, Settings.Callers.Port);
-  if (!CallersPort)
-    return reportFailure(CallersPort.error());
-  return true;
+  if (!Bound)
+    return listenError(For, Bound.error());
+  return Bound;
+}
+
+static Result<void> bindServer(auto &Server, const SocketAddress &At) {
+  BOOST_OUTCOME_TRY(Server.listen(At.Host, At.Port));
+  return boost::outcome_v2::success();
+}
+
+Result<void> InstanceProcess::listen() {
+  BOOST_OUTCOME_TRY(bindInTime(
+      "peers", [this] { return bindServer(Peers, Settings.Peers); }));
+  BOOST_OUTCOME_TRY(bindInTime("operators", [this] {
+    return bindServer(Operators, Settings.Operators);
+  }));
+  return bindInTime("callers",
+                    [this] { return bindServer(Callers, Settings.Callers); });
+}
+
+void InstanceProcess::listenForMetrics() {
+  const Result<std::uint16_t> Bound =
+      Metrics.listen(Settings.Metrics.Host, Settings.Metrics.Port);
+  if (Bound)
+    return;
+  if (!MetricsMissed)
+    Log.onEvent("metrics-not-served",
+                describe(listenError("metrics", Bound.error())));
+  MetricsMissed = true;
+  MetricsTimer.expires_after(MetricsRetryPeriod);
+  MetricsTimer.async_wait([this](boost::system::error_code Failure) {
+    if (!Failure)
+      listenForMetrics();
+  });
 }
 
 void InstanceProcess::awaitSignal() {
--- a/daemons/InstanceProcess.h
+++ b/daemons/InstanceProcess.h
@@ -54,7 +54,10 @@
 
 private:
   CoreThread::Callbacks coreCallbacks();
-  bool listen();
+  /// \brief Binds the addresses, for a bounded time each while one is in use.
+  Result<void> listen();
+  /// \brief Binds the address for metrics, later if it is in use now.
+  void listenForMetrics();
   void awaitSignal();
   void onSignal(int Number);
   void drain();
@@ -89,8 +92,10 @@
   boost::asio::steady_timer DrainTimer;
   boost::asio::steady_timer AnswerTimer;
   boost::asio::steady_timer FiguresTimer;
+  boost::asio::steady_timer MetricsTimer;
   bool Draining = false;
   bool DrainTimedOut = false;
+  bool MetricsMissed = false;
 };
 
 } // namespace bronzeward
