Settings in the course of being replaced do not end a process

The platform may replace the settings file at any time. One that was empty or written in part at the start ended bronzeward-fleet with code 2, and a SIGHUP while no descriptor was free, or between the removal and the return of the file, ended a serving one with code 1: gflags exits if it cannot open a file of flags.

The file is read by the daemon itself, and its text passed to gflags, which then reports errors. Settings that are invalid at the start are read again for 2 s before the process ends.

--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -6,6 +6,7 @@
 #include "daemons/ProcessMemory.h"
 #include "daemons/ProcessReport.h"
 #include "daemons/ProcessSignals.h"
+#include "daemons/SettingsFile.h"
 #include "platform/PlatformCallCodec.h"
 #include "platform/PlatformDeploymentCodec.h"
 #include "platform/PlatformStoreCodec.h"
@@ -15,7 +16,7 @@
 #include <boost/algorithm/string/split.hpp>
 #include <gflags/gflags.h>
 
-#include <filesystem>
+#include <cstdlib>
 #include <iostream>
 
 DEFINE_string(
@@ -132,13 +133,7 @@
   BOOST_OUTCOME_TRY(applyEnvironment("bronzeward-fleet.cpp"));
   if (FLAGS_settings.empty())
     return boost::outcome_v2::success();
-  if (!std::filesystem::is_regular_file(FLAGS_settings))
-    return fail(ErrorKind::NotFound, "read settings", FLAGS_settings,
-                "is not a file");
-  if (!gflags::ReadFromFlagsFile(FLAGS_settings, "bronzeward-fleet", false))
-    return fail(ErrorKind::InvalidData, "read settings", FLAGS_settings,
-                "contains an unknown flag or an invalid value");
-  return boost::outcome_v2::success();
+  return applySettingsFile(FLAGS_settings, "bronzeward-fleet");
 }
 
 static void reload(StructuredLog &Log) {
@@ -148,15 +143,27 @@
                              : describe(Read.error()));
 }
 
+/// \returns an error if the settings of the file and the environment are not
+/// all valid.
+static Result<void> checkSettings() {
+  BOOST_OUTCOME_TRY(readSettingsFile());
+  BOOST_OUTCOME_TRY(readInstanceSettings());
+  BOOST_OUTCOME_TRY(readFleetPolicy());
+  return boost::outcome_v2::success();
+}
+
 static int reportFailure(const Error &Failure) {
   std::cerr << "bronzeward-fleet: " << describe(Failure) << "\n";
   return SettingsExitCode;
 }
 
 static int runFleetInstance() {
-  const Result<void> FileRead = readSettingsFile();
-  if (!FileRead)
-    return reportFailure(FileRead.error());
+  const Result<void> Checked =
+      FLAGS_settings.empty() && std::getenv("BRONZEWARD_SETTINGS") == nullptr
+          ? checkSettings()
+          : readUntilValid(checkSettings);
+  if (!Checked)
+    return stopSignalHeld() ? 0 : reportFailure(Checked.error());
   Result<InstanceSettings> Settings = readInstanceSettings();
   if (!Settings)
     return reportFailure(Settings.error());
--- a/test/process/StartAndStopTest.py
+++ b/test/process/StartAndStopTest.py
@@ -30,7 +30,8 @@
 
 class StartAndStop(unittest.TestCase):
     def setUp(self):
-        self.fleet = fleet.Fleet(machines=1)
+        self.fleet = fleet.Fleet(machines=1,
+                                 replace={"unready_notice_ms": "100"})
         self.addCleanup(self.fleet.stop)
         self.fleet.configure([fleet.route("/look/", "desk", timeout_ms=9000)],
                              [fleet.service("desk")])
