Guards around the waits of the peers' thread and the writer of the log

An exception that left either thread's function ended the process: a descriptor missing when the peers' loop is set up or bound, a failed wait for commands, an allocation that fails while a message is sent or a log line is written, and one that fails while an exception is reported. Found by reading; no run of ours met one.

The start of the peers' loop returns each failure as that of its address, its waits and commands are guarded one by one as in the other loops, so is each log line, and reportException() throws nothing.

--- a/bronzeward/src/Net/LoopGuard.h
+++ b/bronzeward/src/Net/LoopGuard.h
@@ -11,7 +11,7 @@
 
 /// \brief Writes a log line for an exception that was caught where it ends a
 /// connection or one event; one line per second at most.
-void reportException(const std::exception &Failure);
+void reportException(const std::exception &Failure) noexcept;
 
 /// \brief Runs one step of an event loop. An exception is reported and ends
 /// this step only.
--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -1,5 +1,6 @@
 #include "bronzeward/src/Net/PeerTransport.h"
 
+#include "bronzeward/src/Net/LoopGuard.h"
 #include "bronzeward/src/Net/PeerCodec.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -7,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <functional>
 #include <future>
 #include <map>
 #include <sys/eventfd.h>
@@ -26,6 +28,8 @@
 constexpr std::chrono::milliseconds LongDeliveryTimeout{5000};
 /// Time after a failure to accept connections until the next attempt.
 constexpr std::chrono::milliseconds AcceptRetryDelay{50};
+/// Time after a failed wait for commands until the next.
+constexpr std::chrono::milliseconds WaitRetryDelay{10};
 
 namespace {
 
@@ -63,10 +67,26 @@
   }
 
   Result<void> start(const std::string &Host, std::uint16_t Port) {
+    if (WakeFd < 0)
+      return fail(ErrorKind::Unavailable, "listen for peers",
+                  Host + ":" + std::to_string(Port),
+                  "no descriptor for the thread's events");
     std::promise<std::string> ListenResult;
     std::future<std::string> Outcome = ListenResult.get_future();
-    Worker = std::thread(
-        [this, Host, Port, &ListenResult] { run(Host, Port, ListenResult); });
+    Worker = std::thread([this, Host, Port, &ListenResult] {
+      bool Listening = false;
+      try {
+        run(Host, Port, [&] {
+          Listening = true;
+          ListenResult.set_value("");
+        });
+      } catch (const std::exception &Failure) {
+        if (!Listening)
+          ListenResult.set_value(Failure.what());
+        else
+          reportException(Failure);
+      }
+    });
     const std::string Problem = Outcome.get();
     if (Problem.empty())
       return boost::outcome_v2::success();
@@ -129,24 +149,18 @@
   }
 
   void run(const std::string &Host, std::uint16_t Port,
-           std::promise<std::string> &ListenResult) {
+           const std::function<void()> &OnListening) {
     kj::AsyncIoContext Context = kj::setupAsyncIo();
     Io = &Context;
     class FailureIgnorer : public kj::TaskSet::ErrorHandler {
       void taskFailed(kj::Exception &&) override {}
     };
     FailureIgnorer Ignored;
-    kj::Own<kj::ConnectionReceiver> Receiver;
-    try {
-      Receiver = Context.provider->getNetwork()
-                     .parseAddress(kj::StringPtr(Host.c_str()), Port)
-                     .wait(Context.waitScope)
-                     ->listen();
-    } catch (const kj::Exception &Failure) {
-      ListenResult.set_value(Failure.getDescription().cStr());
-      return;
-    }
-    ListenResult.set_value("");
+    kj::Own<kj::ConnectionReceiver> Receiver =
+        Context.provider->getNetwork()
+            .parseAddress(kj::StringPtr(Host.c_str()), Port)
+            .wait(Context.waitScope)
+            ->listen();
     kj::TaskSet Running(Ignored);
     Tasks = &Running;
     capnp::TwoPartyServer Server(kj::heap<PeerService>(MessageCallback));
@@ -154,13 +168,22 @@
     kj::Own<kj::AsyncInputStream> WakeStream =
         Context.lowLevelProvider->wrapInputFd(
             WakeFd, kj::LowLevelAsyncIoProvider::ALREADY_NONBLOCK);
+    OnListening();
     while (!Stopping) {
-      std::uint64_t Count = 0;
-      WakeStream->read(&Count, sizeof(Count)).wait(Context.waitScope);
-      std::vector<Command> Batch;
-      Ring.drain(Batch);
-      for (Command &Item : Batch)
-        execute(Item);
+      bool Woken = false;
+      runGuarded([&] {
+        std::uint64_t Count = 0;
+        WakeStream->read(&Count, sizeof(Count)).wait(Context.waitScope);
+        Woken = true;
+      });
+      if (!Woken)
+        std::this_thread::sleep_for(WaitRetryDelay);
+      runGuarded([&] {
+        std::vector<Command> Batch;
+        Ring.drain(Batch);
+        for (Command &Item : Batch)
+          runGuarded([&] { execute(Item); });
+      });
     }
     Connections.clear();
     Tasks = nullptr;
--- a/bronzeward/src/Net/StructuredLog.cpp
+++ b/bronzeward/src/Net/StructuredLog.cpp
@@ -1,5 +1,7 @@
 #include "bronzeward/src/Net/StructuredLog.h"
 
+#include "bronzeward/src/Net/LoopGuard.h"
+
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -75,10 +77,12 @@
       Pending = false;
       Last = Stopping;
     }
-    std::vector<Record> Batch;
-    Ring.drain(Batch);
-    for (const Record &Item : Batch)
-      write(Item);
+    runGuarded([this] {
+      std::vector<Record> Batch;
+      Ring.drain(Batch);
+      for (const Record &Item : Batch)
+        runGuarded([this, &Item] { write(Item); });
+    });
   }
 }
 
