The log goes to standard output

It went to standard error, where a platform that collects standard output finds nothing of an instance. Only the line about a setting or an address that ends a start stays on standard error.

--- a/bronzeward/src/Net/LoopGuard.cpp
+++ b/bronzeward/src/Net/LoopGuard.cpp
@@ -34,7 +34,7 @@
   } catch (const std::exception &) {
     // Most likely memory is short; this line takes none.
     [[maybe_unused]] const ssize_t Written =
-        ::write(STDERR_FILENO, UnreportedLine, sizeof(UnreportedLine) - 1);
+        ::write(STDOUT_FILENO, UnreportedLine, sizeof(UnreportedLine) - 1);
   }
 }
 
--- a/bronzeward/src/Net/StructuredLog.cpp
+++ b/bronzeward/src/Net/StructuredLog.cpp
@@ -25,7 +25,7 @@
     : Instance(std::move(Name)), Ring(RingCapacity) {
   namespace keywords = boost::log::keywords;
   boost::log::core::get()->remove_all_sinks();
-  boost::log::add_console_log(std::clog,
+  boost::log::add_console_log(std::cout,
                               keywords::format =
                                   boost::log::expressions::stream
                                   << boost::log::expressions::smessage,
--- a/daemons/ProcessReport.cpp
+++ b/daemons/ProcessReport.cpp
@@ -92,7 +92,7 @@
       Line.data(), Line.size(),
       "{\"event\":\"terminated\",\"detail\":\"%s\"}\n", Text.data());
   [[maybe_unused]] const ssize_t Written =
-      ::write(STDERR_FILENO, Line.data(), static_cast<std::size_t>(Length));
+      ::write(STDOUT_FILENO, Line.data(), static_cast<std::size_t>(Length));
   std::abort();
 }
 
--- a/test/process/StartAndStopTest.py
+++ b/test/process/StartAndStopTest.py
@@ -204,6 +204,17 @@
 
     # The log.
 
+    def test_log_is_on_standard_output(self):
+        errors = os.memfd_create("errors")
+        self.addCleanup(os.close, errors)
+        self.fleet.prepare = lambda: os.dup2(errors, 2)
+        self.fleet.spawn(0)
+        self.fleet.await_ready(0)
+        self.stop()
+        self.assertEqual(os.fstat(errors).st_size, 0)
+        for event in ("started", "process", "signal", "stopped"):
+            self.assertTrue(self.fleet.events(0, event), event)
+
     def test_closed_log_does_not_end_the_process(self):
         reader, writer = os.pipe()
 
