Keep no upstream that is missing from a list without an outage

An instance sent requests to an upstream for 2.94 s after its entry had been removed. It had read the removal in a list, 1.3 s after it, and kept the upstream for another 1.6 s: a list without any outage before it counted as the first one after an outage. So the time to register again was added to the time that the news had taken; each alone is below two seconds. The same held for lists after a lost history, and for removals that several peers reported: each report began the time anew.

Only an outage that was noticed, or many removals at once, keep an upstream now. The time to register again counts from the last moment at which the entry was known to be current, or from the end of the outage, and the first report of a removal counts. A complete list from a peer follows an outage only if this instance is out of contact itself.

--- a/bronzeward/src/Relay/UpstreamDirectory.cpp
+++ b/bronzeward/src/Relay/UpstreamDirectory.cpp
@@ -26,7 +26,7 @@
 std::vector<UpstreamDeparture> UpstreamDirectory::onListed(
     const std::vector<std::pair<UpstreamEntry, std::uint64_t>> &All,
     std::uint64_t Revision, std::optional<TimePoint> OutageEndedAt,
-    TimePoint Now) {
+    TimePoint Now, std::optional<TimePoint> ConfirmedAt) {
   std::vector<UpstreamDeparture> Departures;
   std::set<UpstreamName> Listed;
   for (const auto &[Entry, Changed] : All) {
@@ -35,14 +35,13 @@
             onEntry(Entry, Changed, Now))
       Departures.push_back(*Announced);
   }
-  const bool AfterOutage =
-      !OutageEndedAt || Now < *OutageEndedAt + OutageAftermath;
   for (auto &[Name, Current] : Items) {
     if (Listed.contains(Name) || Current.UnusableFrom ||
         Current.Revision > Revision)
       continue;
     Current.Revision = Revision;
-    Departures.push_back(remove(Current, AfterOutage, Now));
+    Departures.push_back(
+        remove(Current, OutageEndedAt, ConfirmedAt.value_or(Now), Now));
   }
   KnownRevision = std::max(KnownRevision, Revision);
   prune(Now);
@@ -65,26 +64,37 @@
 std::optional<UpstreamDeparture>
 UpstreamDirectory::onRemoved(const UpstreamName &Name, std::uint64_t Revision,
                              std::optional<TimePoint> OutageEndedAt,
-                             TimePoint Now) {
+                             TimePoint Now,
+                             std::optional<TimePoint> ConfirmedAt) {
   const auto Found = Items.find(Name);
   if (Found == Items.end() || Revision < Found->second.Revision)
     return std::nullopt;
   Found->second.Revision = Revision;
-  const bool AfterOutage =
-      OutageEndedAt && Now < *OutageEndedAt + OutageAftermath;
-  return remove(Found->second, AfterOutage, Now);
+  // Peers repeat the news of a removal.
+  if (Found->second.UnusableFrom)
+    return std::nullopt;
+  return remove(Found->second, OutageEndedAt, ConfirmedAt.value_or(Now), Now);
 }
 
-UpstreamDeparture UpstreamDirectory::remove(Item &Removed, bool MayReturn,
-                                            TimePoint Now) {
+UpstreamDeparture
+UpstreamDirectory::remove(Item &Removed, std::optional<TimePoint> OutageEndedAt,
+                          TimePoint Since, TimePoint Now) {
+  const bool AfterOutage =
+      OutageEndedAt && Now < *OutageEndedAt + OutageAftermath;
   KeptReason Kept = KeptReason::None;
   // A draining upstream announced its shutdown, so it will not register again.
-  if (!Removed.Entry.Draining && MayReturn)
+  if (!Removed.Entry.Draining && AfterOutage) {
     Kept = KeptReason::Outage;
-  else if (!Removed.Entry.Draining && manyRemoved(Removed.Entry.Service, Now))
+    // Upstreams could not register again before.
+    Since = std::max(Since, *OutageEndedAt);
+  } else if (!Removed.Entry.Draining &&
+             manyRemoved(Removed.Entry.Service, Now)) {
     Kept = KeptReason::ManyRemoved;
-  Removed.UnusableFrom =
-      Kept == KeptReason::None ? Now : Now + ReregistrationTime;
+  }
+  // Late news leaves less time to register again.
+  Removed.UnusableFrom = Kept == KeptReason::None
+                             ? Now
+                             : std::max(Now, Since + ReregistrationTime);
   return {Removed.Entry.Name, Removed.Revision, Removed.Entry.Draining, Kept,
           *Removed.UnusableFrom};
 }
--- a/bronzeward/src/Relay/UpstreamDirectory.h
+++ b/bronzeward/src/Relay/UpstreamDirectory.h
@@ -60,21 +60,25 @@
   /// \param All entries, each with the revision of its last change.
   /// \param OutageEndedAt when the store became reachable again after an
   /// outage; empty if there was no outage.
+  /// \param ConfirmedAt when all entries were last known to be current; those
+  /// that are missing may have disappeared right after it. Empty if never.
   /// \returns the upstreams that left since the state known before.
   std::vector<UpstreamDeparture>
   onListed(const std::vector<std::pair<UpstreamEntry, std::uint64_t>> &All,
            std::uint64_t Revision, std::optional<TimePoint> OutageEndedAt,
-           TimePoint Now);
+           TimePoint Now, std::optional<TimePoint> ConfirmedAt = std::nullopt);
   /// \brief Updates an upstream from its created or changed entry.
   /// \returns the departure that the upstream announced by this change.
   std::optional<UpstreamDeparture>
   onEntry(const UpstreamEntry &Entry, std::uint64_t Revision, TimePoint Now);
   /// \brief Records that an entry was deleted or has expired.
   /// \param OutageEndedAt as for onListed.
+  /// \param ConfirmedAt as for onListed; empty if the news is recent.
   /// \returns the departure; empty if the upstream is unknown or the news old.
   std::optional<UpstreamDeparture>
   onRemoved(const UpstreamName &Name, std::uint64_t Revision,
-            std::optional<TimePoint> OutageEndedAt, TimePoint Now);
+            std::optional<TimePoint> OutageEndedAt, TimePoint Now,
+            std::optional<TimePoint> ConfirmedAt = std::nullopt);
 
   /// \brief Records that all changes up to a store revision were applied.
   void onCaughtUp(std::uint64_t Revision) {
@@ -97,7 +101,10 @@
     std::optional<TimePoint> UnusableFrom;
   };
 
-  UpstreamDeparture remove(Item &Removed, bool MayReturn, TimePoint Now);
+  /// \param Since earliest time at which the entry may have disappeared.
+  UpstreamDeparture remove(Item &Removed,
+                           std::optional<TimePoint> OutageEndedAt,
+                           TimePoint Since, TimePoint Now);
   [[nodiscard]] bool manyRemoved(const ServiceName &Service,
                                  TimePoint Now) const;
   void prune(TimePoint Now);
--- a/bronzeward/src/Router/DepartureLog.h
+++ b/bronzeward/src/Router/DepartureLog.h
@@ -25,6 +25,8 @@
   bool FromPeer = false;
   /// When all entries were last known to be current; empty if never.
   std::optional<TimePoint> ConfirmedAt;
+  /// Whether the store reported the change while this instance waited for it.
+  bool Recent = false;
   /// When the store became reachable again; empty if there was no outage.
   std::optional<TimePoint> OutageEndedAt;
 };
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -401,17 +401,18 @@
 void FleetCore::UpstreamListener::onListed(
     const std::vector<StoreEntry> &Listed, std::uint64_t Revision,
     TimePoint Now) {
-  Owner.Upstreams.onListed(Listed, Revision, Owner.storeNews("store list"),
-                           Now);
+  const RegistryNews News{"store list", false, Owner.upstreamsConfirmedAt(),
+                          false, Owner.storeRecoveredAt()};
+  Owner.Upstreams.onListed(Listed, Revision, News, Now);
   Owner.updateUsableUpstreams(Now);
   Owner.sendFollowerDigests();
 }
 
 void FleetCore::UpstreamListener::onChanged(const StoreEntry &Entry,
                                             TimePoint Now) {
-  Owner.queueChange(
-      Owner.Upstreams.onChanged(Entry, Owner.storeNews("store watch"), Now),
-      Now);
+  const RegistryNews News{"store watch", false, Owner.upstreamsConfirmedAt(),
+                          true, Owner.storeRecoveredAt()};
+  Owner.queueChange(Owner.Upstreams.onChanged(Entry, News, Now), Now);
   Owner.Upstreams.onCaughtUp(Entry.Revision);
   Owner.updateUsableUpstreams(Now);
 }
@@ -424,8 +425,10 @@
   return std::max(UpstreamKeys.lastReplyAt(), Election.confirmedAt());
 }
 
-RegistryNews FleetCore::storeNews(const char *Source) const {
-  return {Source, false, upstreamsConfirmedAt(), storeRecoveredAt()};
+std::optional<TimePoint> FleetCore::outageEndedAt(TimePoint Now) const {
+  const bool InContact = UpstreamKeys.following() ? UpstreamKeys.inContact()
+                                                  : !Election.watches(Now);
+  return InContact ? storeRecoveredAt() : Now;
 }
 
 void FleetCore::updateRegistryState() {
@@ -460,8 +463,8 @@
 
 void FleetCore::onUpstreamList(const InstanceId &From,
                                const UpstreamList &Message, TimePoint Now) {
-  RegistryNews News{"peer " + From.Value, true, upstreamsConfirmedAt(),
-                    std::nullopt};
+  RegistryNews News{"peer " + From.Value, true, upstreamsConfirmedAt(), false,
+                    outageEndedAt(Now)};
   if (Message.Whole && Message.Revision > Upstreams.revision()) {
     Upstreams.onListed(Message.Entries, Message.Revision, News, Now);
     updateUsableUpstreams(Now);
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -149,8 +149,9 @@
   [[nodiscard]] std::optional<TimePoint> storeRecoveredAt() const;
   /// \returns when all entries of upstreams were last known to be current.
   [[nodiscard]] std::optional<TimePoint> upstreamsConfirmedAt() const;
-  /// \returns the origin of news that the store sent.
-  [[nodiscard]] RegistryNews storeNews(const char *Source) const;
+  /// \returns when the store became reachable again, if a complete list from a
+  /// peer follows an outage: now, unless this instance noticed it before.
+  [[nodiscard]] std::optional<TimePoint> outageEndedAt(TimePoint Now) const;
   void updateRegistryState();
   /// Resumes or pauses watching the store, as the election demands.
   void updateWatchRole(TimePoint Now);
--- a/bronzeward/src/Router/UpstreamRegistry.cpp
+++ b/bronzeward/src/Router/UpstreamRegistry.cpp
@@ -21,8 +21,8 @@
   }
   Entries = std::move(Replacement);
   ListRevision = Revision;
-  for (const UpstreamDeparture &Item :
-       Directory.onListed(Upstreams, Revision, News.OutageEndedAt, Now))
+  for (const UpstreamDeparture &Item : Directory.onListed(
+           Upstreams, Revision, News.OutageEndedAt, Now, News.ConfirmedAt))
     Departures.onDeparture(Item, News, Now);
 }
 
@@ -34,23 +34,26 @@
     return Stored;
   Stored = Entry;
   if (const std::optional<UpstreamDeparture> Departure =
-          apply(Stored, News.OutageEndedAt, Now))
+          apply(Stored, News, Now))
     Departures.onDeparture(*Departure, News, Now);
   return Stored;
 }
 
 std::optional<UpstreamDeparture>
-UpstreamRegistry::apply(StoreEntry &Entry,
-                        std::optional<TimePoint> OutageEndedAt, TimePoint Now) {
+UpstreamRegistry::apply(StoreEntry &Entry, const RegistryNews &News,
+                        TimePoint Now) {
   const UpstreamName Name = Codec.upstreamOf(Entry.Key);
+  const std::optional<TimePoint> Since =
+      News.Recent ? std::nullopt : News.ConfirmedAt;
   if (Entry.Deleted)
-    return Directory.onRemoved(Name, Entry.Revision, OutageEndedAt, Now);
+    return Directory.onRemoved(Name, Entry.Revision, News.OutageEndedAt, Now,
+                               Since);
   const Result<UpstreamEntry> Parsed = Codec.parseUpstream(Entry);
   if (Parsed)
     return Directory.onEntry(Parsed.value(), Entry.Revision, Now);
   skipEntry(Entry, Parsed.error(), Now);
   // It names no upstream, as if it were missing from a list.
-  return Directory.onRemoved(Name, Entry.Revision, std::nullopt, Now);
+  return Directory.onRemoved(Name, Entry.Revision, std::nullopt, Now, Since);
 }
 
 UpstreamList UpstreamRegistry::changesSince(std::uint64_t Revision) const {
--- a/bronzeward/src/Router/UpstreamRegistry.h
+++ b/bronzeward/src/Router/UpstreamRegistry.h
@@ -49,9 +49,8 @@
 
 private:
   /// Updates the directory from the newest state of an entry.
-  std::optional<UpstreamDeparture> apply(StoreEntry &Entry,
-                                         std::optional<TimePoint> OutageEndedAt,
-                                         TimePoint Now);
+  std::optional<UpstreamDeparture>
+  apply(StoreEntry &Entry, const RegistryNews &News, TimePoint Now);
   /// Logs an entry that cannot be read and drops its bytes where they are many.
   void skipEntry(StoreEntry &Entry, const Error &Problem, TimePoint Now);
 
--- a/test/UpstreamDirectoryTest.cpp
+++ b/test/UpstreamDirectoryTest.cpp
@@ -64,6 +64,30 @@
   CHECK(Directory.nextRemoval(ReachableAt + 1900ms) == std::nullopt);
 }
 
+// Guards against late requests at an upstream that left: a list without an
+// outage before it kept the upstream usable.
+TEST_CASE("An upstream missing from a list is unusable at once without an "
+          "outage",
+          "[UpstreamDirectory]") {
+  UpstreamDirectory Directory;
+  Directory.onListed(listOf({"a", "b", "c"}), 1, std::nullopt, Start);
+  Directory.onListed(listOf({"a", "b"}), 5, std::nullopt, Start + 1s);
+  CHECK(usable(Directory, Start + 1s) == 2);
+}
+
+TEST_CASE("Late or repeated news of a removal leaves no more time to return",
+          "[UpstreamDirectory]") {
+  UpstreamDirectory Directory;
+  Directory.onListed(listOf({"a", "b", "c", "d", "e", "f"}), 1, std::nullopt,
+                     Start);
+  const TimePoint HeardAt = Start + 1s;
+  Directory.onListed(listOf({"a", "b"}), 9, std::nullopt, HeardAt, Start);
+  CHECK(usable(Directory, HeardAt) > 2);
+  for (const char *Name : {"c", "d", "e", "f"})
+    Directory.onRemoved(UpstreamName{Name}, 9, std::nullopt, Start + 1500ms);
+  CHECK(usable(Directory, Start + 1600ms) == 2);
+}
+
 TEST_CASE("Upstreams stay usable for a while if many are removed together",
           "[UpstreamDirectory]") {
   UpstreamDirectory Directory;
