Ignore older news of an upstream that is missing from a newer list

An instance that has just read all entries may then receive a peer's list from before: it took an entry that it did not know for a new upstream, although the entry had been deleted before its own list, and would have learned of the deletion only by its next list. Found by reading; seen in a unit test that failed before (three usable upstreams instead of two), not in a process.

An unknown upstream's entry that is not newer than the known revision was deleted since; it is neither used nor passed on.

--- a/bronzeward/src/Relay/UpstreamDirectory.cpp
+++ b/bronzeward/src/Relay/UpstreamDirectory.cpp
@@ -32,7 +32,8 @@
   for (const auto &[Entry, Changed] : All) {
     Listed.insert(Entry.Name);
     if (const std::optional<UpstreamDeparture> Announced =
-            onEntry(Entry, Changed, Now))
+            Revision < KnownRevision ? onEntry(Entry, Changed, Now)
+                                     : update(Entry, Changed, Now))
       Departures.push_back(*Announced);
   }
   for (auto &[Name, Current] : Items) {
@@ -51,6 +52,16 @@
 std::optional<UpstreamDeparture>
 UpstreamDirectory::onEntry(const UpstreamEntry &Entry, std::uint64_t Revision,
                            TimePoint Now) {
+  // All changes up to the known revision were applied, so the entry of an
+  // unknown upstream was deleted since.
+  if (Revision <= KnownRevision && !Items.contains(Entry.Name))
+    return std::nullopt;
+  return update(Entry, Revision, Now);
+}
+
+std::optional<UpstreamDeparture>
+UpstreamDirectory::update(const UpstreamEntry &Entry, std::uint64_t Revision,
+                          TimePoint Now) {
   Item &Current = Items[Entry.Name];
   if (Revision < Current.Revision)
     return std::nullopt;
--- a/bronzeward/src/Relay/UpstreamDirectory.h
+++ b/bronzeward/src/Relay/UpstreamDirectory.h
@@ -67,7 +67,8 @@
   onListed(const std::vector<std::pair<UpstreamEntry, std::uint64_t>> &All,
            std::uint64_t Revision, std::optional<TimePoint> OutageEndedAt,
            TimePoint Now, std::optional<TimePoint> ConfirmedAt = std::nullopt);
-  /// \brief Updates an upstream from its created or changed entry.
+  /// \brief Updates an upstream from its created or changed entry, unless it
+  /// is known that the entry was deleted since.
   /// \returns the departure that the upstream announced by this change.
   std::optional<UpstreamDeparture>
   onEntry(const UpstreamEntry &Entry, std::uint64_t Revision, TimePoint Now);
@@ -93,6 +94,9 @@
   [[nodiscard]] std::uint64_t revision() const { return KnownRevision; }
 
 private:
+  std::optional<UpstreamDeparture>
+  update(const UpstreamEntry &Entry, std::uint64_t Revision, TimePoint Now);
+
   struct Item {
     UpstreamEntry Entry;
     std::uint64_t Revision = 0;
--- a/bronzeward/src/Router/UpstreamRegistry.cpp
+++ b/bronzeward/src/Router/UpstreamRegistry.cpp
@@ -29,10 +29,17 @@
 const StoreEntry &UpstreamRegistry::onChanged(const StoreEntry &Entry,
                                               const RegistryNews &News,
                                               TimePoint Now) {
+  // An entry that is missing from a newer list was deleted since.
+  const bool Outdated =
+      Entry.Revision <= ListRevision && !Entries.contains(Entry.Key);
   StoreEntry &Stored = Entries[Entry.Key];
   if (Entry.Revision < Stored.Revision)
     return Stored;
   Stored = Entry;
+  if (Outdated) {
+    Stored.Deleted = true;
+    Stored.Value.clear();
+  }
   if (const std::optional<UpstreamDeparture> Departure =
           apply(Stored, News, Now))
     Departures.onDeparture(*Departure, News, Now);
--- a/test/UpstreamDirectoryTest.cpp
+++ b/test/UpstreamDirectoryTest.cpp
@@ -109,6 +109,18 @@
   CHECK(usable(Directory, Start) == 2);
 }
 
+// Guards against an upstream that left and is used again: a peer's older news
+// arrives at an instance that never knew the upstream.
+TEST_CASE("Older news does not restore an upstream missing from a list",
+          "[UpstreamDirectory]") {
+  UpstreamDirectory Directory;
+  Directory.onListed(listOf({"a", "b"}), 9, std::nullopt, Start);
+  Directory.onEntry(entryOf("c"), 7, Start);
+  CHECK(usable(Directory, Start) == 2);
+  Directory.onEntry(entryOf("d"), 10, Start);
+  CHECK(usable(Directory, Start) == 3);
+}
+
 // Failure: changes reach an instance through its peers, and one is lost.
 TEST_CASE("A single change does not advance the known revision",
           "[UpstreamDirectory]") {
