Do not give up a watch while parts of its reply arrive

A watch whose reply is late is followed by a list. A long value over a small link takes longer than that: it would have been read twice. A reply of which a part has arrived is now awaited. The unit test failed before and passes.

--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -20,11 +20,12 @@
     : Port(Out), Timers(Queue), Jitter(RandomSource), Policy(Limits),
       OpenFor(Limits.MinOpen) {}
 
-void StoreClient::call(const StoreCall &Request, TimePoint Now, Handler Done) {
+StoreCallId StoreClient::call(const StoreCall &Request, TimePoint Now,
+                              Handler Done) {
   if (!available(Now)) {
     ++Counters.NotSent;
     Done(StoreReply{}, Now);
-    return;
+    return {};
   }
   const bool HalfOpen = ConsecutiveFailures >= Policy.FailuresToOpen;
   Probing = Probing || HalfOpen;
@@ -40,6 +41,12 @@
   Entry.Deadline = Now + Timeout + (MaxReplyTimeouts - 1) * Policy.CallTimeout;
   InFlight.emplace(Id, std::move(Entry));
   Port.send(Id, Request);
+  return Id;
+}
+
+bool StoreClient::replyBegun(StoreCallId Id) const {
+  const auto Found = InFlight.find(Id);
+  return Found != InFlight.end() && Found->second.ReplyBegun;
 }
 
 void StoreClient::onReply(StoreCallId Id, const StoreReply &Reply,
@@ -64,6 +71,7 @@
   if (Found == InFlight.end())
     return;
   Pending &Entry = Found->second;
+  Entry.ReplyBegun = true;
   Timers.cancel(Entry.Timeout);
   Entry.Timeout =
       expireAt(Id, std::min(Now + Policy.CallTimeout, Entry.Deadline));
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -52,7 +52,8 @@
 
   /// \brief Sends a call, or calls Done with Unavailable at once where the
   /// breaker is open or too many calls are in flight.
-  void call(const StoreCall &Request, TimePoint Now, Handler Done);
+  /// \returns the call's number.
+  StoreCallId call(const StoreCall &Request, TimePoint Now, Handler Done);
 
   /// \brief Completes a call; a reply after its timeout is ignored.
   void onReply(StoreCallId Id, const StoreReply &Reply, TimePoint Now);
@@ -60,6 +61,8 @@
   /// \brief Restarts the timeout of a call when a part of its reply arrives.
   void onProgress(StoreCallId Id, TimePoint Now);
 
+  /// \returns whether parts of a call's reply have arrived.
+  [[nodiscard]] bool replyBegun(StoreCallId Id) const;
   /// \returns whether a call made now would be sent.
   [[nodiscard]] bool available(TimePoint Now) const;
   /// \returns the time of the first of the latest consecutive failures; nothing
@@ -78,6 +81,7 @@
     TimerQueue::Handle Timeout;
     /// Time at which the call fails however much of its reply arrived.
     TimePoint Deadline;
+    bool ReplyBegun = false;
     bool ChangesState = false;
   };
 
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -51,15 +51,17 @@
     return;
   const std::uint64_t Number = ++LastWatch;
   PendingWatch = Number;
-  Store.call(WatchKeys{Prefix, Revision, WatchWait}, Now,
-             [this, Number](const StoreReply &Reply, TimePoint At) {
-               if (PendingWatch == Number)
-                 onWatched(Reply, At);
-             });
+  const StoreCallId Call =
+      Store.call(WatchKeys{Prefix, Revision, WatchWait}, Now,
+                 [this, Number](const StoreReply &Reply, TimePoint At) {
+                   if (PendingWatch == Number)
+                     onWatched(Reply, At);
+                 });
   // The call may have failed at once.
   if (PendingWatch == Number)
-    Silence = Timers.schedule(Now + WatchWait + MaxReplyDelay,
-                              [this](TimePoint At) { onSilentWatch(At); });
+    Silence =
+        Timers.schedule(Now + WatchWait + MaxReplyDelay,
+                        [this, Call](TimePoint At) { onLateReply(Call, At); });
 }
 
 void StoreFollower::endWatch() {
@@ -69,7 +71,10 @@
   Silence.reset();
 }
 
-void StoreFollower::onSilentWatch(TimePoint Now) {
+void StoreFollower::onLateReply(StoreCallId Call, TimePoint Now) {
+  Silence.reset();
+  if (Store.replyBegun(Call))
+    return;
   endWatch();
   list(Now);
 }
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -64,7 +64,8 @@
   void watch(TimePoint Now);
   /// Ends the wait for the reply of the latest watch.
   void endWatch();
-  void onSilentWatch(TimePoint Now);
+  /// Lists the keys if no part of a watch's reply has arrived in time.
+  void onLateReply(StoreCallId Call, TimePoint Now);
   void onWatched(const StoreReply &Reply, TimePoint Now);
   void retry(TimePoint Now);
   void recordReply(TimePoint Now);
@@ -79,7 +80,7 @@
   std::uint64_t LastWatch = 0;
   /// Number of the watch whose reply is awaited.
   std::optional<std::uint64_t> PendingWatch;
-  /// Set while PendingWatch is.
+  /// Set until a part of the watch's reply is due.
   std::optional<TimerQueue::Handle> Silence;
   bool Paused = false;
   /// Whether neither a call nor a retry timer is pending.
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -122,6 +122,23 @@
   CHECK(Fixture.Keys.recoveredAt() == Fixture.Now);
 }
 
+// Guards against reading a long value twice over a small link.
+TEST_CASE("A watch is not given up while parts of its reply arrive",
+          "[StoreFollower]") {
+  FollowerFixture Fixture;
+  ALLOW_CALL(Fixture.Listener, onListed(_, _, _));
+  Fixture.answer(ok(7));
+  const StoreCallId Watch = Fixture.Calls.back().first;
+  Fixture.wait(1700ms);
+  Fixture.Client.onProgress(Watch, Fixture.Now);
+  Fixture.wait(800ms);
+  REQUIRE(Fixture.lastIs<WatchKeys>());
+  REQUIRE_CALL(Fixture.Listener, onChanged(_, _));
+  StoreReply Change = ok(9);
+  Change.Entries.push_back({"a/x", "v", 9, false});
+  Fixture.Client.onReply(Watch, Change, Fixture.Now);
+}
+
 TEST_CASE("A watch that was cut is followed by a list at once",
           "[StoreFollower]") {
   FollowerFixture Fixture;
