Log what a start waits for, refusals by reason and lost grants

Callers on real machines saw service come back too late after all instances had been lost. The log could not tell apart a start that waits (registration, members, configuration, upstreams, first grants), refusals for other reasons, and budget that former incarnations still hold.

- start-steps: when each step of a start was complete, at growing intervals while some are waited for.
- refusals: counts by reason, every 10 s.
- grants-lost, the metric lost_grants_micros and lost_micros of `bronzewardctl account`: grants whose holder has a later incarnation in the record.

--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -173,6 +173,11 @@
   /// \returns the amount of grants and loans that can be reserved here, over
   /// all workspaces.
   [[nodiscard]] Money free() const;
+  /// \returns the workspaces with grants of former incarnations, and their
+  /// sums, in the slots that this instance commits.
+  [[nodiscard]] std::map<WorkspaceId, Money> lostGrants() const {
+    return Reclaimer.lostGrants();
+  }
   /// \returns the state of a workspace's budget as text for the log.
   [[nodiscard]] std::string describe(const WorkspaceId &Workspace) const;
   /// \returns the sum of grants held here, over all workspaces.
--- a/bronzeward/src/Budget/GrantReclaimer.cpp
+++ b/bronzeward/src/Budget/GrantReclaimer.cpp
@@ -43,6 +43,22 @@
                   [](const OperationResult &, TimePoint) {});
 }
 
+std::map<WorkspaceId, Money> GrantReclaimer::lostGrants() const {
+  std::map<WorkspaceId, Money> Sums;
+  for (std::uint32_t Index = 0; Index < Policy.Slots; ++Index) {
+    if (Members.committerOf(SlotId{Index}, Self) != Self)
+      continue;
+    const SlotRecord *Record = Router.committer(SlotId{Index}).record();
+    if (Record == nullptr)
+      continue;
+    const LostGrants Lost(*Record);
+    for (const Account &Budget : Record->Accounts)
+      if (const Money Sum = Lost.sum(Budget); !Sum.isZero())
+        Sums[Budget.Workspace] = Sum;
+  }
+  return Sums;
+}
+
 bool GrantReclaimer::missingLongEnough(const Incarnation &Holder,
                                        TimePoint Now) {
   if (Members.lists(Holder))
--- a/bronzeward/src/Budget/GrantReclaimer.h
+++ b/bronzeward/src/Budget/GrantReclaimer.h
@@ -20,6 +20,10 @@
   /// the updated list of live instances.
   void onMembersUpdated(TimePoint Now);
 
+  /// \returns the workspaces with grants of former incarnations, and their
+  /// sums, in the slots that this instance commits and has read.
+  [[nodiscard]] std::map<WorkspaceId, Money> lostGrants() const;
+
 private:
   void check(SlotId Slot, TimePoint Now);
   /// \returns whether a holder has been unlisted for ReclaimAfter.
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -123,6 +123,7 @@
 void RelayEngine::refuse(CallerTicket Ticket, const RelayCall *Call,
                          Reason Why) {
   ++Counters.RefusedNotRun;
+  Refusals.add(Why);
   const RequestId CallerAttemptId{Call == nullptr ? "" : Call->CallerAttemptId};
   const Answer Response = relayRefusal(
       CallerAttemptId, {Outcome::NotRun, Why, ""}, {}, Deps.Source);
@@ -768,6 +769,7 @@
   if (!NotRun && PromisesNotRun)
     Why = Reason::UpstreamFailed;
   ++(NotRun ? Counters.RefusedNotRun : Counters.EndedUnknown);
+  Refusals.add(Why);
   const RequestId CallerAttemptId{Item.Call.CallerAttemptId};
   Deps.Log.onEnd(CallerAttemptId, Item.Admitted.Workspace,
                  descriptionOf(Why).Status, nameOf(Reported),
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -6,6 +6,7 @@
 #include "bronzeward/src/Relay/EventStream.h"
 #include "bronzeward/src/Relay/LocalCongestion.h"
 #include "bronzeward/src/Relay/RateLimitAgent.h"
+#include "bronzeward/src/Relay/RefusalCounts.h"
 #include "bronzeward/src/Relay/RelayAdmission.h"
 #include "bronzeward/src/Relay/SharedRetryBudget.h"
 #include "bronzeward/src/Relay/UpstreamPool.h"
@@ -111,6 +112,8 @@
   /// \returns the number of calls that are admitted and not finished.
   [[nodiscard]] std::size_t inFlight() const { return Active.size(); }
   [[nodiscard]] const RequestCounters &counters() const { return Counters; }
+  /// \returns the refusals since the last call, by reason.
+  [[nodiscard]] std::string takeRefusals() { return Refusals.take(); }
   [[nodiscard]] LatencyCounts firstByteLatency() const {
     return FirstByte.counts();
   }
@@ -286,6 +289,7 @@
   std::uint64_t LastRequest = 0;
   std::uint64_t LastAttempt = 0;
   RequestCounters Counters;
+  RefusalCounts Refusals;
   LatencyHistogram FirstByte;
   LatencyHistogram WholeAnswer;
 };
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -1,6 +1,7 @@
 #include "bronzeward/src/Router/FleetCore.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace bronzeward {
@@ -57,6 +58,8 @@
 constexpr Duration ReportedDelay = 250ms;
 /// Time between two log lines with the counts of store calls.
 constexpr Duration StoreReportPeriod = 10s;
+/// Workspaces that are named in one log line about lost grants.
+constexpr std::size_t MaxLostGrantsNamed = 16;
 /// Time between two returns of excess budget.
 constexpr Duration ReturnPeriod = 1s;
 /// Time after the start of a drain, at most, for which all calls are admitted.
@@ -119,6 +122,7 @@
 
 void FleetCore::start(TimePoint Now) {
   StartedAt = Now;
+  Start.emplace(Now);
   updatePermitIssuers(Now);
   Registry.start(
       Now,
@@ -719,6 +723,8 @@
                    "sent " + std::to_string(Texts.Sent) + " received " +
                        std::to_string(Texts.Received) + " known " +
                        std::to_string(Texts.Known) + " since the start");
+  if (const std::string Refused = Engine.takeRefusals(); !Refused.empty())
+    Deps.Log.onEvent("refusals", Refused);
   if (Budgets)
     reportBudgets(Now);
 }
@@ -736,6 +742,39 @@
                        std::to_string(Loans.Requested) + " received " +
                        std::to_string(Loans.Received) + " granted " +
                        std::to_string(Loans.Granted) + " since the start");
+  std::string Lost;
+  std::size_t Named = 0;
+  for (const auto &[Workspace, Sum] : Budgets->lostGrants())
+    if (++Named <= MaxLostGrantsNamed)
+      Lost += " " + Workspace.Value + " " + std::to_string(Sum.micros());
+  if (Named > 0)
+    Deps.Log.onEvent("grants-lost",
+                     std::to_string(Named) + " workspaces:" + Lost);
+}
+
+void FleetCore::reportStart(TimePoint Now) {
+  if (!Start)
+    return;
+  const RouteTable *Routes = Engine.routes();
+  const bool Metered = Routes != nullptr &&
+                       std::ranges::any_of(Routes->configuration().Workspaces,
+                                           &WorkspaceAccess::Metered);
+  const std::array<std::pair<StartStep, bool>, 6> Steps{{
+      {StartStep::Registered, OwnIncarnation.has_value()},
+      {StartStep::Listed, Members.find(Identity.Instance) != nullptr},
+      {StartStep::Configured, Version.Number != 0},
+      {StartStep::UpstreamsKnown, Engine.upstreams().size() != 0},
+      {StartStep::FirstGrant,
+       Metered ? Budgets && !Budgets->held().isZero() : Routes != nullptr},
+      {StartStep::Ready, notReadyReason(Now).empty()},
+  }};
+  for (const auto &[Step, Done] : Steps)
+    if (Done)
+      Start->complete(Step, Now);
+  if (const std::optional<std::string> Line = Start->takeLine(Now))
+    Deps.Log.onEvent("start-steps", *Line);
+  if (Start->reported())
+    Start.reset();
 }
 
 void FleetCore::reportDelay(TimePoint Now) {
@@ -752,6 +791,7 @@
 
 void FleetCore::housekeeping(TimePoint Now) {
   reportDelay(Now);
+  reportStart(Now);
   reportStoreCalls(Now);
   checkStore(Now);
   confirmMembershipByPeers(Now);
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -4,6 +4,7 @@
 #include "bronzeward/src/Router/ConfigurationPull.h"
 #include "bronzeward/src/Router/InstanceCore.h"
 #include "bronzeward/src/Router/InstanceRegistry.h"
+#include "bronzeward/src/Router/StartReport.h"
 #include "bronzeward/src/Router/UpstreamRegistry.h"
 #include "bronzeward/src/Router/WatcherElection.h"
 
@@ -203,6 +204,8 @@
   void checkStore(TimePoint Now);
   void reportStoreCalls(TimePoint Now);
   void reportBudgets(TimePoint Now);
+  /// Logs what the start waits for, and when each step was complete.
+  void reportStart(TimePoint Now);
   /// Logs when the event loop is behind its timers.
   void reportDelay(TimePoint Now);
   void housekeeping(TimePoint Now);
@@ -264,6 +267,8 @@
   LoadNotice SentLoad;
   TimePoint SentLoadAt;
   std::optional<TimePoint> StartedAt;
+  /// Empty once every step of the start was logged.
+  std::optional<StartReport> Start;
   std::optional<TimePoint> DrainingSince;
   bool StoreWasUnreachable = true;
   bool Closing = false;
--- a/bronzeward/src/Router/InstanceCore.cpp
+++ b/bronzeward/src/Router/InstanceCore.cpp
@@ -18,6 +18,8 @@
   Status.PendingOperations = Budgets.pendingOperations();
   Status.CarriedBills = Budgets.carriedBills();
   Status.HeldGrants = Budgets.held();
+  for (const auto &[Workspace, Lost] : Budgets.lostGrants())
+    Status.LostGrants += Lost;
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Router/RouterStatus.cpp
+++ b/bronzeward/src/Router/RouterStatus.cpp
@@ -139,6 +139,9 @@
   Out.counter("configuration_texts_known_total",
               "Received configurations that were not newer.",
               Status.Texts.Known);
+  Out.gauge("lost_grants_micros",
+            "Grants of former incarnations in the records committed here.",
+            Status.LostGrants.micros());
   const RequestCounters &Requests = Status.Requests;
   Out.counter("requests_total", "Requests received.", Requests.Accepted);
   Out.counter("requests_answered_total", "Requests answered in full.",
--- a/bronzeward/src/Router/RouterStatus.h
+++ b/bronzeward/src/Router/RouterStatus.h
@@ -66,6 +66,8 @@
   std::size_t PendingOperations = 0;
   std::size_t CarriedBills = 0;
   Money HeldGrants;
+  /// Grants of former incarnations in the slots that this instance commits.
+  Money LostGrants;
   bool StoreFailing = false;
   StoreCounters Store;
   ConfigurationTextCounters Texts;
--- a/tools/LedgerCommands.cpp
+++ b/tools/LedgerCommands.cpp
@@ -194,7 +194,7 @@
           {"answer_digest", Item.AnswerDigest}};
 }
 
-static json::object toJson(const Account &Budget) {
+static json::object toJson(const Account &Budget, const LostGrants &Lost) {
   json::array Grants;
   for (const GrantLine &Line : Budget.Grants)
     Grants.push_back(
@@ -212,6 +212,7 @@
           {"prepaid_micros", Budget.Prepaid.micros()},
           {"settled_micros", Budget.Settled.micros()},
           {"granted_micros", outstanding(Budget).micros()},
+          {"lost_micros", Lost.sum(Budget).micros()},
           {"available_micros", available(Budget).micros()},
           {"written_off_micros", Budget.WrittenOff.micros()},
           {"top_ups", Budget.TopUps.size()},
@@ -231,7 +232,7 @@
 
 static void printAccount(const CommandContext &Context, const Account &Budget,
                          const SlotHistory &History) {
-  json::object Shown = toJson(Budget);
+  json::object Shown = toJson(Budget, LostGrants(History.Head));
   json::array Bills;
   for (const Bill *Item : allBills(History))
     if (Item->Workspace == Budget.Workspace)
@@ -243,7 +244,7 @@
   }
   std::cout << "workspace " << Budget.Workspace.Value << "\n";
   for (const char *Field :
-       {"prepaid_micros", "settled_micros", "granted_micros",
+       {"prepaid_micros", "settled_micros", "granted_micros", "lost_micros",
         "available_micros", "written_off_micros"})
     std::cout << "  " << Field << " " << Shown.at(Field) << "\n";
   std::cout << "  bills " << Bills.size() << ", open claims "
