Bound the budget that repeated losses of instances lock up

Callers saw 503 budget-held for most metered requests after instances had been lost more than once, although much of the prepaid amounts was unspent.

A draw now gets what waiting requests need. The ledger applies it in the step that changes the record, from the record alone: a line is lost if its instance has a later incarnation there. It only makes draws smaller, so nothing can be overspent. A draw for the reserve that got nothing is not repeated within a second; draws for waiting requests are.

--- a/bronzeward/src/Budget/BudgetAgent.cpp
+++ b/bronzeward/src/Budget/BudgetAgent.cpp
@@ -35,6 +35,8 @@
 /// Delay before the next refill after a refused draw or a recall, and before
 /// a rejected submission is repeated.
 constexpr Duration RefillPause = 1s;
+/// Smallest amount that a draw asks for.
+constexpr Money MinDraw(1);
 /// Time for a carrier to confirm before more peers are asked.
 constexpr Duration CarrierTimeout = 300ms;
 /// A store outage shorter than this does not make an instance unready.
@@ -418,7 +420,7 @@
   if (Policy.Lending && Now < Budget.NextRefill)
     return;
   const Money Missing = waitingBounds(Budget);
-  Money Minimum(1);
+  Money Minimum = MinDraw;
   if (!Budget.Waiting.empty())
     Minimum =
         std::max(Minimum, Budget.Waiting.front().Bound - Budget.Grant.free());
@@ -461,6 +463,8 @@
     Budget.Grant.drawn(std::max(Money(), Outcome.Amount));
     Budget.RefuseUntil = Now;
     Budget.DrawAhead = false;
+    if (Outcome.Amount <= MinDraw)
+      Budget.NextReserveDraw = Now + RefillPause;
     serveWaiting(Workspace, Now);
     if (!Budget.Waiting.empty())
       draw(Workspace, Now);
@@ -682,7 +686,7 @@
     return;
   const Money Free = Budget.Grant.free() + Loans.free(Workspace);
   const Money Needed = Budget.Grant.lowWater(Policy, Now);
-  if (Free < Needed)
+  if (Free < Needed && Now >= Budget.NextReserveDraw)
     draw(Workspace, Now);
   // With the store unreachable, a loan replaces the draw before requests wait.
   if (Deps.Store.failingSince() &&
--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -195,6 +195,9 @@
     std::deque<WaitingReservation> Waiting;
     bool RedrawScheduled = false;
     TimePoint NextRefill;
+    /// Earliest time of the next draw for the reserve, after one that granted
+    /// nothing; draws for waiting requests do not wait for it.
+    TimePoint NextReserveDraw;
     bool ReturnPending = false;
     /// Whether to draw the first grant before any request needs it.
     bool DrawAhead = false;
--- a/bronzeward/src/Budget/SlotCommitter.cpp
+++ b/bronzeward/src/Budget/SlotCommitter.cpp
@@ -183,7 +183,8 @@
   }
   NewSegments.clear();
   SegmentKeys->retain(Head.Segments);
-  Ledger = std::make_unique<SlotLedger>(std::move(Head), SegmentKeys);
+  Ledger = std::make_unique<SlotLedger>(std::move(Head), SegmentKeys,
+                                        Policy.MaxGrantedFraction);
   Loaded = true;
   Validated = true;
   if (missingSegment() != nullptr) {
--- a/bronzeward/src/Ledger/SlotLedger.cpp
+++ b/bronzeward/src/Ledger/SlotLedger.cpp
@@ -43,8 +43,10 @@
 }
 
 SlotLedger::SlotLedger(SlotRecord Stored,
-                       std::shared_ptr<const BilledKeys> SegmentKeys)
-    : Record(std::move(Stored)), BilledInSegments(std::move(SegmentKeys)) {
+                       std::shared_ptr<const BilledKeys> SegmentKeys,
+                       double LossLimit)
+    : Record(std::move(Stored)), BilledInSegments(std::move(SegmentKeys)),
+      MaxGrantedFraction(LossLimit), Lost(Record) {
   for (const Bill &Settled : Record.Bills)
     indexBill(Settled);
 }
@@ -154,11 +156,14 @@
     Refusal.Holders = holdersOf(*Budget);
     return Refusal;
   }
+  Lost.add(Change.Holder);
+  const Money Limit =
+      std::min(Money(Free.micros() / Change.Share),
+               Lost.reserveRoom(*Budget, Change.Holder, MaxGrantedFraction));
   if (Line == nullptr) {
     Budget->Grants.push_back({Change.Holder, Money(), 0, Money()});
     Line = &Budget->Grants.back();
   }
-  const Money Limit(Free.micros() / Change.Share);
   const Money Amount = std::clamp(Limit, Change.Minimum, Change.Wanted);
   Line->Remaining += Amount;
   Line->Sequence = Change.Sequence;
--- a/bronzeward/src/Ledger/SlotLedger.h
+++ b/bronzeward/src/Ledger/SlotLedger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/src/Ledger/BilledKeys.h"
+#include "bronzeward/src/Ledger/LostGrants.h"
 #include "bronzeward/src/Ledger/Operation.h"
 
 #include <memory>
@@ -20,9 +21,12 @@
   /// \brief Starts from a stored record.
   /// \param Stored the record as last read.
   /// \param SegmentKeys billed keys of the segments that the record refers to.
+  /// \param LossLimit part of an account's unsettled budget that all grants
+  /// together may hold once some are lost; one means no limit.
   explicit SlotLedger(SlotRecord Stored,
                       std::shared_ptr<const BilledKeys> SegmentKeys =
-                          std::make_shared<BilledKeys>());
+                          std::make_shared<BilledKeys>(),
+                      double LossLimit = 1.0);
 
   /// \brief Applies one operation.
   /// \returns its result; takes O(accounts + holders), O(1) in bills.
@@ -64,6 +68,8 @@
 
   SlotRecord Record;
   std::shared_ptr<const BilledKeys> BilledInSegments;
+  double MaxGrantedFraction;
+  LostGrants Lost;
   /// Keys of the record's bills, and of all bills since it was loaded.
   std::unordered_map<std::string, BilledKey> Billed;
 };
