Keep messages to peers until their addresses are known

After a common start the first grants of most instances came 2.6 s late. Until then requests there had to draw or borrow one by one.

The core uses a new list of members at once, but the transport gets the addresses with the core's periodic report, up to 50 ms later. Messages to new peers in between were dropped without a trace, so the first operations to the committer waited for its timeout of 2.5 s before they were repeated.

The transport keeps such messages for a second at most, 256 of them, and sends them when the addresses arrive. Operations are idempotent and loans carry their age, so a late message is as good as one over a slow link.

Evidence: PeerTransportTest failed before (0 of 1 message arrived).

--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -8,11 +8,14 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
+#include <deque>
 #include <functional>
 #include <future>
 #include <map>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 #include <variant>
 
 namespace bronzeward {
@@ -21,6 +24,8 @@
 constexpr std::size_t RingCapacity = 16384;
 /// Maximum number of messages to one peer that wait for its confirmation.
 constexpr std::size_t MaxUnconfirmed = 1024;
+/// Messages that are kept for peers whose addresses are not known yet.
+constexpr std::size_t MaxUnaddressed = 256;
 /// Time without a confirmation after which a peer counts as unreachable.
 constexpr std::chrono::milliseconds DeliveryTimeout{1000};
 /// The same for a long message: 100 kB take 5 s at 20 kB/s, the rate that a
@@ -209,12 +214,40 @@
       std::erase_if(Connections, [this](const auto &Entry) {
         return !PeerAddresses.contains(Entry.first.first);
       });
+      deliverUnaddressed();
     } else if (const auto *Out = std::get_if<Outgoing>(&Item)) {
       deliver(*Out);
     }
   }
 
+  /// Keeps a message to a peer whose address is not known yet: the core may
+  /// use a new list of members a moment before the addresses arrive here.
+  void keepUnaddressed(const Outgoing &Item) {
+    const auto Now = std::chrono::steady_clock::now();
+    while (!Unaddressed.empty() &&
+           (Unaddressed.size() >= MaxUnaddressed ||
+            Now > Unaddressed.front().first + DeliveryTimeout))
+      Unaddressed.pop_front();
+    Unaddressed.emplace_back(Now, Item);
+  }
+
+  void deliverUnaddressed() {
+    const auto Oldest = std::chrono::steady_clock::now() - DeliveryTimeout;
+    for (auto &[KeptAt, Item] : std::exchange(Unaddressed, {})) {
+      if (KeptAt < Oldest)
+        continue;
+      if (PeerAddresses.contains(Item.To))
+        deliver(Item);
+      else
+        Unaddressed.emplace_back(KeptAt, std::move(Item));
+    }
+  }
+
   void deliver(const Outgoing &Item) {
+    if (!PeerAddresses.contains(Item.To)) {
+      keepUnaddressed(Item);
+      return;
+    }
     const Route To{Item.To, laneOf(Item.Message)};
     const std::chrono::milliseconds Timeout =
         To.second == Lane::Long ? LongDeliveryTimeout : DeliveryTimeout;
@@ -287,6 +320,9 @@
   kj::AsyncIoContext *Io = nullptr;
   kj::TaskSet *Tasks = nullptr;
   std::map<InstanceId, std::string> PeerAddresses;
+  /// Messages to peers without a known address, and when each was kept.
+  std::deque<std::pair<std::chrono::steady_clock::time_point, Outgoing>>
+      Unaddressed;
   std::map<Route, std::shared_ptr<Connection>> Connections;
 };
 
--- a/test/PeerTransportTest.cpp
+++ b/test/PeerTransportTest.cpp
@@ -148,5 +148,37 @@
   Receiver.stop();
 }
 
+// Guards against lost first operations after a common start: the core knows a
+// new list of members a moment before the transport gets the addresses.
+TEST_CASE("A message sent just before its peer's address is known arrives",
+          "[PeerTransport]") {
+  std::atomic<int> Digests = 0;
+  PeerTransport Receiver(
+      InstanceId{"b"},
+      [&](const InstanceId &, const PeerMessage &) { ++Digests; },
+      [](const InstanceId &) {});
+  std::uint16_t Port = 0;
+  {
+    boost::asio::io_context Io;
+    Tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    Port = Free.local_endpoint().port();
+  }
+  REQUIRE(Receiver.listen("127.0.0.1", Port));
+  PeerTransport Sender(
+      InstanceId{"a"}, [](const InstanceId &, const PeerMessage &) {},
+      [](const InstanceId &) {});
+  REQUIRE(Sender.listen("127.0.0.1", 0));
+  Member Peer;
+  Peer.Identity.Instance = InstanceId{"b"};
+  Peer.PeerAddress = "127.0.0.1:" + std::to_string(Port);
+  Sender.send(Peer.Identity.Instance, PeerDigest());
+  Sender.setMembers({Peer});
+  for (int Wait = 0; Wait < 100 && Digests == 0; ++Wait)
+    std::this_thread::sleep_for(50ms);
+  CHECK(Digests == 1);
+  Sender.stop();
+  Receiver.stop();
+}
+
 } // namespace
 } // namespace bronzeward
