Count crashes of a content in quick sequence

Callers saw upstream after upstream end under one request: its caller sent it again at once at another instance, each instance repeated it at another upstream, and all of these crashes counted as one, since crashes within 0.25 s of each other were taken for one outage.

A content's run that was sent after another upstream had crashed under it can't have been interrupted by the same outage, so such crashes are counted each. This is known for own calls, and within 20 ms for reports of peers. Other crashes at the same time are kept too: four crashes quarantine a content if two of them were apart. Prompt parts are judged as before, as many calls share them and some are always sent shortly before an outage.

onCrash gets the time of the run; its calls in tests change accordingly.

--- a/bronzeward/src/Relay/CrashEvidence.h
+++ b/bronzeward/src/Relay/CrashEvidence.h
@@ -17,6 +17,8 @@
   std::vector<std::uint64_t> Suspects;
   UpstreamRun Upstream;
   TimePoint At;
+  /// When it was sent to the upstream.
+  TimePoint SentAt;
 };
 
 /// \ingroup Relay
--- a/bronzeward/src/Relay/CrashTracker.cpp
+++ b/bronzeward/src/Relay/CrashTracker.cpp
@@ -86,7 +86,8 @@
                   ", interrupted calls " + std::to_string(Calls.size()) + ", " +
                   Sign);
   for (const InterruptedCall &Call : Calls)
-    logFindings(Parts.onCrash(Call.Upstream, Call.Suspects, Call.At, Now),
+    logFindings(Parts.onCrash({Call.Upstream, Call.At, Call.At - Call.SentAt},
+                              Call.Suspects, Now),
                 "own call", Now);
   announceNews(Now);
 }
--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t CrashesToSuspect = 2;
 /// Crashes within this time of each other have a common cause.
 constexpr Duration CommonCauseTime = 250ms;
+/// Error of the time of a crash that a peer reports, on a free link.
+constexpr Duration ReportSkew = 20ms;
 /// Crashes within this time of each other may belong to one outage of several
 /// upstreams, whose calls are to be repeated elsewhere.
 constexpr Duration OutageTime = 1s;
@@ -39,7 +41,7 @@
 constexpr Duration AnswerMemory = 2s;
 /// Maximum number of parts stored, and of crashes stored for each.
 constexpr std::size_t MaxEntries = 4096;
-constexpr std::size_t MaxCrashes = 8;
+constexpr std::size_t MaxCrashes = 16;
 /// Maximum number of parts in one message, over all its lists.
 constexpr std::size_t MaxPartsInMessage = 256;
 /// Prefixes of the names under which operators see suspects.
@@ -122,33 +124,52 @@
   return Entries.size() < MaxEntries ? &Entries[Part] : nullptr;
 }
 
-CrashVerdict PartQuarantine::addCrash(PartId Part, const UpstreamRun &Upstream,
-                                      TimePoint At, TimePoint Now) {
+/// \returns whether a crash of a suspect happened apart from another: some time
+/// before or after it, or, for contents, in runs that did not overlap. A
+/// content that is repeated at once crashes upstreams in quick sequence,
+/// whereas an outage interrupts calls that were sent before it. Prompt parts
+/// are shared by many calls, some of which are always sent shortly before.
+static bool areApart(PartId Suspect, const CrashRecord &One,
+                     const CrashRecord &Other) {
+  const CrashRecord &First = One.At < Other.At ? One : Other;
+  const CrashRecord &Second = One.At < Other.At ? Other : One;
+  if (Second.At - First.At >= CommonCauseTime)
+    return true;
+  if (!isContent(Suspect) || !Second.Ran)
+    return false;
+  const TimePoint SentAt = Second.At - *Second.Ran;
+  return First.Ran ? SentAt >= First.At && *First.Ran > Duration()
+                   : SentAt >= First.At - ReportSkew;
+}
+
+CrashVerdict PartQuarantine::addCrash(PartId Part, const CrashRecord &Seen,
+                                      TimePoint Now) {
   Entry *Item = entryFor(Part, Now);
   if (Item == nullptr)
     return CrashVerdict::Full;
   if (Now < Item->LiftedUntil)
     return CrashVerdict::Lifted;
-  if (Item->AnsweredAt && At <= *Item->AnsweredAt)
+  if (Item->AnsweredAt && Seen.At <= *Item->AnsweredAt)
     return CrashVerdict::AnsweredSince;
   // A crash under a trial confirms the quarantine.
   if (Item->QuarantinedAt && Item->TrialsLeft < MaxTrials &&
-      At >= *Item->QuarantinedAt)
+      Seen.At >= *Item->QuarantinedAt)
     Item->TrialsLeft = 0;
-  const std::vector<Crash> &Crashes = Item->Crashes;
+  std::vector<Crash> &Crashes = Item->Crashes;
   if (std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash &Stored) {
-        return Stored.Upstream == Upstream;
+        return Stored.Upstream == Seen.Upstream;
       }))
     return CrashVerdict::Known;
-  if (std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash &Stored) {
-        return (At < Stored.At ? Stored.At - At : At - Stored.At) <
-               CommonCauseTime;
-      }))
+  const bool CommonCause =
+      std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash &Stored) {
+        return !areApart(Part, Stored, Seen);
+      });
+  if (CommonCause && !isContent(Part))
     return CrashVerdict::CommonCause;
   if (Crashes.size() >= MaxCrashes)
     return CrashVerdict::Full;
-  Item->Crashes.push_back({Upstream, At, Now});
-  return CrashVerdict::Counted;
+  Crashes.push_back({Seen, Now, CommonCause});
+  return CommonCause ? CrashVerdict::CommonCause : CrashVerdict::Counted;
 }
 
 bool PartQuarantine::addAnswer(PartId Part, TimePoint At, TimePoint Now) {
@@ -222,20 +243,21 @@
 }
 
 std::vector<CrashFinding>
-PartQuarantine::onCrash(const UpstreamRun &Upstream,
-                        const std::vector<PartId> &Parts, TimePoint CrashedAt,
-                        TimePoint Now) {
+PartQuarantine::onCrash(const CrashRecord &Seen,
+                        const std::vector<PartId> &Parts, TimePoint Now) {
   std::vector<CrashFinding> Findings;
   for (const PartId Part : Parts) {
-    CrashVerdict Verdict = addCrash(Part, Upstream, CrashedAt, Now);
-    if (Verdict == CrashVerdict::Counted && refute(Part, CrashedAt, Now))
+    CrashVerdict Verdict = addCrash(Part, Seen, Now);
+    const bool Stored =
+        Verdict == CrashVerdict::Counted ||
+        (Verdict == CrashVerdict::CommonCause && isContent(Part));
+    if (Stored && refute(Part, Seen.At, Now))
       Verdict = CrashVerdict::AnsweredSince;
-    if (Verdict == CrashVerdict::Known)
-      continue;
-    const std::chrono::milliseconds Age = ageOf(CrashedAt, Now);
-    if (Verdict == CrashVerdict::Counted && beginQueuing(Now))
-      addCrashNotice(Unsent, Part, {Upstream, queuedAge(CrashedAt), {}});
-    Findings.push_back({Part, Upstream.Name, Age, Verdict, crashes(Part)});
+    else if (Stored && beginQueuing(Now))
+      addCrashNotice(Unsent, Part, {Seen.Upstream, queuedAge(Seen.At), {}});
+    if (Verdict != CrashVerdict::Known)
+      Findings.push_back({Part, Seen.Upstream.Name, ageOf(Seen.At, Now),
+                          Verdict, crashes(Part)});
   }
   return Findings;
 }
@@ -262,7 +284,7 @@
       Unsent.Answered.push_back({Item.Part, queuedAge(Now - Item.Age)});
   for (const CrashNotice &Item : News.Crashes) {
     const std::vector<CrashFinding> New =
-        onCrash(Item.Upstream, Item.Parts, Now - Item.Age, Now);
+        onCrash({Item.Upstream, Now - Item.Age, {}}, Item.Parts, Now);
     Findings.insert(Findings.end(), New.begin(), New.end());
   }
   for (const PartNotice &Item : News.Quarantined)
@@ -270,6 +292,22 @@
   return Findings;
 }
 
+bool PartQuarantine::convicts(const Entry &Item, bool Again, TimePoint Now) {
+  std::size_t All = 0;
+  std::size_t Apart = 0;
+  for (const Crash &Stored : Item.Crashes)
+    if (Now >= Stored.LearnedAt + ObjectionTime) {
+      ++All;
+      Apart += Stored.CommonCause ? 0 : 1;
+    }
+  // After a quarantine, a single further crash restores it.
+  if (Apart >= (Again ? 1 : CrashesToQuarantine))
+    return true;
+  return All > CrashesToQuarantine &&
+         (Apart >= CrashesToSuspect ||
+          separateOutages(Item) >= CrashesToSuspect);
+}
+
 std::vector<PartQuarantine::Begun> PartQuarantine::review(TimePoint Now) {
   std::erase_if(LastAnswers, [Now](const auto &Item) {
     return Now >= Item.second + AnswerMemory;
@@ -283,13 +321,7 @@
     std::erase_if(Item.Crashes, [Now](const Crash &Stored) {
       return Now >= Stored.At + QuarantineTime;
     });
-    // After a quarantine, a single further crash restores it.
-    const std::size_t Required = Over ? 1 : CrashesToQuarantine;
-    const auto Counting = std::count_if(
-        Item.Crashes.begin(), Item.Crashes.end(), [Now](const Crash &Stored) {
-          return Now >= Stored.LearnedAt + ObjectionTime;
-        });
-    if (static_cast<std::size_t>(Counting) < Required)
+    if (!convicts(Item, Over, Now))
       continue;
     Item.QuarantinedAt = Now;
     Item.TrialsLeft = MaxTrials;
@@ -333,11 +365,16 @@
 
 bool PartQuarantine::suspected(PartId Part) const {
   const auto Found = Entries.find(Part);
-  if (Found == Entries.end() || Found->second.Crashes.empty())
-    return false;
+  return Found != Entries.end() &&
+         separateOutages(Found->second) >= CrashesToSuspect;
+}
+
+std::size_t PartQuarantine::separateOutages(const Entry &Item) {
   std::vector<TimePoint> Times;
-  for (const Crash &Stored : Found->second.Crashes)
+  for (const Crash &Stored : Item.Crashes)
     Times.push_back(Stored.At);
+  if (Times.empty())
+    return 0;
   std::sort(Times.begin(), Times.end());
   std::size_t Separate = 1;
   TimePoint Last = Times.front();
@@ -347,7 +384,7 @@
     Last = At;
     ++Separate;
   }
-  return Separate >= CrashesToSuspect;
+  return Separate;
 }
 
 std::vector<PartId> PartQuarantine::quarantinedParts(TimePoint Now) const {
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -58,6 +58,15 @@
   std::size_t Crashes = 0;
 };
 
+/// \ingroup Relay
+/// \brief The crash of an upstream, as it concerns the suspects of a call.
+struct CrashRecord {
+  UpstreamRun Upstream;
+  TimePoint At;
+  /// Time for which the interrupted call had run; empty for another instance's.
+  std::optional<Duration> Ran;
+};
+
 /// \ingroup Relay
 /// \brief Finds prompt parts and contents that crash every upstream that
 /// answers on them, from the crashes that all instances of the fleet met.
@@ -86,9 +95,9 @@
   /// \brief Records suspects of calls that the crash of an upstream
   /// interrupted.
   /// \returns the verdicts, but those on known crashes.
-  std::vector<CrashFinding> onCrash(const UpstreamRun &Upstream,
+  std::vector<CrashFinding> onCrash(const CrashRecord &Seen,
                                     const std::vector<PartId> &Parts,
-                                    TimePoint CrashedAt, TimePoint Now);
+                                    TimePoint Now);
   /// \brief Records that an upstream answered completely on these suspects.
   void onAnswered(const std::vector<PartId> &Parts, TimePoint Now);
   /// \brief Applies what a peer learned.
@@ -127,14 +136,14 @@
   [[nodiscard]] PartNews recentNews(TimePoint Now) const;
 
 private:
-  struct Crash {
-    UpstreamRun Upstream;
-    TimePoint At;
+  struct Crash : CrashRecord {
     TimePoint LearnedAt;
+    /// Whether it may have the cause of another crash.
+    bool CommonCause = false;
   };
   struct Entry {
-    /// Crashes at different times since the last answer, in the order in which
-    /// they were learned.
+    /// Crashes since the last answer, in the order in which they were learned.
+    /// Those with a common cause are kept for contents only.
     std::vector<Crash> Crashes;
     std::optional<TimePoint> AnsweredAt;
     TimePoint AnswerLearnedAt;
@@ -147,8 +156,7 @@
 
   /// \returns the part's entry, or null if the table is full.
   Entry *entryFor(PartId Part, TimePoint Now);
-  CrashVerdict addCrash(PartId Part, const UpstreamRun &Upstream, TimePoint At,
-                        TimePoint Now);
+  CrashVerdict addCrash(PartId Part, const CrashRecord &Seen, TimePoint Now);
   /// \returns whether the answer refutes evidence that was known. Only then is
   /// it passed on; otherwise every instance would tell all others of its own.
   bool addAnswer(PartId Part, TimePoint At, TimePoint Now);
@@ -157,6 +165,12 @@
   /// quarantine, as every instance may have answers on a common part.
   bool refute(PartId Part, TimePoint CrashedAt, TimePoint Now);
   void addQuarantine(PartId Part, TimePoint At, TimePoint Now);
+  /// \returns whether the crashes that may count suffice for a quarantine.
+  /// \param Again whether the suspect was quarantined before.
+  [[nodiscard]] static bool convicts(const Entry &Item, bool Again,
+                                     TimePoint Now);
+  /// \returns the number of crashes, where those of an outage are one.
+  [[nodiscard]] static std::size_t separateOutages(const Entry &Item);
   /// Records a trial and tells the peers.
   void recordTrial(PartId Part, Entry &Item, TimePoint At, TimePoint Now);
   /// \returns whether a part may be added to the next message, which is limited
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -715,7 +715,8 @@
                                  TimePoint Now) {
   endAttempt(Item, AttemptEnd::Broken, Now);
   Crashes.onInterrupted(
-      {Item.Suspects, {Item.Upstream, Item.UpstreamStarted}, Now}, Now);
+      {Item.Suspects, {Item.Upstream, Item.UpstreamStarted}, Now, Item.SentAt},
+      Now);
   if (Failure == UpstreamFailure::Closed)
     probe(Item.Upstream, Now);
   const bool Retry = acquireRetry(Item, Now);
--- a/test/PartQuarantineTest.cpp
+++ b/test/PartQuarantineTest.cpp
@@ -341,7 +341,7 @@
 void crashRepeatedly(PartQuarantine &Parts, PartId Part, int Count,
                      TimePoint &Now) {
   for (int Index = 0; Index < Count; ++Index) {
-    Parts.onCrash(runOf("u" + std::to_string(Index)), {Part}, Now, Now);
+    Parts.onCrash({runOf("u" + std::to_string(Index)), Now, {}}, {Part}, Now);
     Now += ReviewTime;
   }
   Parts.review(Now);
@@ -351,8 +351,8 @@
   PartQuarantine Parts;
   TimePoint Now{1h};
   for (int Index = 0; Index < 20; ++Index)
-    Parts.onCrash(runOf("u" + std::to_string(Index)), {7}, Now + Index * 10ms,
-                  Now + Index * 10ms);
+    Parts.onCrash({runOf("u" + std::to_string(Index)), Now + Index * 10ms, {}},
+                  {7}, Now + Index * 10ms);
   Now += ReviewTime;
   CHECK(Parts.review(Now).empty());
   CHECK_FALSE(Parts.quarantined(7, Now));
@@ -428,7 +428,7 @@
   std::vector<PartId> Flood(20'000);
   for (std::size_t Index = 0; Index < Flood.size(); ++Index)
     Flood[Index] = 1'000 + Index;
-  Parts.onCrash(runOf("flood"), Flood, Now, Now);
+  Parts.onCrash({runOf("flood"), Now, {}}, Flood, Now);
   CHECK(Parts.quarantined(7, Now));
   std::size_t Told = 0;
   for (const CrashNotice &Item : Parts.takeUnsent(Now).Crashes)
@@ -443,10 +443,10 @@
   PartQuarantine Here;
   PartQuarantine There;
   const TimePoint Now{1h};
-  Here.onCrash(runOf("a"), {7}, Now - 5s, Now - 5s);
+  Here.onCrash({runOf("a"), Now - 5s, {}}, {7}, Now - 5s);
   Here.onAnswered({7}, Now);
   There.onNews(Here.takeUnsent(Now + 200ms), Now + 200ms);
-  There.onCrash(runOf("b"), {7}, Now + 100ms, Now + 200ms);
+  There.onCrash({runOf("b"), Now + 100ms, {}}, {7}, Now + 200ms);
   CHECK(There.crashes(7) == 1);
 }
 
@@ -458,7 +458,7 @@
   TimePoint Now{1h};
   for (const char *Name : {"a", "b", "c"}) {
     There.onAnswered({7}, Now + 100ms);
-    Here.onCrash(runOf(Name), {7}, Now, Now);
+    Here.onCrash({runOf(Name), Now, {}}, {7}, Now);
     There.onNews(Here.takeUnsent(Now + 200ms), Now + 200ms);
     Now += ReviewTime;
   }
@@ -467,5 +467,25 @@
   CHECK_FALSE(There.quarantined(7, Now));
 }
 
+// Guards against callers that repeat a content at once, so that it crashes
+// several upstreams within the time of one outage.
+TEST_CASE("Runs of a content in quick sequence are crashes of their own",
+          "[PartQuarantine]") {
+  const PartId Content = suspectOfContent(ContentFingerprint{"c"});
+  PartQuarantine Sequence;
+  PartQuarantine Outage;
+  TimePoint Now{1h};
+  for (const char *Name : {"a", "b", "c"}) {
+    Sequence.onCrash({runOf(Name), Now, 40ms}, {Content}, Now);
+    Outage.onCrash({runOf(Name), Now, 400ms}, {Content}, Now);
+    Now += 50ms;
+  }
+  Now += ReviewTime;
+  Sequence.review(Now);
+  Outage.review(Now);
+  CHECK(Sequence.quarantined(Content, Now));
+  CHECK_FALSE(Outage.quarantined(Content, Now));
+}
+
 } // namespace
 } // namespace bronzeward
