Bound the trials of a quarantine by what went before

A quarantine allowed two trials, whatever its content had crashed before: with the calls that came between the third crash and the quarantine, more than three reached upstreams later than 3 s after that crash. And from 11 s on every instance might begin a trial in the same turn: a content that came to six instances at once was sent by four of them (runs at 12.00 to 12.01 s in CrashingRequestTest, before this change).

Crashes later than 3 s after the third now count as trials, and at most three instances, or a quarter of a large fleet, may begin a trial in one turn. One of sixteen was tried first and dropped: 'A content held wrongly is free within ten seconds' failed.

The test's content that comes to all instances at once passes now, 1 of 1 run; unit tests [PartQuarantine] and [RelayEngine] pass.

--- a/bronzeward/src/Relay/CrashTracker.cpp
+++ b/bronzeward/src/Relay/CrashTracker.cpp
@@ -4,9 +4,14 @@
 
 namespace bronzeward {
 
-/// Turns until every instance may begin a trial. A suspect of many calls is
+/// Turns until the most instances may begin a trial. A suspect of many calls is
 /// tried in the first ones, by few instances.
-constexpr std::uint64_t TurnsForAll = 16;
+constexpr std::uint64_t TurnsForMost = 16;
+/// Most instances of a small fleet, and largest part of a large one, that may
+/// begin a trial in a turn. All of them do so with a call that comes to every
+/// instance at once.
+constexpr std::size_t MostOfSmallFleet = 3;
+constexpr std::size_t PartOfLargeFleet = 4;
 /// Maximum number of log lines about single suspects in one period.
 constexpr std::size_t MaxLinesInPeriod = 20;
 constexpr Duration LogPeriod = 1s;
@@ -44,8 +49,11 @@
       std::count_if(Listed.begin(), Listed.end(), [&](const Member &Item) {
         return hash64(Item.Identity.Instance.Value, Seed) < Own;
       });
-  return static_cast<std::size_t>(Before) <=
-         Listed.size() * std::min(Turn, TurnsForAll) / TurnsForAll;
+  const std::size_t Most =
+      std::max(MostOfSmallFleet, Listed.size() / PartOfLargeFleet);
+  const std::size_t Widened =
+      1 + Listed.size() * std::min(Turn, TurnsForMost) / TurnsForMost;
+  return static_cast<std::size_t>(Before) < std::min(Widened, Most);
 }
 
 bool CrashTracker::forbidsRetry(const std::vector<PartId> &Suspects,
--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -20,8 +20,9 @@
 /// Crashes within this time of each other may belong to one outage of several
 /// upstreams, whose calls are to be repeated elsewhere.
 constexpr Duration OutageTime = 1s;
-/// Trials during a quarantine, the time before each, and the length of the
-/// turns in which instances may begin one.
+/// Trials during a quarantine, less the crashes that came before it though the
+/// suspect had long crashed enough upstreams, the time before each, and the
+/// length of the turns in which instances may begin one.
 constexpr int MaxTrials = 2;
 constexpr Duration TrialDelay = 3s;
 constexpr Duration TrialTurn = 500ms;
@@ -230,11 +231,23 @@
   recordTrial(Part, Entries.at(Part), Now, Now);
 }
 
+std::ptrdiff_t PartQuarantine::lateCrashes(const Entry &Item) {
+  std::vector<TimePoint> Times;
+  for (const Crash &Stored : Item.Crashes)
+    Times.push_back(Stored.At);
+  if (Times.size() < CrashesToQuarantine)
+    return 0;
+  std::sort(Times.begin(), Times.end());
+  const TimePoint Known = Times[CrashesToQuarantine - 1] + TrialDelay;
+  return std::count_if(Times.begin(), Times.end(),
+                       [Known](TimePoint At) { return At > Known; });
+}
+
 std::optional<std::uint64_t> PartQuarantine::trialTurn(PartId Part,
                                                        TimePoint Now) const {
   const auto Found = Entries.find(Part);
   if (Found == Entries.end() || Found->second.TrialsLeft <= 0 ||
-      !quarantined(Part, Now))
+      lateCrashes(Found->second) >= MaxTrials || !quarantined(Part, Now))
     return std::nullopt;
   const Duration Due = Now - *Found->second.QuarantinedAt - TrialDelay;
   if (Due < Duration())
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -165,6 +165,9 @@
   /// quarantine, as every instance may have answers on a common part.
   bool refute(PartId Part, TimePoint CrashedAt, TimePoint Now);
   void addQuarantine(PartId Part, TimePoint At, TimePoint Now);
+  /// \returns the number of crashes some time after those that would have
+  /// sufficed for a quarantine.
+  [[nodiscard]] static std::ptrdiff_t lateCrashes(const Entry &Item);
   /// \returns whether the crashes that may count suffice for a quarantine.
   /// \param Again whether the suspect was quarantined before.
   [[nodiscard]] static bool convicts(const Entry &Item, bool Again,
