Count upstreams that end in silence as crashed

Callers got 504 for a content that ended upstream after upstream without a reset or an end of their connections: the instance cancelled the call, for its silence or at its deadline, and such a call was no evidence.

A call that ends while its upstream has sent nothing, and one that broke while the upstream seems to accept connections, now counts if nothing is heard from the upstream until its registry entry vanishes within 10 s, without an announced shutdown. A slow upstream keeps its entry, and one that leaves is heard.

--- a/bronzeward/src/Relay/CrashEvidence.cpp
+++ b/bronzeward/src/Relay/CrashEvidence.cpp
@@ -11,6 +11,11 @@
 /// are attributed to the same crash. Later ones were sent to the restarted
 /// upstream.
 constexpr Duration CrashAftermath = 300ms;
+/// Longest time between a call and the end of its upstream's registry entry,
+/// which is removed after some missed heartbeats.
+constexpr Duration VanishingTime = 10s;
+/// Maximum number of calls at one upstream that await the end of its entry.
+constexpr std::size_t MaxAwaiting = 256;
 /// Minimum time between two tests of an upstream.
 constexpr Duration ProbePause = 500ms;
 /// Number of upstreams above which outdated histories are removed.
@@ -23,7 +28,7 @@
     return;
   std::erase_if(Histories, [Now](const auto &Item) {
     const UpstreamHistory &History = Item.second;
-    return Now > History.DownAt + DetectionTime &&
+    return Now > History.DownAt + DetectionTime && History.Awaiting.empty() &&
            (History.Calls.empty() ||
             Now > History.Calls.back().At + DetectionTime);
   });
@@ -32,10 +37,16 @@
 void CrashEvidence::expireCalls(UpstreamHistory &History, TimePoint Now) {
   while (!History.Calls.empty() &&
          Now > History.Calls.front().At + DetectionTime) {
-    if (Unproven.size() < MaxUnproven)
-      Unproven.push_back(std::move(History.Calls.front()));
+    if (History.Awaiting.size() < MaxAwaiting)
+      History.Awaiting.push_back(std::move(History.Calls.front()));
     History.Calls.pop_front();
   }
+  while (!History.Awaiting.empty() &&
+         Now > History.Awaiting.front().At + VanishingTime) {
+    if (Unproven.size() < MaxUnproven)
+      Unproven.push_back(std::move(History.Awaiting.front()));
+    History.Awaiting.pop_front();
+  }
 }
 
 std::vector<InterruptedCall> CrashEvidence::takeUnproven(TimePoint Now) {
@@ -67,6 +78,38 @@
   return Calls;
 }
 
+void CrashEvidence::onSilent(const InterruptedCall &Call, TimePoint Now) {
+  prune(Now);
+  UpstreamHistory &History = Histories[Call.Upstream.Name];
+  if (History.Awaiting.size() < MaxAwaiting)
+    History.Awaiting.push_back(Call);
+}
+
+void CrashEvidence::onHeard(const UpstreamName &Upstream) {
+  const auto Found = Histories.find(Upstream);
+  if (Found != Histories.end())
+    Found->second.Awaiting.clear();
+}
+
+std::vector<UpstreamName> CrashEvidence::silentUpstreams() const {
+  std::vector<UpstreamName> Names;
+  for (const auto &[Name, History] : Histories)
+    if (!History.Awaiting.empty() || !History.Calls.empty())
+      Names.push_back(Name);
+  return Names;
+}
+
+std::vector<InterruptedCall>
+CrashEvidence::onVanished(const UpstreamName &Upstream, TimePoint Now) {
+  UpstreamHistory &History = Histories[Upstream];
+  expireCalls(History, Now);
+  const std::deque<InterruptedCall> Awaiting =
+      std::exchange(History.Awaiting, {});
+  std::vector<InterruptedCall> Calls = onDown(Upstream, Now);
+  Calls.insert(Calls.begin(), Awaiting.begin(), Awaiting.end());
+  return Calls;
+}
+
 bool CrashEvidence::beginProbe(const UpstreamName &Upstream, TimePoint Now) {
   UpstreamHistory &History = Histories[Upstream];
   const bool Known = History.WasDown && Now < History.DownAt + CrashAftermath;
--- a/bronzeward/src/Relay/CrashTracker.h
+++ b/bronzeward/src/Relay/CrashTracker.h
@@ -45,6 +45,20 @@
               const UpstreamName &Upstream, TimePoint Now);
   /// \brief Records that the answer to a call was interrupted.
   void onInterrupted(const InterruptedCall &Call, TimePoint Now);
+  /// \brief Records that a call ended while its upstream had sent nothing.
+  void onSilent(const InterruptedCall &Call, TimePoint Now) {
+    Evidence.onSilent(Call, Now);
+  }
+  /// \brief Records that an upstream sent something.
+  void onHeard(const UpstreamName &Upstream) { Evidence.onHeard(Upstream); }
+  /// \returns the upstreams whose end would be a crash, though no connection
+  /// to them is refused.
+  [[nodiscard]] std::vector<UpstreamName> silentUpstreams() const {
+    return Evidence.silentUpstreams();
+  }
+  /// \brief Records that the registry entry of a silent upstream vanished,
+  /// though the upstream had not announced that it leaves.
+  void onVanished(const UpstreamName &Upstream, TimePoint Now);
   /// \brief Records that an upstream ended.
   /// \param Sign how it is known, for the log.
   void onDown(const UpstreamName &Upstream, const std::string &Sign,
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -452,6 +452,7 @@
   const bool Silent = Item->Lifecycle.state() == RequestState::Dispatched;
   if (!Silent || !acquireRetry(*Item, Now))
     return;
+  recordSilence(*Item, Now);
   Deps.Upstreams.cancel(Item->Attempt);
   endAttempt(*Item, AttemptEnd::Cancelled, Now);
   ++Item->PossibleRuns;
@@ -469,6 +470,7 @@
   Item->Head = Deps.Codec.parseAnswerHead(Head);
   // What another upstream at the address says does not concern this one.
   if (!Item->Head->Misdirected) {
+    Crashes.onHeard(Item->Upstream);
     if (Item->Head->Load)
       Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
     recordUpstreamRequests(*Item, Now);
@@ -509,6 +511,7 @@
   ActiveCall *Item = find(Attempt);
   if (Item == nullptr || !Item->Head)
     return;
+  Crashes.onHeard(Item->Upstream);
   if (Item->Head->NotRun) {
     skipRejection(*Item, Bytes.size(), Now);
     return;
@@ -711,6 +714,15 @@
                                       std::to_string(Active.size()));
 }
 
+void RelayEngine::recordSilence(const ActiveCall &Item, TimePoint Now) {
+  if (Item.Lifecycle.state() == RequestState::Dispatched && !Item.Head)
+    Crashes.onSilent({Item.Suspects,
+                      {Item.Upstream, Item.UpstreamStarted},
+                      Now,
+                      Item.SentAt},
+                     Now);
+}
+
 void RelayEngine::onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure,
                                  TimePoint Now) {
   endAttempt(Item, AttemptEnd::Broken, Now);
@@ -790,6 +802,7 @@
   if (Item == nullptr)
     return;
   if (ByAttempt.contains(Item->Attempt)) {
+    recordSilence(*Item, Now);
     Deps.Upstreams.cancel(Item->Attempt);
     endAttempt(*Item, AttemptEnd::Cancelled, Now);
     ++Item->PossibleRuns;
@@ -824,6 +837,7 @@
     return;
   ActiveCall &Item = Active.at(Found->second);
   if (ByAttempt.contains(Item.Attempt)) {
+    recordSilence(Item, Now);
     Deps.Upstreams.cancel(Item.Attempt);
     endAttempt(Item, AttemptEnd::Cancelled, Now);
     ++Item.PossibleRuns;
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -83,6 +83,8 @@
 
   /// \brief Handles a probe's result: the upstream refuses connections.
   void onUpstreamRefused(const UpstreamName &Upstream, TimePoint Now);
+  /// \returns the crash tracker, which is told about vanished upstreams.
+  CrashTracker &crashTracker() { return Crashes; }
   /// \brief Applies what a peer learned about crash suspects.
   void onPartNews(const PartNews &News, const InstanceId &From, TimePoint Now) {
     Crashes.onNews(News, From, Now);
@@ -235,6 +237,8 @@
   void onRejected(ActiveCall &Item, TimePoint Now);
   /// Records that the connection to the call's upstream timed out.
   void recordConnectTimeout(const ActiveCall &Item, TimePoint Now);
+  /// Records that a call's attempt ends, if its upstream has sent nothing.
+  void recordSilence(const ActiveCall &Item, TimePoint Now);
   /// Retries or ends a call whose answer was interrupted.
   void onBrokenAnswer(ActiveCall &Item, UpstreamFailure Failure, TimePoint Now);
   /// Clears the call's suspects of which its complete answer is a proof.
--- a/bronzeward/src/Relay/UpstreamDirectory.cpp
+++ b/bronzeward/src/Relay/UpstreamDirectory.cpp
@@ -141,6 +141,13 @@
   return Usable;
 }
 
+bool UpstreamDirectory::hasVanished(const UpstreamName &Name,
+                                    TimePoint Now) const {
+  const auto Found = Items.find(Name);
+  return Found != Items.end() && !Found->second.Entry.Draining &&
+         Found->second.UnusableFrom && Now >= *Found->second.UnusableFrom;
+}
+
 std::optional<TimePoint> UpstreamDirectory::nextRemoval(TimePoint Now) const {
   std::optional<TimePoint> Next;
   for (const auto &[Name, Current] : Items)
--- a/bronzeward/src/Relay/UpstreamDirectory.h
+++ b/bronzeward/src/Relay/UpstreamDirectory.h
@@ -88,6 +88,9 @@
 
   /// \returns the upstreams that may receive new calls now.
   [[nodiscard]] std::vector<UpstreamEntry> usable(TimePoint Now) const;
+  /// \returns whether the entry of an upstream disappeared some time ago for
+  /// good, though it had not announced that it is shutting down.
+  [[nodiscard]] bool hasVanished(const UpstreamName &Name, TimePoint Now) const;
   /// \returns when the next upstream whose entry disappeared becomes unusable.
   [[nodiscard]] std::optional<TimePoint> nextRemoval(TimePoint Now) const;
   /// \returns the store revision up to which all changes were applied.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -795,6 +795,9 @@
   reportStoreCalls(Now);
   checkStore(Now);
   confirmMembershipByPeers(Now);
+  for (const UpstreamName &Name : Engine.crashTracker().silentUpstreams())
+    if (Upstreams.hasVanished(Name, Now))
+      Engine.crashTracker().onVanished(Name, Now);
   Engine.reviewParts(Now);
   if (Engine.congested(Now))
     CongestedUntil = Now + CongestionRest;
--- a/bronzeward/src/Router/UpstreamRegistry.h
+++ b/bronzeward/src/Router/UpstreamRegistry.h
@@ -43,6 +43,13 @@
     return Directory.nextRemoval(Now);
   }
 
+  /// \returns whether the entry of an upstream disappeared without a notice
+  /// that the upstream shuts down.
+  [[nodiscard]] bool hasVanished(const UpstreamName &Name,
+                                 TimePoint Now) const {
+    return Directory.hasVanished(Name, Now);
+  }
+
   [[nodiscard]] const DepartureCounters &departures() const {
     return Departures.counters();
   }
--- a/test/PartQuarantineTest.cpp
+++ b/test/PartQuarantineTest.cpp
@@ -487,5 +487,22 @@
   CHECK_FALSE(Outage.quarantined(Content, Now));
 }
 
+// Guards against contents whose upstreams end without closing connections.
+TEST_CASE(
+    "A silent call counts if its upstream vanishes without a sign of life",
+    "[PartQuarantine]") {
+  const TimePoint Now{1h};
+  const InterruptedCall Call{{1}, runOf("a"), Now, Now - 200ms};
+  CrashEvidence Evidence;
+  Evidence.onSilent(Call, Now);
+  CHECK(Evidence.silentUpstreams() == std::vector{Call.Upstream.Name});
+  CHECK(Evidence.onVanished(Call.Upstream.Name, Now + 5s).size() == 1);
+  Evidence.onSilent(Call, Now);
+  Evidence.onHeard(Call.Upstream.Name);
+  CHECK(Evidence.onVanished(Call.Upstream.Name, Now + 5s).empty());
+  Evidence.onSilent(Call, Now);
+  CHECK(Evidence.onVanished(Call.Upstream.Name, Now + 11s).empty());
+}
+
 } // namespace
 } // namespace bronzeward
