--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -38,8 +38,9 @@
 /// during an outage of upstreams, and the next one on a part does as well.
 constexpr Duration NewsLifetime = 5s;
 constexpr Duration AnswerNewsLifetime = 300ms;
-/// Time for which answers can refute crashes that are learned after them.
-constexpr Duration AnswerMemory = 2s;
+/// Time for which answers can refute crashes that are learned after them: that
+/// until a silent upstream's registry entry vanishes, and until peers know.
+constexpr Duration AnswerMemory = 12s;
 /// Maximum number of parts stored, and of crashes stored for each.
 constexpr std::size_t MaxEntries = 4096;
 constexpr std::size_t MaxCrashes = 16;
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -716,7 +716,8 @@
 
 void RelayEngine::recordSilence(const ActiveCall &Item, TimePoint Now) {
   if (Item.Lifecycle.state() == RequestState::Dispatched && !Item.Head)
-    Crashes.onSilent({Item.Suspects,
+    // Of an outage in silence, calls that share a part end at different times.
+    Crashes.onSilent({{Item.Suspects.front()},
                       {Item.Upstream, Item.UpstreamStarted},
                       Now,
                       Item.SentAt},
