Bound the memory of upstreams' answers by the instance's memory

An upstream that sends a body without end made its instance grow beyond its memory: forty such answers at once, each of them ended as invalid at 8 MiB, took an instance with 100 MB to a peak of 164 to 179 MB.

Cause: two faults of accounting. Parts of answers wait in the ring into the core, which counts items, not bytes: 65,536 parts of up to 16 KiB. The core takes 16 of them in one turn of the loop, and more than 16 connections add more in each. And the bodies that it collects had a budget of 32 MiB that did not depend on the instance's memory and counted lengths, not the memory that strings take while they grow.

Upstreams' connections are now read only while less than 2 MiB of their answers wait for the core, so that a fast upstream waits in TCP.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -392,6 +392,13 @@
       finish();
       return;
     }
+    if (Request.Gate && !Request.Gate->open()) {
+      Stream->expires_never();
+      Request.Gate->whenOpen([Self = shared_from_this()] {
+        Self->guarded([&] { Self->readBody(); });
+      });
+      return;
+    }
     Parser->get().body().data = Chunk.data();
     Parser->get().body().size = Chunk.size();
     Stream->expires_after(Request.IdleTimeout);
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/Base"
+#include "bronzeward/src/Net/TransitGate.h"
 #include "bronzeward/src/Request/CallerPresence.h"
 #include "bronzeward/src/Request/SharedBytes.h"
 
@@ -51,6 +52,8 @@
   /// Caller on whose behalf the request is sent; null if there is none. The
   /// request is not sent once the caller has left.
   std::shared_ptr<const CallerPresence> Presence;
+  /// The answer's body is read while it is open; null if always.
+  std::shared_ptr<TransitGate> Gate;
 };
 
 /// \brief Why an exchange failed.
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -17,6 +17,11 @@
 /// Maximum time without a byte within the answer of an upstream.
 constexpr Duration AnswerIdleTimeout = 600s;
 
+/// Maximum size of the parts of answers that wait for the core.
+constexpr std::size_t MaxTransitBytes = std::size_t{2} * 1024 * 1024;
+/// Memory of a waiting part besides its bytes, rounded up.
+constexpr std::size_t QueuedPartBytes = 1024;
+
 /// Maximum time for the connection of a probe to open.
 constexpr Duration ProbeTimeout = 1s;
 
@@ -30,7 +35,9 @@
     Owner.Handler(UpstreamHead{Attempt, Head});
   }
   void onBody(std::string_view Bytes) override {
-    Owner.Handler(UpstreamBytes{Attempt, std::string(Bytes)});
+    Owner.Handler(
+        UpstreamBytes{Attempt, std::string(Bytes),
+                      Owner.Gate->admit(Bytes.size() + QueuedPartBytes)});
   }
   void onEnd() override {
     Owner.Running.erase(Attempt);
@@ -111,10 +118,16 @@
                                EventHandler OnEvent)
     : Handler(std::move(OnEvent)), Thread(Shared),
       Connections(makeHttpConnectionPool(Thread.context())),
+      Gate(std::make_shared<TransitGate>(Thread.context(), MaxTransitBytes)),
       PollTimer(std::make_unique<boost::asio::steady_timer>(Thread.context())),
       Ring(Thread.context(), RingCapacity,
            [this](Command &Item) { execute(Item); }) {}
 
+UpstreamClient::~UpstreamClient() {
+  Thread.stop();
+  Gate->clear();
+}
+
 void UpstreamClient::dispatch(const UpstreamCall &Call) {
   if (Ring.push(Call))
     return;
@@ -200,6 +213,7 @@
   Request.IdleTimeout = AnswerIdleTimeout;
   Request.MaxIdle = Call.MaxIdle;
   Request.Presence = Call.Presence;
+  Request.Gate = Gate;
   const std::shared_ptr<HttpExchange> Exchange =
       startExchange(Connections, std::move(Request),
                     std::make_shared<AttemptListener>(*this, Call));
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -24,6 +24,8 @@
 struct UpstreamBytes {
   AttemptId Attempt;
   std::string Bytes;
+  /// Counts the bytes until they are processed.
+  std::shared_ptr<void> Transit;
 };
 struct UpstreamEnded {
   AttemptId Attempt;
@@ -54,7 +56,7 @@
   /// \param Shared loop to run in; null to start a thread.
   /// \param OnEvent called in the client's thread.
   UpstreamClient(boost::asio::io_context *Shared, EventHandler OnEvent);
-  ~UpstreamClient() override { Thread.stop(); }
+  ~UpstreamClient() override;
 
   /// \brief Sets what is told about an answer that broke off or is invalid: the
   /// upstream, the request and what was wrong. Called in the client's thread.
@@ -105,6 +107,7 @@
   std::function<void(const std::string &)> OnBrokenAnswer;
   EventLoopThread Thread;
   std::shared_ptr<HttpConnectionPool> Connections;
+  std::shared_ptr<TransitGate> Gate;
   std::map<AttemptId, std::shared_ptr<HttpExchange>> Running;
   std::atomic<std::uint64_t> LeftBeforeSend = 0;
   std::atomic<std::uint64_t> CancelledUnacknowledged = 0;
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace bronzeward {
 
@@ -39,9 +40,6 @@
 constexpr Duration MaxIdleConnection = 60s;
 /// Maximum size of a buffered answer body. Larger answers are invalid.
 constexpr std::size_t MaxAnswerBytes = std::size_t{8} * 1024 * 1024;
-/// Maximum size of all buffered answer bodies together: about a third of the
-/// smallest instance's memory.
-constexpr std::size_t MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
 /// Maximum size of an event in a stream. An event with a few tokens has
 /// hundreds of bytes.
 constexpr std::size_t MaxEventBytes = std::size_t{256} * 1024;
@@ -382,7 +380,7 @@
   Item.SentAt = Now;
   Item.Dispatched = Deps.Wall.wallNow();
   Item.Head.reset();
-  Item.Body.clear();
+  Item.Body = {};
   Item.RejectionBytes = 0;
   Item.Lifecycle.process(RequestEvent::Dispatch);
   ByAttempt.emplace(Item.Attempt, Item.Id);
@@ -521,8 +519,11 @@
     forwardEvents(*Item, Bytes, Now);
     return;
   }
+  const std::size_t Before = Item->Body.capacity();
   Item->Body.append(Bytes);
-  BufferedBytes += Bytes.size();
+  const std::size_t Growth = Item->Body.capacity() - Before;
+  Item->BufferedBytes += Growth;
+  BufferedBytes += Growth;
   if (Item->Body.size() > MaxAnswerBytes)
     rejectAnswer(
         *Item, "body longer than " + std::to_string(MaxAnswerBytes) + " bytes",
@@ -609,7 +610,7 @@
 void RelayEngine::endAttempt(ActiveCall &Item, AttemptEnd End, TimePoint Now) {
   if (ByAttempt.erase(Item.Attempt) > 0) {
     Pool.onEnded(Item.Attempt, End, Now);
-    BufferedBytes -= Item.Body.size();
+    BufferedBytes -= std::exchange(Item.BufferedBytes, 0);
   }
   if (Item.SilenceTimer)
     Deps.Timers.cancel(*Item.SilenceTimer);
--- a/bronzeward/src/Relay/RelayEngine.h
+++ b/bronzeward/src/Relay/RelayEngine.h
@@ -62,6 +62,9 @@
   /// \brief Sets the state of the list of upstreams, for the decision log.
   void setRegistryState(const RegistryState &Known) { Registry = Known; }
 
+  /// \brief Limits the memory of the bodies of unfinished answers. Where it is
+  /// exceeded, the longest one is ended as invalid.
+  void limitBufferedBytes(std::size_t Bytes) { MaxBufferedBytes = Bytes; }
   /// \brief Sets who is told about news for the peers.
   void notify(PartNewsListener &Listener) { Crashes.notify(Listener); }
 
@@ -167,6 +170,8 @@
     Duration MinRetryAfter{};
     std::optional<RelayAnswerHead> Head;
     std::string Body;
+    /// Memory that the body took while it was read, in bytes.
+    std::size_t BufferedBytes = 0;
     /// Bytes read of the body of an upstream's rejection.
     std::size_t RejectionBytes = 0;
     EventStream Events;
@@ -283,9 +288,10 @@
   std::map<AttemptId, RequestId> ByAttempt;
   /// Calls that wait for a permit.
   std::set<RequestId> AwaitingPermit;
-  /// Bytes of all unfinished answers that are buffered, which are those of all
-  /// calls but successful streams.
+  /// Memory of all unfinished answers that are buffered, which are those of all
+  /// calls but successful streams, in bytes.
   std::size_t BufferedBytes = 0;
+  std::size_t MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
   /// Limits the rate of the lines about invalid answers.
   UnreadableReplies InvalidAnswers;
   /// Set while only calls that end by then are admitted.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -114,6 +114,7 @@
                                RandomSource, PlatformCodecs.Calls, Members,
                                Limits}) {
   Engine.notify(*this);
+  Engine.limitBufferedBytes(Policy.MaxBufferedBytes);
   for (const std::string &Address : Policy.PeerSeeds)
     if (Address != Identity.PeerAddress)
       UnlistedPeers[InstanceId{"seed-" + Address}] = Member{
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -22,6 +22,8 @@
 struct FleetPolicy {
   BudgetPolicy Budget;
   RetryAllowance Retries;
+  /// Maximum memory of the bodies of unfinished answers, in bytes.
+  std::size_t MaxBufferedBytes = std::size_t{32} * 1024 * 1024;
   /// Longest wait of one watch on the store.
   std::chrono::milliseconds WatchWait{1500};
   /// Whether calls are placed by the memory that services state for their
--- a/daemons/bronzeward-fleet.cpp
+++ b/daemons/bronzeward-fleet.cpp
@@ -172,6 +172,8 @@
     return reportFailure(Policy.error());
   FleetPolicy Stopping = Policy.value();
   Stopping.StopLimit = Settings.value().DrainTimeout;
+  // A fifth of the memory; two fifths are for callers.
+  Stopping.MaxBufferedBytes = Settings.value().Limits.MaxHeldBytes / 2;
   Settings.value().SharedLoop = FLAGS_shared_loop;
   const RouterIdentity Identity = Settings.value().Identity;
   const platform::PlatformStoreCodec Store;
--- a/test/process/InvalidAnswerTest.py
+++ b/test/process/InvalidAnswerTest.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import sys
+import threading
 import time
 import unittest
 
@@ -16,6 +17,9 @@
 MEMORY_MB = 100
 UPLOADS = (65536, 1 << 20, 4 << 20)
 PART = b"part of the answer"
+# What an upstream sends at most if nobody stops it.
+FLOOD_BYTES = 64 << 20
+CALLERS = 40
 
 
 class RawEngine(engine.Engine):
@@ -81,6 +85,22 @@
         await self.part_and_late_reset(headers, reader, writer)
 
 
+    async def flood(self, headers, reader, writer, first, part, *more):
+        """Sends a part again and again, until the connection is closed."""
+        self.begin(headers, writer, "200", *more)
+        writer.write(first)
+        for _ in range(FLOOD_BYTES // len(part)):
+            writer.write(part)
+            await writer.drain()
+
+    async def endless_body(self, headers, reader, writer):
+        await self.flood(headers, reader, writer, b"", b"x" * 65536)
+
+    async def endless_event(self, headers, reader, writer):
+        await self.flood(headers, reader, writer, b"data: ", b"x" * 65536,
+                         "Content-Type: text/event-stream")
+
+
 def status(number, *more):
     async def answer(self, headers, reader, writer):
         self.begin(headers, writer, number, f"Content-Length: {len(PART)}",
@@ -102,9 +122,12 @@
         cls.fleet.configure(
             [fleet.route("/raw/", "raw", "non_idempotent", attempts=1,
                          timeout_ms=DEADLINE_MS),
+             fleet.route("/stream/", "raw", "streaming", attempts=1,
+                         timeout_ms=DEADLINE_MS),
              fleet.route("/plain/", "plain")],
             [fleet.service("raw"), fleet.service("plain")])
-        cls.fleet.add_engine("raw", kind=RawEngine)
+        for _ in range(4):
+            cls.fleet.add_engine("raw", kind=RawEngine)
         cls.fleet.add_engine("plain")
         cls.fleet.start()
 
@@ -124,6 +147,36 @@
                 with self.subTest(conduct, size=size):
                     self.assertEqual(self.send(conduct, size).status, 502)
 
+    def flood(self, prefix, conduct):
+        """Callers of endless answers, all at once; returns what they got."""
+        answers = []
+
+        def call(number):
+            answers.append(self.fleet.request(
+                0, prefix + conduct, f"{conduct}-{number}", "POST", b"",
+                DEADLINE_MS))
+        callers = [threading.Thread(target=call, args=(number,))
+                   for number in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        return answers
+
+    def test_endless_answers_leave_memory_to_other_callers(self):
+        for prefix, conduct in (("/raw/", "endless_body"),
+                                ("/stream/", "endless_event")):
+            with self.subTest(conduct):
+                statuses = {item.status for item in
+                            self.flood(prefix, conduct)}
+                peak = self.fleet.memory_mb_of(0)
+                print(f"{conduct}: peak {peak:.0f} MB", flush=True)
+                self.assertEqual(statuses, {502})
+                self.assertLessEqual(peak, MEMORY_MB)
+                other = self.fleet.request(0, "/plain/x", f"after-{conduct}")
+                self.assertEqual(other.status, 200)
+                self.assertIsNone(self.fleet.exit_code(0))
+
     def test_whole_answer_without_length_is_passed_on(self):
         for size in UPLOADS:
             with self.subTest(size=size):
