Do not take an unfinished answer without length for a whole one

A caller got the beginning of an answer as a complete 200 where an upstream answered a long upload at once, without a length, and ended its side of the connection while most of the upload was still to be received. It got one, too, where the connection was reset after that end.

Cause: the request is written to the socket's buffer as a whole before the answer is read, so that a server may end its answer while a megabyte of the request is under way. A read then reports the queued data and a clean end of the stream; an error of the socket is reported only once, and not by a read that finds the stream ended.

An answer without length now counts as whole only if the server has acknowledged the whole request and the connection was not reset when its end was read. The exchange asks the socket for its state, which no earlier call can have taken.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -456,6 +456,13 @@
            "answer to another request closed the connection");
       return;
     }
+    if (Parser->need_eof()) {
+      const std::string Problem = endProblem(Stream->socket().native_handle());
+      if (!Problem.empty()) {
+        fail(HttpFailure::Closed, Problem);
+        return;
+      }
+    }
     // Bytes after the answer belong to no request. A late copy of an answer to
     // HEAD would be read as if it had a body.
     if (Parser->get().keep_alive() && !isHead() && Buffer.size() == 0 &&
--- a/test/AnswerValidityTest.cpp
+++ b/test/AnswerValidityTest.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <functional>
 #include <optional>
 #include <thread>
@@ -117,5 +118,68 @@
   }
 }
 
+/// \brief Blocks the client's loop at the head until the server has finished,
+/// so that all that the server did is pending when the body is read.
+class BlockingListener : public ResultListener {
+public:
+  BlockingListener(boost::asio::io_context &Context, std::atomic<bool> &Done)
+      : ResultListener(Context), Finished(Done) {}
+  void onHead(const HttpHead &Head) override {
+    ResultListener::onHead(Head);
+    while (!Finished)
+      std::this_thread::sleep_for(1ms);
+  }
+
+private:
+  std::atomic<bool> &Finished;
+};
+
+/// \returns the result for an answer without length that the server ends, and
+/// resets if Reset is set, before the client reads its body.
+ExchangeResult resultOfEnd(bool Reset) {
+  std::atomic<bool> Finished = false;
+  const OneShotServer Server([&](Tcp::socket &Socket) {
+    const std::string Text = "HTTP/1.1 200 OK\r\n\r\npart";
+    boost::asio::write(Socket, boost::asio::buffer(Text));
+    Socket.shutdown(Tcp::socket::shutdown_send);
+    if (Reset) {
+      Socket.set_option(boost::asio::socket_base::linger(true, 0));
+      Socket.close();
+    }
+    Finished = true;
+  });
+  boost::asio::io_context Io;
+  const std::shared_ptr<BlockingListener> Listener =
+      std::make_shared<BlockingListener>(Io, Finished);
+  startExchange(makeHttpConnectionPool(Io), Server.request(), Listener);
+  Io.run_for(HangTimeout);
+  return Listener->Result;
+}
+
+TEST_CASE("A reset after the end of an answer without length is not missed",
+          "[AnswerValidity]") {
+  CHECK(resultOfEnd(true).Failure == HttpFailure::Closed);
+  CHECK(resultOfEnd(false).Complete);
+}
+
+TEST_CASE(
+    "An answer without length does not end before its request is received",
+    "[AnswerValidity]") {
+  // More than the server's socket takes without a reader, and less than the
+  // client's socket holds.
+  constexpr std::size_t BodyBytes = std::size_t{1024} * 1024;
+  const OneShotServer Server([&](Tcp::socket &Socket) {
+    const std::string Text = "HTTP/1.1 200 OK\r\n\r\npart";
+    boost::asio::write(Socket, boost::asio::buffer(Text));
+    Socket.shutdown(Tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(500ms);
+  });
+  HttpRequest Request = Server.request();
+  Request.Body = std::string(BodyBytes, 'x');
+  const ExchangeResult Result = resultOf(Request);
+  CHECK_FALSE(Result.Complete);
+  CHECK(Result.Failure == HttpFailure::Closed);
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/process/InvalidAnswerTest.py
+++ b/test/process/InvalidAnswerTest.py
@@ -85,6 +85,15 @@
         await self.part_and_late_reset(headers, reader, writer)
 
 
+    async def end_unread(self, headers, reader, writer):
+        """Ends the answer while most of the upload waits to be received."""
+        writer.transport.pause_reading()
+        self.begin(headers, writer)
+        writer.write(PART)
+        writer.write_eof()
+        await asyncio.sleep(0.5)
+        messages.reset(writer)
+
     async def flood(self, headers, reader, writer, first, part, *more):
         """Sends a part again and again, until the connection is closed."""
         self.begin(headers, writer, "200", *more)
@@ -147,6 +156,11 @@
                 with self.subTest(conduct, size=size):
                     self.assertEqual(self.send(conduct, size).status, 502)
 
+    def test_answer_does_not_end_before_its_request_is_received(self):
+        for size in UPLOADS[1:]:
+            with self.subTest(size=size):
+                self.assertEqual(self.send("end_unread", size).status, 502)
+
     def flood(self, prefix, conduct):
         """Callers of endless answers, all at once; returns what they got."""
         answers = []
