Search a long event of a stream for its end only once

Forty callers of upstreams that sent an event without end kept their instance's loop busy for six seconds of processor time; their calls ended 504 at the deadline instead of 502 at the size limit, and an ordinary request of another caller found no answer within four seconds.

Cause: each part that arrived made EventStream search the whole incomplete event again, from its first line. Parts have 512 bytes and more, so that an event at the limit of 256 KiB costs some 64 MB of searching.

The stream now remembers up to where the event was searched and where its last line begins; a CR at the end stays undecided, as before.

Evidence: InvalidAnswer, endless_lines (real processes): 504 before, 502 after, and an ordinary request is answered. The tests that split streams anywhere (EventStream, StreamResumption) pass unchanged.

--- a/bronzeward/src/Relay/EventStream.cpp
+++ b/bronzeward/src/Relay/EventStream.cpp
@@ -24,21 +24,26 @@
   return {Bytes.substr(0, End), End + (TwoBytes ? 2 : 1)};
 }
 
-/// \returns the length of the first event, including the empty line that ends
-/// it; zero if it is incomplete.
-static std::size_t eventLength(std::string_view Bytes) {
-  std::size_t Length = 0;
-  bool AfterCrLf = false;
+/// Goes on with the search for the end of the first event.
+/// \returns the event's length, including the empty line that ends it; zero if
+/// it is incomplete.
+static std::size_t eventLength(std::string_view Bytes, EventSearch &Search) {
   while (true) {
-    const EventLine Line = firstLine(Bytes.substr(Length));
-    // The LF of a second CRLF may still follow.
-    const bool HalfCrLf = AfterCrLf && Bytes.substr(Length) == "\r";
-    if (Line.Length == 0 || HalfCrLf)
+    const std::size_t End = Bytes.find_first_of("\r\n", Search.Searched);
+    if (End == std::string_view::npos) {
+      Search.Searched = Bytes.size();
+      return 0;
+    }
+    Search.Searched = End;
+    const bool TwoBytes = Bytes.substr(End, 2) == "\r\n";
+    const bool Empty = End == Search.LineBegin;
+    // The LF of a CRLF may still follow.
+    const bool HalfCrLf = Bytes.substr(End) == "\r";
+    if (HalfCrLf && (!Empty || Search.AfterCrLf))
       return 0;
-    Length += Line.Length;
-    if (Line.Text.empty())
-      return Length;
-    AfterCrLf = Bytes[Length - 1] == '\n' && Bytes[Length - 2] == '\r';
+    Search = {End + (TwoBytes ? 2 : 1), End + (TwoBytes ? 2 : 1), TwoBytes};
+    if (Empty)
+      return Search.LineBegin;
   }
 }
 
@@ -101,8 +106,8 @@
   Partial.append(Bytes);
   std::string Complete;
   std::string_view Remaining = Partial;
-  for (std::size_t Length = eventLength(Remaining); Length > 0 && !Faulty;
-       Length = eventLength(Remaining)) {
+  for (std::size_t Length = eventLength(Remaining, Search);
+       Length > 0 && !Faulty; Length = eventLength(Remaining, Search)) {
     std::string_view Event = Remaining.substr(0, Length);
     std::string_view Mark;
     if (AtStart && Event.starts_with(ByteOrderMark)) {
@@ -114,6 +119,7 @@
     if (acceptEvent(Event))
       Complete.append(Joined ? std::string_view() : Mark).append(Event);
     Remaining.remove_prefix(Length);
+    Search = {};
   }
   Partial.erase(0, Partial.size() - Remaining.size());
   return Complete;
@@ -163,6 +169,7 @@
 
 void EventStream::discardIncompleteEvent() {
   Partial.clear();
+  Search = {};
   UpstreamNumber.reset();
   AtStart = true;
   Faulty = false;
--- a/bronzeward/src/Relay/EventStream.h
+++ b/bronzeward/src/Relay/EventStream.h
@@ -8,6 +8,17 @@
 namespace bronzeward {
 
 /// \ingroup Relay
+/// \brief How far the first event of some bytes was searched for its end, so
+/// that a long event is searched once although it arrives in small parts.
+struct EventSearch {
+  /// Begin of the first line that may be incomplete.
+  std::size_t LineBegin = 0;
+  /// Offset before which that line does not end.
+  std::size_t Searched = 0;
+  /// Whether the line before it ended with CRLF.
+  bool AfterCrLf = false;
+};
+
 /// \brief Splits upstreams' server-sent events at event boundaries, and joins
 /// the streams of several upstreams where their numbers show no gap.
 ///
@@ -53,6 +64,7 @@
   void recordStep(std::int64_t Number);
 
   std::string Partial;
+  EventSearch Search;
   std::int64_t Events = 0;
   std::optional<std::int64_t> LastNumber;
   std::string LastIdText;
--- a/test/process/InvalidAnswerTest.py
+++ b/test/process/InvalidAnswerTest.py
@@ -109,6 +109,10 @@
         await self.flood(headers, reader, writer, b"data: ", b"x" * 65536,
                          "Content-Type: text/event-stream")
 
+    async def endless_lines(self, headers, reader, writer):
+        await self.flood(headers, reader, writer, b"", b"data: x\n" * 8192,
+                         "Content-Type: text/event-stream")
+
 
 def status(number, *more):
     async def answer(self, headers, reader, writer):
@@ -179,7 +183,8 @@
 
     def test_endless_answers_leave_memory_to_other_callers(self):
         for prefix, conduct in (("/raw/", "endless_body"),
-                                ("/stream/", "endless_event")):
+                                ("/stream/", "endless_event"),
+                                ("/stream/", "endless_lines")):
             with self.subTest(conduct):
                 statuses = {item.status for item in
                             self.flood(prefix, conduct)}
