Limit the size of load reports and of the store's replies

An upstream whose load report had no end, or a store whose reply had none, made the instance collect it for as long as bytes came: the time limits of both start anew with each byte. A report is asked for four times a second, each time over another connection while the last one lasts.

Cause: the listeners of both append a body of any size; only the answers to callers' requests had a limit.

An exchange now has a maximum size of the body, which makes a longer answer invalid: 64 KiB for a load report, 16 MiB for a reply of the store, whose outcome is then unknown as for a lost one. An upstream is not polled again while its last report is being read.

Evidence: the two new cases of EndlessAnswer failed without the limits (the client did not close the connection within 16 and 64 MiB) and pass with them.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -417,10 +417,16 @@
       return;
     }
     const std::size_t Length = Chunk.size() - Parser->get().body().size;
-    if (!Skipping && Length > 0)
-      Listener->onBody({Chunk.data(), Length});
     if (Skipping)
       countSkipped(Length);
+    else if (Length > Request.MaxBodyBytes - BodyBytes)
+      fail(HttpFailure::Invalid, "body longer than " +
+                                     std::to_string(Request.MaxBodyBytes) +
+                                     " bytes");
+    else if (Length > 0) {
+      BodyBytes += Length;
+      Listener->onBody({Chunk.data(), Length});
+    }
     readBody();
   }
 
@@ -518,6 +524,8 @@
   MatchHistory History;
   int SkippedHeads = 0;
   std::size_t SkippedBytes = 0;
+  /// Of the answer to this request.
+  std::size_t BodyBytes = 0;
   bool Cancelled = false;
   /// Whether bytes of the request may have been sent.
   bool Sent = false;
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -52,6 +53,8 @@
   /// Caller on whose behalf the request is sent; null if there is none. The
   /// request is not sent once the caller has left.
   std::shared_ptr<const CallerPresence> Presence;
+  /// Maximum size of the answer's body; a longer one is invalid.
+  std::size_t MaxBodyBytes = std::numeric_limits<std::size_t>::max();
   /// The answer's body is read while it is open; null if always.
   std::shared_ptr<TransitGate> Gate;
 };
--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -14,6 +14,8 @@
 /// sooner.
 constexpr Duration ConnectTimeout = 300ms;
 
+/// Maximum size of one reply. A longer one counts as lost.
+constexpr std::size_t MaxReplyBytes = std::size_t{16} * 1024 * 1024;
 /// Bytes of a reply between two progress notifications, so that short replies
 /// cause none.
 constexpr std::size_t ProgressBytes = 65536;
@@ -82,6 +84,7 @@
   Request.Body = std::move(Encoded->Body);
   Request.ConnectTimeout = std::min(ConnectTimeout, Endpoint.CallTimeout);
   Request.IdleTimeout = Endpoint.CallTimeout;
+  Request.MaxBodyBytes = MaxReplyBytes;
   if (const WatchKeys *Watch = std::get_if<WatchKeys>(&Item.Call))
     Request.IdleTimeout += Watch->Wait;
   startExchange(Connections, std::move(Request),
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -14,6 +14,8 @@
 constexpr Duration LoadPeriod = 250ms;
 /// Maximum wait for a load report.
 constexpr Duration LoadTimeout = 1s;
+/// Maximum size of a load report.
+constexpr std::size_t MaxLoadBytes = 65536;
 /// Maximum time without a byte within the answer of an upstream.
 constexpr Duration AnswerIdleTimeout = 600s;
 
@@ -82,6 +84,7 @@
   void onHead(const HttpHead &Head) override { Status = Head.Status; }
   void onBody(std::string_view Bytes) override { Body.append(Bytes); }
   void onEnd() override {
+    Owner.Polling.erase(Name);
     if (Status != 200)
       return;
     boost::system::error_code Failure;
@@ -104,7 +107,9 @@
         Leaving != nullptr && Leaving->is_bool() && Leaving->as_bool();
     Owner.Handler(std::move(Load));
   }
-  void onFailure(HttpFailure, const std::string &) override {}
+  void onFailure(HttpFailure, const std::string &) override {
+    Owner.Polling.erase(Name);
+  }
 
 private:
   UpstreamClient &Owner;
@@ -226,12 +231,16 @@
   if (PolledUpstreams.empty())
     return;
   for (const UpstreamSpec &Spec : PolledUpstreams) {
+    // A slow report would otherwise add a connection in each period.
+    if (!Polling.insert(Spec.Name).second)
+      continue;
     HttpRequest Request;
     Request.Host = Spec.Host;
     Request.Port = Spec.Port;
     Request.Method = "GET";
     Request.Target = "/load";
     Request.IdleTimeout = LoadTimeout;
+    Request.MaxBodyBytes = MaxLoadBytes;
     startExchange(Connections, std::move(Request),
                   std::make_shared<LoadListener>(*this, Spec.Name));
   }
--- a/bronzeward/src/Net/UpstreamClient.h
+++ b/bronzeward/src/Net/UpstreamClient.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <map>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -112,6 +113,8 @@
   std::atomic<std::uint64_t> LeftBeforeSend = 0;
   std::atomic<std::uint64_t> CancelledUnacknowledged = 0;
   std::vector<UpstreamSpec> PolledUpstreams;
+  /// Upstreams whose load report is being read.
+  std::set<UpstreamName> Polling;
   std::unique_ptr<boost::asio::steady_timer> PollTimer;
   Mailbox<Command> Ring;
 };
--- a/test/EndlessAnswerTest.cpp
+++ b/test/EndlessAnswerTest.cpp
@@ -18,6 +18,8 @@
 /// Bytes within which the client must close the connection. A part of them
 /// stays in the buffers of the client and of the kernel.
 constexpr std::size_t MaxSent = std::size_t{16} * 1024 * 1024;
+/// The same for a reply of the store, which may be longer.
+constexpr std::size_t MaxSentByStore = 4 * MaxSent;
 /// Time after which an exchange that has not failed counts as hung.
 constexpr Duration HangTimeout = 20s;
 
@@ -25,8 +27,10 @@
 /// closes the connection or MaxSent bytes were sent.
 class EndlessServer {
 public:
-  EndlessServer(std::string Prefix, std::string Repeated)
-      : Beginning(std::move(Prefix)), Part(std::move(Repeated)),
+  EndlessServer(std::string Prefix, std::string Repeated,
+                std::size_t Limit = MaxSent)
+      : MaxBytes(Limit), Beginning(std::move(Prefix)),
+        Part(std::move(Repeated)),
         Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
         Worker([this] { serve(); }) {}
   ~EndlessServer() { Worker.join(); }
@@ -46,11 +50,12 @@
     boost::system::error_code Failure;
     boost::asio::write(Socket, boost::asio::buffer(Beginning), Failure);
     std::size_t Sent = 0;
-    while (!Failure && Sent < MaxSent)
+    while (!Failure && Sent < MaxBytes)
       Sent += boost::asio::write(Socket, boost::asio::buffer(Part), Failure);
     Closed = Failure.failed();
   }
 
+  std::size_t MaxBytes;
   std::string Beginning;
   std::string Part;
   boost::asio::io_context Io;
@@ -124,5 +129,38 @@
   CHECK(failsAndCloses(Chunked + "0\r\n", "A: b\r\n"));
 }
 
+TEST_CASE("An endless load report is given up", "[EndlessAnswer]") {
+  EndlessServer Server(Chunked, "3e8\r\n" + std::string(1000, 'x') + "\r\n");
+  boost::asio::io_context Io;
+  UpstreamClient Client(&Io, [](const UpstreamEvent &) {});
+  UpstreamSpec Spec;
+  Spec.Name.Value = "u";
+  Spec.Host = "127.0.0.1";
+  Spec.Port = Server.port();
+  Client.setPolledUpstreams({Spec});
+  Io.run_for(2s);
+  CHECK(Server.closedByClient());
+}
+
+TEST_CASE("An endless reply of the store counts as unknown",
+          "[EndlessAnswer]") {
+  EndlessServer Server(Chunked, "3e8\r\n" + std::string(1000, 'x') + "\r\n",
+                       MaxSentByStore);
+  boost::asio::io_context Io;
+  const EtcdCodec Codec;
+  std::optional<StoreStatus> Status;
+  HttpStore Store(
+      &Io, {"127.0.0.1", Server.port(), 1s}, Codec,
+      [&](StoreCallId, const StoreReply &Reply) {
+        Status = Reply.Status;
+        Io.stop();
+      },
+      [](StoreCallId) {});
+  Store.send({1}, ListKeys{"key/", ""});
+  Io.run_for(HangTimeout);
+  CHECK(Server.closedByClient());
+  CHECK(Status == StoreStatus::Unknown);
+}
+
 } // namespace
 } // namespace bronzeward
