Do not reuse a connection whose request was not received

A request could wait for its deadline behind the body of another one: an upstream that answers a long upload before it has read it, and never reads on, keeps its connection, and the next request was sent on it, after a megabyte that nobody reads.

Cause: a connection was kept whenever its answer was complete; whether its request had left the socket was not asked. The bytes were in order, so that no upstream got wrong ones.

A connection is now kept only if the server has acknowledged the whole request.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -470,9 +470,10 @@
       }
     }
     // Bytes after the answer belong to no request. A late copy of an answer to
-    // HEAD would be read as if it had a body.
+    // HEAD would be read as if it had a body. The rest of a request that the
+    // server has not received would delay the next one.
     if (Parser->get().keep_alive() && !isHead() && Buffer.size() == 0 &&
-        History.distinguishes(Request)) {
+        unacknowledgedBytes() == 0 && History.distinguishes(Request)) {
       Stream->expires_never();
       History.onAnswered(Request.Match);
       Connections->keep(Peer, Request, {std::move(Stream), std::move(History)},
--- a/test/AnswerValidityTest.cpp
+++ b/test/AnswerValidityTest.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <optional>
@@ -181,5 +182,64 @@
   CHECK(Result.Failure == HttpFailure::Closed);
 }
 
+/// \brief Answers the first request before it reads its body, which it never
+/// does, and a second one if that comes over another connection.
+class EarlyServer {
+public:
+  EarlyServer()
+      : Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        Worker([this] {
+          Tcp::socket First = Acceptor.accept();
+          answer(First);
+          Tcp::socket Second = Acceptor.accept();
+          answer(Second);
+        }) {}
+  ~EarlyServer() {
+    // Ends the wait for a second connection.
+    Tcp::socket(Io).connect(Acceptor.local_endpoint());
+    Worker.join();
+  }
+  [[nodiscard]] std::uint16_t port() const {
+    return Acceptor.local_endpoint().port();
+  }
+
+private:
+  static void answer(Tcp::socket &Socket) {
+    std::array<char, 1> Byte{};
+    boost::system::error_code Failure;
+    Socket.receive(boost::asio::buffer(Byte), 0, Failure);
+    const std::string Text = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=30\r\n"
+                             "Content-Length: 2\r\n\r\nab";
+    boost::asio::write(Socket, boost::asio::buffer(Text), Failure);
+  }
+
+  boost::asio::io_context Io;
+  Tcp::acceptor Acceptor;
+  std::thread Worker;
+};
+
+TEST_CASE("A request is not sent behind one that its server does not read",
+          "[AnswerValidity]") {
+  constexpr std::size_t BodyBytes = std::size_t{1024} * 1024;
+  const EarlyServer Server;
+  boost::asio::io_context Io;
+  const std::shared_ptr<HttpConnectionPool> Connections =
+      makeHttpConnectionPool(Io);
+  for (const std::size_t Length : {BodyBytes, std::size_t{0}}) {
+    HttpRequest Request;
+    Request.Host = "127.0.0.1";
+    Request.Port = Server.port();
+    Request.Method = "POST";
+    Request.Target = "/";
+    Request.Body = std::string(Length, 'x');
+    const std::shared_ptr<ResultListener> Listener =
+        std::make_shared<ResultListener>(Io);
+    startExchange(Connections, Request, Listener);
+    Io.restart();
+    Io.run_for(HangTimeout);
+    CHECK(Listener->Result.Complete);
+  }
+}
+
 } // namespace
 } // namespace bronzeward
