Count the memory of a stream's backlog, not its length

Forty callers that read nothing of streams without end took an instance with 100 MB to a peak of 146 MB.

The backlog now grows by an eighth, and its memory is counted before it is taken.

--- a/bronzeward/src/Net/CallerServer.cpp
+++ b/bronzeward/src/Net/CallerServer.cpp
@@ -26,6 +26,8 @@
 /// Maximum number of answers, or parts of them, that wait for the server's
 /// thread.
 constexpr std::size_t RingCapacity = 65536;
+/// A stream's backlog grows by its length divided by this number.
+constexpr std::size_t BacklogGrowthDivisor = 8;
 /// Time after a failure to accept a connection until the next attempt.
 constexpr Duration AcceptRetryDelay = 50ms;
 /// Number of waiting connections that are accepted at once. One in each turn of
@@ -650,13 +652,20 @@
 
   /// \returns false if the caller is cut since there is no memory for the part.
   bool appendPart(const std::string &Part) {
-    const std::size_t Backlog =
-        PartsBeingWritten.size() + PendingParts.size() + Part.size();
+    const std::size_t Length = PendingParts.size() + Part.size();
+    // Growth in small steps, since the memory that a string takes by itself
+    // may be twice its length.
+    const std::size_t Capacity =
+        Length <= PendingParts.capacity()
+            ? PendingParts.capacity()
+            : Length + std::max(Length / BacklogGrowthDivisor, Part.size());
+    const std::size_t Backlog = PartsBeingWritten.capacity() + Capacity;
     if (Writing && !holdMemory(HoldKind::Unread, KeptBytes + Backlog)) {
       Owner.noteMemoryShort("stream cut");
       callerGone();
       return false;
     }
+    PendingParts.reserve(Capacity);
     PendingParts += Part;
     return true;
   }
--- a/test/process/InvalidAnswerTest.py
+++ b/test/process/InvalidAnswerTest.py
@@ -2,6 +2,7 @@
 is an upstream's whole answer or a failure, and other clients are served."""
 import asyncio
 import pathlib
+import socket
 import sys
 import threading
 import time
@@ -17,6 +18,7 @@
 MEMORY_MB = 100
 UPLOADS = (65536, 1 << 20, 4 << 20)
 PART = b"part of the answer"
+EVENT = b"data: three tokens\n\n"
 # What an upstream sends at most if nobody stops it.
 FLOOD_BYTES = 64 << 20
 CALLERS = 40
@@ -109,6 +111,10 @@
         await self.flood(headers, reader, writer, b"data: ", b"x" * 65536,
                          "Content-Type: text/event-stream")
 
+    async def endless_stream(self, headers, reader, writer):
+        await self.flood(headers, reader, writer, b"", EVENT * 3000,
+                         "Content-Type: text/event-stream")
+
     async def endless_lines(self, headers, reader, writer):
         await self.flood(headers, reader, writer, b"", b"data: x\n" * 8192,
                          "Content-Type: text/event-stream")
@@ -196,6 +202,26 @@
                 self.assertEqual(other.status, 200)
                 self.assertIsNone(self.fleet.exit_code(0))
 
+    def test_endless_events_to_callers_that_read_nothing(self):
+        callers = []
+        for number in range(CALLERS):
+            caller = socket.create_connection(
+                (self.fleet.ip(1), fleet.FRONT_PORT), fleet.PATIENCE_S)
+            callers.append(caller)
+            caller.sendall(
+                f"GET /stream/endless_stream HTTP/1.1\r\nHost: {fleet.HOST}"
+                f"\r\nX-Attempt-Id: unread-{number}\r\nX-Deadline-Ms: "
+                f"{DEADLINE_MS}\r\nAuthorization: Bearer {fleet.KEY}"
+                "\r\n\r\n".encode())
+        time.sleep(3)
+        peak = self.fleet.memory_mb_of(0)
+        print(f"unread streams: peak {peak:.0f} MB", flush=True)
+        self.assertLessEqual(peak, MEMORY_MB)
+        other = self.fleet.request(0, "/plain/x", "beside-unread")
+        self.assertEqual(other.status, 200)
+        for caller in callers:
+            caller.close()
+
     def test_whole_answer_without_length_is_passed_on(self):
         for size in UPLOADS:
             with self.subTest(size=size):
