--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -60,10 +60,11 @@
 
     def lose_watches(self, port, prefix):
         """Loses the replies of the watches of a prefix that wait now; nothing
-        is sent on their connections any more."""
-        self.lost |= {writer for writer, watched in self.watching.items()
-                      if watched == prefix and writer in
-                      self.connections[port]}
+        is sent on their connections any more. Returns their number."""
+        lost = {writer for writer, watched in self.watching.items()
+                if watched == prefix and writer in self.connections[port]}
+        self.lost |= lost
+        return len(lost)
 
     def forget_history(self):
         self.forgotten = self.revision
--- a/test/process/LateDrainTest.py
+++ b/test/process/LateDrainTest.py
@@ -12,8 +12,8 @@
 
 # Bound of the platform.
 DRAIN_TIMEOUT_S = 2.0
-ENGINES = 4
-CALLERS = 3
+ENGINES = 2
+CALLERS = 6
 
 
 class Callers:
@@ -60,9 +60,12 @@
         time.sleep(0.05)
 
     def lose_watch(self):
-        self.renew_watches()
-        self.fleet.do(self.fleet.store.lose_watches, self.fleet.store_port(0),
-                      "servers/")
+        """Loses the reply of a watch that has just begun."""
+        while True:
+            self.renew_watches()
+            if self.fleet.do(self.fleet.store.lose_watches,
+                             self.fleet.store_port(0), "servers/"):
+                return
 
     def check_last_request(self, engine, left):
         """Awaits the last request at an engine that left at a time."""
