Keep the pace of lists where watches fail or are late

A list after a failed watch was unconditional. A store that refuses watches and serves lists would have been listed once per two round trips by every watcher, and a store with replies 0.3 s late or more with each watch; a watch that was given up and then timed out made the store count as unreachable although the list had succeeded. Found in review, by reading.

A second failed watch in a row is followed by a list after the delay of a retry. A watch's reply may be as much later as the latest list took. A watch that is given up is abandoned and says nothing about the store.

Three cases in StoreFollower; the first counts 4 to 11 lists in 2 s of refused watches.

--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -66,6 +66,17 @@
   Entry.Done(Reply, Now);
 }
 
+void StoreClient::abandon(StoreCallId Id) {
+  const auto Found = InFlight.find(Id);
+  if (Found == InFlight.end())
+    return;
+  Timers.cancel(Found->second.Timeout);
+  InFlight.erase(Found);
+  ++Counters.Timeouts;
+  // Another call may test whether the store answers again.
+  Probing = false;
+}
+
 void StoreClient::onProgress(StoreCallId Id, TimePoint Now) {
   const auto Found = InFlight.find(Id);
   if (Found == InFlight.end())
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -61,6 +61,10 @@
   /// \brief Restarts the timeout of a call when a part of its reply arrives.
   void onProgress(StoreCallId Id, TimePoint Now);
 
+  /// \brief Gives up a call that changes nothing: its reply is ignored, and
+  /// that it failed says nothing about the store.
+  void abandon(StoreCallId Id);
+
   /// \returns whether parts of a call's reply have arrived.
   [[nodiscard]] bool replyBegun(StoreCallId Id) const;
   /// \returns whether a call made now would be sent.
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -1,13 +1,14 @@
 #include "bronzeward/src/Store/StoreFollower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzeward {
 
 /// Longest delay before a failed list is repeated; jitter takes off up to half.
 constexpr Duration MaxRetryDelay = 400ms;
-/// Time after the end of a watch's wait from which its reply counts as lost. A
-/// slower store is followed by lists.
+/// Time after the end of a watch's wait, beyond that of the latest list, from
+/// which its reply counts as lost.
 constexpr Duration MaxReplyDelay = 300ms;
 
 StoreFollower::StoreFollower(std::string KeyPrefix,
@@ -33,11 +34,12 @@
   if (!mayCall())
     return;
   Store.call(ListKeys{Prefix, "", false}, Now,
-             [this](const StoreReply &Reply, TimePoint At) {
+             [this, Now](const StoreReply &Reply, TimePoint At) {
                if (Reply.Status != StoreStatus::Ok) {
                  retry(At);
                  return;
                }
+               ListTook = At - Now;
                recordReply(At);
                Revision = std::max(Revision, Reply.Revision);
                Listener.onListed(Reply.Entries, Reply.Revision, At);
@@ -60,7 +62,7 @@
   // The call may have failed at once.
   if (PendingWatch == Number)
     Silence =
-        Timers.schedule(Now + WatchWait + MaxReplyDelay,
+        Timers.schedule(Now + WatchWait + MaxReplyDelay + ListTook,
                         [this, Call](TimePoint At) { onLateReply(Call, At); });
 }
 
@@ -75,18 +77,24 @@
   Silence.reset();
   if (Store.replyBegun(Call))
     return;
+  Store.abandon(Call);
   endWatch();
   list(Now);
 }
 
 void StoreFollower::onWatched(const StoreReply &Reply, TimePoint Now) {
   endWatch();
-  // A watch may be cut, or its reply lost, while the store serves others. Only
-  // a new call shows whether contact is lost.
   if (Reply.HistoryLost || Reply.Status != StoreStatus::Ok) {
-    list(Now);
+    // A watch may be cut, or its reply lost, while the store serves others.
+    // Only a new call shows whether contact is lost. A store that refuses all
+    // watches is listed at the pace of retries.
+    if (std::exchange(WatchFailed, true))
+      listLater(Now);
+    else
+      list(Now);
     return;
   }
+  WatchFailed = false;
   recordReply(Now);
   for (const StoreEntry &Entry : Reply.Entries)
     Listener.onChanged(Entry, Now);
@@ -98,6 +106,10 @@
 void StoreFollower::retry(TimePoint Now) {
   LostContact = LostContact || InContact;
   InContact = false;
+  listLater(Now);
+}
+
+void StoreFollower::listLater(TimePoint Now) {
   const double Fraction = 0.5 + 0.5 * Jitter.unit();
   Timers.schedule(
       Now + std::chrono::duration_cast<Duration>(MaxRetryDelay * Fraction),
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -68,6 +68,8 @@
   void onLateReply(StoreCallId Call, TimePoint Now);
   void onWatched(const StoreReply &Reply, TimePoint Now);
   void retry(TimePoint Now);
+  /// Lists the keys after a random delay.
+  void listLater(TimePoint Now);
   void recordReply(TimePoint Now);
 
   std::string Prefix;
@@ -80,6 +82,10 @@
   std::uint64_t LastWatch = 0;
   /// Number of the watch whose reply is awaited.
   std::optional<std::uint64_t> PendingWatch;
+  /// Whether the latest watch failed.
+  bool WatchFailed = false;
+  /// Time until the reply to the latest list that succeeded.
+  Duration ListTook{};
   /// Set until a part of the watch's reply is due.
   std::optional<TimerQueue::Handle> Silence;
   bool Paused = false;
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -104,6 +104,42 @@
   const std::size_t Calls = Fixture.Calls.size();
   Fixture.Client.onReply(Lost, ok(7), Fixture.Now);
   CHECK(Fixture.Calls.size() == Calls);
+  Fixture.wait(1s);
+  CHECK(Fixture.Client.failingSince() == std::nullopt);
+}
+
+// Guards against a list after a list where a store refuses watches only.
+TEST_CASE("Watches that fail again and again are followed by paced lists",
+          "[StoreFollower]") {
+  FollowerFixture Fixture;
+  ALLOW_CALL(Fixture.Listener, onListed(_, _, _));
+  Fixture.answer(ok(7));
+  StoreReply Refused;
+  Refused.Status = StoreStatus::Unavailable;
+  std::size_t Lists = 0;
+  for (int Step = 0; Step < 100; ++Step) {
+    if (Fixture.lastIs<WatchKeys>()) {
+      Fixture.answer(Refused);
+    } else {
+      ++Lists;
+      Fixture.answer(ok(8));
+    }
+    Fixture.wait(20ms);
+  }
+  CHECK(Lists >= 4);
+  CHECK(Lists <= 11);
+}
+
+TEST_CASE("A slow store's watches get as much longer as its lists took",
+          "[StoreFollower]") {
+  FollowerFixture Fixture;
+  ALLOW_CALL(Fixture.Listener, onListed(_, _, _));
+  Fixture.wait(600ms);
+  Fixture.answer(ok(7));
+  Fixture.wait(1500ms + 600ms);
+  CHECK(Fixture.lastIs<WatchKeys>());
+  Fixture.wait(300ms);
+  CHECK(Fixture.lastIs<ListKeys>());
 }
 
 TEST_CASE("Contact is lost when a watch and the list after it have no reply",
