Do not count an interrupted call whose upstream is heard again

A connection that was reset at an upstream that went on answering counted as a crash if the upstream's registry entry vanished within 10 s, as it may without a notice. What is heard from an upstream cleared the calls that had ended in silence, not those that were interrupted. Found in review, shown there by a trial of the class: counted after 1 s and after 8 s.

Interrupted calls before the upstream was heard count only if it is found down or restarted. The case in PartQuarantine fails without the change.

--- a/bronzeward/src/Relay/CrashEvidence.cpp
+++ b/bronzeward/src/Relay/CrashEvidence.cpp
@@ -37,8 +37,13 @@
 void CrashEvidence::expireCalls(UpstreamHistory &History, TimePoint Now) {
   while (!History.Calls.empty() &&
          Now > History.Calls.front().At + DetectionTime) {
-    if (History.Awaiting.size() < MaxAwaiting)
+    if (History.HeardAfter > 0) {
+      --History.HeardAfter;
+      if (Unproven.size() < MaxUnproven)
+        Unproven.push_back(std::move(History.Calls.front()));
+    } else if (History.Awaiting.size() < MaxAwaiting) {
       History.Awaiting.push_back(std::move(History.Calls.front()));
+    }
     History.Calls.pop_front();
   }
   while (!History.Awaiting.empty() &&
@@ -75,6 +80,7 @@
   std::vector<InterruptedCall> Calls(History.Calls.begin(),
                                      History.Calls.end());
   History.Calls.clear();
+  History.HeardAfter = 0;
   return Calls;
 }
 
@@ -87,14 +93,16 @@
 
 void CrashEvidence::onHeard(const UpstreamName &Upstream) {
   const auto Found = Histories.find(Upstream);
-  if (Found != Histories.end())
-    Found->second.Awaiting.clear();
+  if (Found == Histories.end())
+    return;
+  Found->second.Awaiting.clear();
+  Found->second.HeardAfter = Found->second.Calls.size();
 }
 
 std::vector<UpstreamName> CrashEvidence::silentUpstreams() const {
   std::vector<UpstreamName> Names;
   for (const auto &[Name, History] : Histories)
-    if (!History.Awaiting.empty() || !History.Calls.empty())
+    if (!History.Awaiting.empty() || History.Calls.size() > History.HeardAfter)
       Names.push_back(Name);
   return Names;
 }
@@ -105,6 +113,9 @@
   expireCalls(History, Now);
   const std::deque<InterruptedCall> Awaiting =
       std::exchange(History.Awaiting, {});
+  History.Calls.erase(History.Calls.begin(),
+                      History.Calls.begin() +
+                          static_cast<std::ptrdiff_t>(History.HeardAfter));
   std::vector<InterruptedCall> Calls = onDown(Upstream, Now);
   Calls.insert(Calls.begin(), Awaiting.begin(), Awaiting.end());
   return Calls;
--- a/bronzeward/src/Relay/CrashEvidence.h
+++ b/bronzeward/src/Relay/CrashEvidence.h
@@ -63,6 +63,8 @@
 private:
   struct UpstreamHistory {
     std::deque<InterruptedCall> Calls;
+    /// Number of the first of Calls after which the upstream was heard again.
+    std::size_t HeardAfter = 0;
     /// Calls that count if nothing is heard until the registry entry vanishes.
     std::deque<InterruptedCall> Awaiting;
     TimePoint DownAt;
--- a/test/PartQuarantineTest.cpp
+++ b/test/PartQuarantineTest.cpp
@@ -504,5 +504,24 @@
   CHECK(Evidence.onVanished(Call.Upstream.Name, Now + 11s).empty());
 }
 
+// Guards against counting a reset connection at an upstream that goes on
+// answering and leaves without a notice.
+TEST_CASE("An interrupted call does not count if its upstream is heard again",
+          "[PartQuarantine]") {
+  const TimePoint Now{1h};
+  const InterruptedCall Call{{1}, runOf("a"), Now, Now - 200ms};
+  for (const Duration Until : {Duration(1s), Duration(8s)}) {
+    CrashEvidence Evidence;
+    CHECK(Evidence.onInterrupted(Call, Now).empty());
+    Evidence.onHeard(Call.Upstream.Name);
+    CHECK(Evidence.silentUpstreams().empty());
+    CHECK(Evidence.onVanished(Call.Upstream.Name, Now + Until).empty());
+  }
+  CrashEvidence Restarted;
+  CHECK(Restarted.onInterrupted(Call, Now).empty());
+  Restarted.onHeard(Call.Upstream.Name);
+  CHECK(Restarted.onDown(Call.Upstream.Name, Now + 1s).size() == 1);
+}
+
 } // namespace
 } // namespace bronzeward
