Sum lost grants with each list of members only

The published status, renewed every 50 ms, summed the grants of former incarnations over all records that the instance commits, and ranked all members for each slot. The sums are now taken when the list of members is updated. Found in review; its cost at scale was not measured.

--- a/bronzeward/src/Budget/BudgetAgent.h
+++ b/bronzeward/src/Budget/BudgetAgent.h
@@ -175,7 +175,7 @@
   [[nodiscard]] Money free() const;
   /// \returns the workspaces with grants of former incarnations, and their
   /// sums, in the slots that this instance commits.
-  [[nodiscard]] std::map<WorkspaceId, Money> lostGrants() const {
+  [[nodiscard]] const std::map<WorkspaceId, Money> &lostGrants() const {
     return Reclaimer.lostGrants();
   }
   /// \returns the state of a workspace's budget as text for the log.
--- a/bronzeward/src/Budget/GrantReclaimer.cpp
+++ b/bronzeward/src/Budget/GrantReclaimer.cpp
@@ -20,6 +20,7 @@
   std::erase_if(MissingSince, [this](const auto &Entry) {
     return Members.lists(Entry.first);
   });
+  Lost.clear();
   for (std::uint32_t Index = 0; Index < Policy.Slots; ++Index)
     if (Members.committerOf(SlotId{Index}, Self) == Self)
       check(SlotId{Index}, Now);
@@ -33,6 +34,7 @@
                   [](const OperationResult &, TimePoint) {});
     return;
   }
+  sumLostGrants(*Record);
   std::set<Incarnation> Gone;
   for (const Account &Budget : Record->Accounts)
     for (const GrantLine &Line : Budget.Grants)
@@ -43,20 +45,11 @@
                   [](const OperationResult &, TimePoint) {});
 }
 
-std::map<WorkspaceId, Money> GrantReclaimer::lostGrants() const {
-  std::map<WorkspaceId, Money> Sums;
-  for (std::uint32_t Index = 0; Index < Policy.Slots; ++Index) {
-    if (Members.committerOf(SlotId{Index}, Self) != Self)
-      continue;
-    const SlotRecord *Record = Router.committer(SlotId{Index}).record();
-    if (Record == nullptr)
-      continue;
-    const LostGrants Lost(*Record);
-    for (const Account &Budget : Record->Accounts)
-      if (const Money Sum = Lost.sum(Budget); !Sum.isZero())
-        Sums[Budget.Workspace] = Sum;
-  }
-  return Sums;
+void GrantReclaimer::sumLostGrants(const SlotRecord &Record) {
+  const LostGrants Grants(Record);
+  for (const Account &Budget : Record.Accounts)
+    if (const Money Sum = Grants.sum(Budget); !Sum.isZero())
+      Lost[Budget.Workspace] = Sum;
 }
 
 bool GrantReclaimer::missingLongEnough(const Incarnation &Holder,
--- a/bronzeward/src/Budget/GrantReclaimer.h
+++ b/bronzeward/src/Budget/GrantReclaimer.h
@@ -21,11 +21,15 @@
   void onMembersUpdated(TimePoint Now);
 
   /// \returns the workspaces with grants of former incarnations, and their
-  /// sums, in the slots that this instance commits and has read.
-  [[nodiscard]] std::map<WorkspaceId, Money> lostGrants() const;
+  /// sums, in the slots that this instance commits and has read; as of the
+  /// latest list of members.
+  [[nodiscard]] const std::map<WorkspaceId, Money> &lostGrants() const {
+    return Lost;
+  }
 
 private:
   void check(SlotId Slot, TimePoint Now);
+  void sumLostGrants(const SlotRecord &Record);
   /// \returns whether a holder has been unlisted for ReclaimAfter.
   [[nodiscard]] bool missingLongEnough(const Incarnation &Holder,
                                        TimePoint Now);
@@ -35,6 +39,7 @@
   const Membership &Members;
   const BudgetPolicy &Policy;
   std::map<Incarnation, TimePoint> MissingSince;
+  std::map<WorkspaceId, Money> Lost;
   TimePoint LastUpdate;
 };
 
