Send no call to an upstream that left while its connection opened

Found in review, by reading.

The pool withdraws an upstream's availability when it is removed, restarts or says that it leaves. A case each in RelayEngine and HttpExchange.

--- a/bronzeward/src/Net/HttpExchange.cpp
+++ b/bronzeward/src/Net/HttpExchange.cpp
@@ -186,8 +186,8 @@
       fail(HttpFailure::NotSent, ParseFailure.message());
       return;
     }
-    if (callerLeft()) {
-      fail(HttpFailure::CallerLeft, "the caller has left");
+    if (const std::optional<HttpFailure> Why = revoked()) {
+      fail(*Why, "the request is no longer to be sent");
       return;
     }
     // A late answer to another request would be read as if it had no body.
@@ -217,8 +217,8 @@
            Failure.message());
       return;
     }
-    if (callerLeft()) {
-      fail(HttpFailure::CallerLeft, "the caller has left");
+    if (const std::optional<HttpFailure> Why = revoked()) {
+      fail(*Why, "the request is no longer to be sent");
       return;
     }
     setOptions();
@@ -261,8 +261,13 @@
     }
   }
 
-  [[nodiscard]] bool callerLeft() const {
-    return Request.Presence && Request.Presence->hasLeft();
+  /// \returns why the request is not to be sent any more; nothing if it is.
+  [[nodiscard]] std::optional<HttpFailure> revoked() const {
+    if (Request.Presence && Request.Presence->hasLeft())
+      return HttpFailure::CallerLeft;
+    if (Request.Availability && Request.Availability->withdrawn())
+      return HttpFailure::Withdrawn;
+    return std::nullopt;
   }
 
   void setOptions() {
--- a/bronzeward/src/Net/HttpExchange.h
+++ b/bronzeward/src/Net/HttpExchange.h
@@ -4,6 +4,7 @@
 #include "bronzeward/src/Net/TransitGate.h"
 #include "bronzeward/src/Request/CallerPresence.h"
 #include "bronzeward/src/Request/SharedBytes.h"
+#include "bronzeward/src/Request/UpstreamAvailability.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -53,6 +54,8 @@
   /// Caller on whose behalf the request is sent; null if there is none. The
   /// request is not sent once the caller has left.
   std::shared_ptr<const CallerPresence> Presence;
+  /// Whether the request may still be sent to the server; null if always.
+  std::shared_ptr<const UpstreamAvailability> Availability;
   /// Maximum size of the answer's body; a longer one is invalid.
   std::size_t MaxBodyBytes = std::numeric_limits<std::size_t>::max();
   /// The answer's body is read while it is open; null if always.
@@ -66,6 +69,8 @@
   ConnectTimedOut,
   /// Not sent, because the caller has left.
   CallerLeft,
+  /// Not sent, because the server receives no new requests any more.
+  Withdrawn,
   Closed,
   TimedOut,
   Invalid
--- a/bronzeward/src/Net/UpstreamClient.cpp
+++ b/bronzeward/src/Net/UpstreamClient.cpp
@@ -60,6 +60,8 @@
       Kind = UpstreamFailure::NotSent;
     else if (How == HttpFailure::CallerLeft)
       Kind = UpstreamFailure::CallerLeft;
+    else if (How == HttpFailure::Withdrawn)
+      Kind = UpstreamFailure::Withdrawn;
     else if (How == HttpFailure::ConnectTimedOut)
       Kind = UpstreamFailure::ConnectTimedOut;
     else if (How == HttpFailure::Invalid)
@@ -218,6 +220,7 @@
   Request.IdleTimeout = AnswerIdleTimeout;
   Request.MaxIdle = Call.MaxIdle;
   Request.Presence = Call.Presence;
+  Request.Availability = Call.Availability;
   Request.Gate = Gate;
   const std::shared_ptr<HttpExchange> Exchange =
       startExchange(Connections, std::move(Request),
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -418,6 +418,7 @@
   Call.Match = Deps.Codec.matchingHeader(Item.Call);
   Call.MatchRequired = true;
   Call.Presence = Item.Call.Presence;
+  Call.Availability = Pool.availability(Item.Upstream);
   Call.ConnectTimeout = std::min(
       Congestion.congested(Now) ? CongestedConnectTimeout : ConnectTimeout,
       Left);
@@ -685,6 +686,11 @@
     disconnect(*Item, Now);
     return;
   }
+  if (Failure == UpstreamFailure::Withdrawn) {
+    endAttempt(*Item, AttemptEnd::Cancelled, Now);
+    retry(*Item, Now);
+    return;
+  }
   if (Failure != UpstreamFailure::NotSent &&
       Failure != UpstreamFailure::ConnectTimedOut) {
     Deps.Upstreams.cancel(Attempt);
--- a/bronzeward/src/Relay/UpstreamPool.cpp
+++ b/bronzeward/src/Relay/UpstreamPool.cpp
@@ -94,6 +94,7 @@
     if (Existing != States.end() && !Restart) {
       Item = std::move(Existing->second);
     } else {
+      Item.Availability = std::make_shared<UpstreamAvailability>();
       Item.ServiceTime = InitialServiceTime;
       Item.Prefixes = PrefixIndex(MaxPrefixes);
       Item.LastHeard = Now;
@@ -103,6 +104,9 @@
     Item.Entry = Entry;
     Updated.emplace(Entry.Name, std::move(Item));
   }
+  for (auto &[Name, Replaced] : States)
+    if (Replaced.Availability)
+      Replaced.Availability->withdraw();
   States = std::move(Updated);
   for (auto &[Name, Service] : Services)
     Service.Names.clear();
@@ -121,6 +125,11 @@
   return Found == States.end() ? nullptr : &Found->second;
 }
 
+std::shared_ptr<const UpstreamAvailability>
+UpstreamPool::availability(const UpstreamName &Name) const {
+  return States.at(Name).Availability;
+}
+
 const UpstreamEntry *UpstreamPool::find(const UpstreamName &Name) const {
   const auto Found = States.find(Name);
   return Found == States.end() ? nullptr : &Found->second.Entry;
@@ -308,8 +317,13 @@
 }
 
 void UpstreamPool::onLeaving(const UpstreamName &Name, TimePoint Now) {
-  if (const State *Item = state(Name))
-    Gate.onLeaving(Item->Entry, Now);
+  State *Item = state(Name);
+  if (Item == nullptr)
+    return;
+  Gate.onLeaving(Item->Entry, Now);
+  // Calls that are placed there nevertheless come after a change of its entry.
+  std::exchange(Item->Availability, std::make_shared<UpstreamAvailability>())
+      ->withdraw();
 }
 
 void UpstreamPool::onBackOff(const UpstreamName &Name, Duration Time,
--- a/bronzeward/src/Relay/UpstreamPool.h
+++ b/bronzeward/src/Relay/UpstreamPool.h
@@ -103,6 +103,10 @@
   [[nodiscard]] std::vector<Candidate>
   candidates(const PlacementQuery &Query, Random &Source, TimePoint Now) const;
   [[nodiscard]] const UpstreamEntry *find(const UpstreamName &Name) const;
+  /// \returns the availability of the present run of a known upstream. It is
+  /// withdrawn when the upstream restarts, is removed or says that it leaves.
+  [[nodiscard]] std::shared_ptr<const UpstreamAvailability>
+  availability(const UpstreamName &Name) const;
   /// \returns the names of a service's upstreams.
   [[nodiscard]] std::vector<UpstreamName>
   upstreamsOf(const ServiceName &Service) const;
@@ -134,6 +138,7 @@
   };
   struct State {
     UpstreamEntry Entry;
+    std::shared_ptr<UpstreamAvailability> Availability;
     std::int64_t Outstanding = 0;
     /// Uncached prompt tokens of this instance's calls without a first byte.
     std::int64_t PendingTokens = 0;
--- a/bronzeward/src/Request/Messages.h
+++ b/bronzeward/src/Request/Messages.h
@@ -3,6 +3,7 @@
 #include "bronzeward/Base"
 #include "bronzeward/src/Request/CallerPresence.h"
 #include "bronzeward/src/Request/SharedBytes.h"
+#include "bronzeward/src/Request/UpstreamAvailability.h"
 #include "bronzeward/src/Routing/ChoicePolicy.h"
 
 #include <cstdint>
@@ -96,6 +97,8 @@
   std::chrono::milliseconds UnackedTimeout{0};
   /// Whether the caller still waits for the answer; null if unknown.
   std::shared_ptr<const CallerPresence> Presence;
+  /// Whether the upstream may still be sent the call; null if always.
+  std::shared_ptr<const UpstreamAvailability> Availability;
 };
 
 /// \brief How an attempt at an upstream failed.
@@ -106,6 +109,8 @@
   ConnectTimedOut,
   /// No byte was sent, since the caller has left.
   CallerLeft,
+  /// No byte was sent, since the upstream no longer receives new calls.
+  Withdrawn,
   /// The connection closed before the whole answer was received.
   Closed,
   /// The answer violated the protocol.
--- a/test/HttpExchangeTest.cpp
+++ b/test/HttpExchangeTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -198,5 +199,41 @@
     CHECK_FALSE(secondBody(First, Second.substr(0, Length)));
 }
 
+/// \brief Records how an exchange failed.
+class FailureListener : public HttpListener {
+public:
+  void onHead(const HttpHead &) override {}
+  void onBody(std::string_view) override {}
+  void onEnd() override {}
+  void onFailure(HttpFailure Why, const std::string &) override { How = Why; }
+
+  std::optional<HttpFailure> How;
+};
+
+TEST_CASE("A request is not sent if its server is withdrawn while connecting",
+          "[HttpExchange]") {
+  boost::asio::io_context Io;
+  Tcp::acceptor Acceptor(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const std::shared_ptr<UpstreamAvailability> Availability =
+      std::make_shared<UpstreamAvailability>();
+  HttpRequest Request;
+  Request.Host = "127.0.0.1";
+  Request.Port = Acceptor.local_endpoint().port();
+  Request.Method = "GET";
+  Request.Target = "/";
+  Request.Availability = Availability;
+  const std::shared_ptr<FailureListener> Listener =
+      std::make_shared<FailureListener>();
+  startExchange(makeHttpConnectionPool(Io), Request, Listener);
+  Availability->withdraw();
+  Io.run_for(5s);
+  CHECK(Listener->How == HttpFailure::Withdrawn);
+  Tcp::socket Accepted = Acceptor.accept();
+  std::string Received;
+  boost::system::error_code End;
+  boost::asio::read(Accepted, boost::asio::dynamic_buffer(Received), End);
+  CHECK(Received.empty());
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -421,6 +421,28 @@
   CHECK(Fixture.Engine.counters().Retries == 0);
 }
 
+// Guards against late requests at an upstream that left while the connection
+// for a call was opened.
+TEST_CASE("A call that is not sent yet moves when its upstream is removed",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.request("/post/x");
+  REQUIRE(Fixture.Calls.size() == 1);
+  const UpstreamCall First = Fixture.Calls[0];
+  CHECK_FALSE(First.Availability->withdrawn());
+  std::vector<UpstreamEntry> Left = RelayFixture::entries(0ms);
+  std::erase_if(Left, [&](const UpstreamEntry &Entry) {
+    return Entry.Name == First.Upstream;
+  });
+  Fixture.Engine.setUsable(Left, Fixture.Now);
+  CHECK(First.Availability->withdrawn());
+  Fixture.fail(UpstreamFailure::Withdrawn);
+  REQUIRE(Fixture.Calls.size() == 2);
+  CHECK(Fixture.Calls[1].Upstream != First.Upstream);
+  CHECK_FALSE(Fixture.Calls[1].Availability->withdrawn());
+  CHECK(Fixture.Answers.empty());
+}
+
 /// \brief Presence that the test controls.
 class ManualPresence : public CallerPresence {
 public:
