Return the memory of large bodies to the system when it is freed

After forty endless answers at once, an instance with 100 MB kept the memory of their bodies; forty unread streams right after them took it to a peak of 100.8 MB in one run of InvalidAnswer, over its bound of 100 MB.

Blocks of 128 KiB and more are mapped one by one, the allocator's initial value, in place of 512 KiB.

--- a/daemons/ProcessMemory.cpp
+++ b/daemons/ProcessMemory.cpp
@@ -20,7 +20,7 @@
 constexpr int MaxArenas = 1;
 /// Larger blocks, such as long bodies, are returned to the kernel when freed.
 /// A fixed value also keeps the allocator from raising it to 32 MiB.
-constexpr int MappedBlockBytes = 512 * 1024;
+constexpr int MappedBlockBytes = 128 * 1024;
 /// Free memory at the end of the heap that is kept.
 constexpr int KeptFreeBytes = 2 * 1024 * 1024;
 
