Sound callers of CrashingRequest repeat their contents

Each sound request had a content of its own, so that none could have been quarantined: the check proved nothing. They repeat three contents now.

--- a/standins/platform/load.py
+++ b/standins/platform/load.py
@@ -10,13 +10,15 @@
 
 @dataclasses.dataclass
 class Kind:
-    """A kind of request; `body_bytes` 0 sends a GET."""
+    """A kind of request; `body_bytes` 0 sends a GET. With `contents`, requests
+    repeat so many targets."""
     prefix: str
     share: float
     body_bytes: int = 0
     deadline_ms: int = 3000
     tokens: tuple = ()
     parts: str = ""
+    contents: int = 0
 
 
 @dataclasses.dataclass
@@ -92,7 +94,9 @@
                     "X-Prompt-Prefix": kind.parts +
                     f",{self.draw.getrandbits(32):08x}:100"}
         answer = self.load.fleet.request(
-            self.machine, kind.prefix + attempt, attempt,
+            self.machine, kind.prefix + (
+                str(self.draw.randrange(kind.contents)) if kind.contents
+                else attempt), attempt,
             "POST" if kind.body_bytes else "GET",
             b"x" * kind.body_bytes if kind.body_bytes else None,
             kind.deadline_ms, self.connection, **more)
--- a/test/process/CrashingRequestTest.py
+++ b/test/process/CrashingRequestTest.py
@@ -32,7 +32,7 @@
             for _ in range(ENGINES):
                 cls.fleet.add_engine(name, handle=content.handle)
         cls.fleet.start()
-        sound = load.Load(cls.fleet, [load.Kind(f"/{name}/", 1.0)
+        sound = load.Load(cls.fleet, [load.Kind(f"/{name}/", 1.0, contents=3)
                                       for name in cls.contents], 6, 0.2, 1)
         repeated = [
             crashes.RepeatingCallers(cls.fleet, "/retried/deadly", 1, 3, 4.0),
