--- a/standins/platform/disruptions.py
+++ b/standins/platform/disruptions.py
@@ -115,6 +115,8 @@
     def start_machine(self, machine, draw):
         """Starts a machine; its settings may change meanwhile."""
         self.fleet.spawn(machine)
+        # What happens before is the matter of EarlySignalTest.
+        self.fleet.await_signal_handling(machine)
         if draw.random() < 0.5:
             time.sleep(draw.uniform(0.0, 0.05))
             self.fleet.signal(machine, signal.SIGHUP)
--- a/standins/platform/fleet.py
+++ b/standins/platform/fleet.py
@@ -250,6 +250,17 @@
         if self.exit_code(machine) is None:
             self.processes[machine].send_signal(number)
 
+    def await_signal_handling(self, machine):
+        """Waits until a process no longer ends by a reload signal."""
+        bit = 1 << (signal.SIGHUP - 1)
+        status = pathlib.Path(f"/proc/{self.processes[machine].pid}/status")
+        while self.exit_code(machine) is None:
+            masks = re.findall(r"Sig(?:Blk|Cgt|Ign):\s+(\w+)",
+                               status.read_text())
+            if any(int(mask, 16) & bit for mask in masks):
+                return
+            time.sleep(0.0005)
+
     def kill(self, machine):
         self.signal(machine, signal.SIGKILL)
         self.processes[machine].wait()
