--- a/test/BoundedRingTest.cpp
+++ b/test/BoundedRingTest.cpp
@@ -41,7 +41,7 @@
   return Resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-TEST_CASE("A ring that was never long takes little memory", "[BoundedRing]") {
+TEST_CASE("A ring that was never long takes little memory", "[RingMemory]") {
   constexpr std::size_t Capacity = 65536;
   constexpr std::size_t MaxGrowth = std::size_t{4} * 1024 * 1024;
   using Large = std::array<char, 512>;
