--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -223,7 +223,8 @@
   /// Keeps a message to a peer whose address is not known yet: the core may
   /// use a new list of members a moment before the addresses arrive here.
   void keepUnaddressed(const Outgoing &Item) {
-    const auto Now = std::chrono::steady_clock::now();
+    const std::chrono::steady_clock::time_point Now =
+        std::chrono::steady_clock::now();
     while (!Unaddressed.empty() &&
            (Unaddressed.size() >= MaxUnaddressed ||
             Now > Unaddressed.front().first + DeliveryTimeout))
@@ -232,7 +233,8 @@
   }
 
   void deliverUnaddressed() {
-    const auto Oldest = std::chrono::steady_clock::now() - DeliveryTimeout;
+    const std::chrono::steady_clock::time_point Oldest =
+        std::chrono::steady_clock::now() - DeliveryTimeout;
     for (auto &[KeptAt, Item] : std::exchange(Unaddressed, {})) {
       if (KeptAt < Oldest)
         continue;
