Start the loop of a test's upstream after its first work

DepartedCaller failed once in a run of all tests beside other load: 0 of 30 requests had reached the upstream after 20 s. The upstream's thread was started by a member initializer, before the constructor asked for the first connection; a loop without work ends at once, and nobody accepts any more. With a pause of 50 ms before that call, the case fails in the same way (0 == 30); with the thread started after it, all seven cases pass. The checks are unchanged.

--- a/test/DepartedCallerTest.cpp
+++ b/test/DepartedCallerTest.cpp
@@ -25,7 +25,11 @@
 /// \brief Answers every request on every connection and counts the requests.
 class CountingUpstream {
 public:
-  CountingUpstream() : Acceptor(Io, AnyPort) { accept(); }
+  CountingUpstream() : Acceptor(Io, AnyPort) {
+    accept();
+    // A loop without work would end at once.
+    Worker = std::thread([this] { Io.run(); });
+  }
   ~CountingUpstream() {
     Io.stop();
     Worker.join();
@@ -65,7 +69,7 @@
   Tcp::acceptor Acceptor;
   std::uint16_t Port = Acceptor.local_endpoint().port();
   std::atomic<int> Requests = 0;
-  std::thread Worker{[this] { Io.run(); }};
+  std::thread Worker;
 };
 
 /// \brief An instance in one loop that the test runs: passes each request on to
