--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -9,7 +9,9 @@
 from . import messages
 
 FIRST_REVISION = 100
+# Limits of one page of a list; a single item may exceed the second.
 PAGE_ITEMS = 500
+PAGE_BYTES = 1_000_000
 
 
 @dataclasses.dataclass
@@ -33,6 +35,7 @@
         self.leases = {}
         self.revision = FIRST_REVISION
         self.last_lease = 70000
+        self.page_items, self.page_bytes = PAGE_ITEMS, PAGE_BYTES
         self.changed = asyncio.Event()
         self.faults = {}
         self.connections = {}
@@ -188,8 +191,8 @@
             keys = sorted(k for k in self.items if
                           k.startswith(query["prefix"]) and
                           k > query.get("after", ""))
-            return 200, {"items": [self.items[k] for k in keys[:PAGE_ITEMS]],
-                         "has_more": len(keys) > PAGE_ITEMS,
+            page = self.page([self.items[key] for key in keys])
+            return 200, {"items": page, "has_more": len(keys) > len(page),
                          "store_revision": self.revision}
         if name == "kv-txn":
             return self.commit(json.loads(body))
@@ -209,6 +212,16 @@
             self.end_lease(number)
         return 200, {}
 
+    def page(self, items):
+        """Returns the items of the first page."""
+        page, size = [], 0
+        for item in items[:self.page_items]:
+            size += len(json.dumps(item))
+            if page and size > self.page_bytes:
+                break
+            page.append(item)
+        return page
+
     def commit(self, call):
         rows = call.get("expected_rev", [])
         if any(self.items.get(row["key"], {"rev": 0})["rev"] != row["rev"]
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -4,6 +4,7 @@
 #include "platform/PlatformStoreCodec.h"
 
 #include <boost/algorithm/string/replace.hpp>
+#include <boost/url.hpp>
 #include <catch2/catch.hpp>
 
 namespace bronzeward::platform {
@@ -201,6 +202,40 @@
                       R"([{"key":"k","value":"dg==","lease":7}],"remove":[]})");
 }
 
+/// \returns the value of a query's parameter.
+/// \param SpaceAsPlus whether '+' is read as a blank, as form decoders do.
+std::string parameterOf(const std::string &Target, const char *Name,
+                        bool SpaceAsPlus) {
+  const boost::urls::url_view View =
+      boost::urls::parse_origin_form(Target).value();
+  const boost::urls::encoding_opts Options(SpaceAsPlus);
+  return (*View.params(Options).find(Name)).value;
+}
+
+// Guards against a page that begins with the entry that ended the page before:
+// a store read "servers/a+b" as "servers/a b".
+TEST_CASE("Keys in queries are read alike by all decoders", "[PlatformCodec]") {
+  const PlatformStoreCodec Codec;
+  std::string AllBytes;
+  for (int Byte = 0; Byte < 256; ++Byte)
+    AllBytes += static_cast<char>(Byte);
+  for (const std::string &Key :
+       {std::string("servers/a+b"), std::string("+"), std::string("a b"),
+        std::string("a&after=z"), std::string("a#b"), std::string("a%zz"),
+        std::string("a%2Bb"), AllBytes}) {
+    INFO(Key);
+    const auto Check = [&](const StoreCall &Call, const char *Name) {
+      const std::string Target = Codec.encode(Call).value().Target;
+      CHECK(parameterOf(Target, Name, false) == Key);
+      CHECK(parameterOf(Target, Name, true) == Key);
+    };
+    Check(ReadKey{Key}, "key");
+    Check(ListKeys{Key, ""}, "prefix");
+    Check(ListKeys{"servers/", Key}, "after");
+    Check(WatchKeys{Key, 1, 1ms}, "prefix");
+  }
+}
+
 TEST_CASE("A store reply shows whether its call took effect",
           "[PlatformCodec]") {
   const PlatformStoreCodec Codec;
--- /dev/null
+++ b/test/process/OddEntryRestartTest.py
@@ -0,0 +1,82 @@
+"""Instances that start while the registry of engines holds an entry of another
+writer: the entry names no engine, and the others are used."""
+import pathlib
+import sys
+import time
+import unittest
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
+from standins.platform import fleet  # noqa: E402
+from standins.platform import other_writer  # noqa: E402
+
+MACHINES = 3
+ENGINES = 4
+REQUESTS = 12
+# The platform's limit on reads of all machines, and on the time until a
+# machine serves after a restart.
+READS_PER_S = 2000
+RECOVER_S = 12
+# A value that fills a page of its own.
+LARGE = 1_000_000
+
+
+class OddEntryRestart(unittest.TestCase):
+    def setUp(self):
+        self.fleet = fleet.Fleet(machines=MACHINES)
+        self.addCleanup(self.fleet.stop)
+        self.writer = other_writer.OtherWriter(self.fleet)
+        self.fleet.configure([fleet.route("/look/", "desk")],
+                             [fleet.service("desk")])
+        for _ in range(ENGINES):
+            self.fleet.add_engine("desk", work_s=0.005)
+        self.sent = 0
+
+    def restart_all(self):
+        for machine in range(MACHINES):
+            if self.fleet.processes[machine] is not None:
+                self.fleet.kill(machine)
+        for machine in range(MACHINES):
+            self.fleet.spawn(machine)
+        for machine in range(MACHINES):
+            self.fleet.await_ready(machine, RECOVER_S)
+
+    def statuses(self):
+        found = []
+        for number in range(REQUESTS):
+            self.sent += 1
+            found.append(self.fleet.request(
+                number % MACHINES, f"/look/{self.sent}",
+                f"odd{self.sent}").status)
+        return found
+
+    def check_restart(self):
+        """Checks that all instances serve after a restart, with all engines
+        and within the store's limit on reads."""
+        began, calls = time.monotonic(), len(self.fleet.store.calls)
+        self.restart_all()
+        self.assertEqual(self.statuses(), [200] * REQUESTS)
+        took = time.monotonic() - began
+        reads = [call for _, _, call in self.fleet.store.calls[calls:]
+                 if call in ("kv-key", "kv-range")]
+        self.assertLess(len(reads) / took, READS_PER_S)
+
+    def check_names(self, length):
+        for name in other_writer.NAMES:
+            with self.subTest(name=name):
+                self.writer.write(name, length)
+                try:
+                    self.check_restart()
+                finally:
+                    self.writer.remove(name)
+
+    def test_pages_of_one_entry(self):
+        self.fleet.store.page_items = 1
+        self.check_names(length=3)
+
+    def test_entries_that_fill_a_page(self):
+        self.check_names(length=LARGE)
+
+
+if __name__ == "__main__":
+    unittest.main()
