Read on after a page of items that cannot be read

Callers saw: with an item that cannot be read on a page of its own, requests were refused 503 no-upstream, after a restart as well as in running instances that listed again: the engines of all later pages were taken for gone.

Cause: HttpStore took the key of the last entry for the next page's beginning. A page whose items were all skipped has none, so the list ended there as if it were whole.

Change: the codec reports the key of a page's last item whether or not the item itself can be read, also for bytes that are not UTF-8. PagedList, taken out of HttpStore, continues after that key.

Evidence: OddEntryRestart with six kinds of such items on a page of one, after a restart and after a lost history.

--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -6,9 +6,6 @@
 
 /// Maximum number of calls that wait for the store's thread.
 constexpr std::size_t RingCapacity = 4096;
-/// Number of entries at which no further page of a list is read; a longer list
-/// is a fault of the store.
-constexpr std::size_t MaxListEntries = 100'000;
 /// Maximum time for a connection to open. TCP sends a lost first packet again
 /// only after a second; giving up sooner reaches a store that was cut off
 /// sooner.
@@ -97,24 +94,13 @@
     Handler(Item.Id, std::move(Reply));
     return;
   }
-  StoreReply &AllPages = Item.SoFar;
-  // A watch from the revision of the first page also reports changes that were
-  // made between two pages.
-  if (List->After.empty())
-    AllPages.Revision = Reply.Revision;
-  AllPages.Status = StoreStatus::Ok;
-  if (!Reply.Problem.empty())
-    AllPages.Problem = std::move(Reply.Problem);
-  const bool More = Reply.More && !Reply.Entries.empty() &&
-                    AllPages.Entries.size() < MaxListEntries;
-  if (More)
-    List->After = Reply.Entries.back().Key;
-  for (StoreEntry &Entry : Reply.Entries)
-    AllPages.Entries.push_back(std::move(Entry));
-  if (More)
-    exchange(std::move(Item));
-  else
-    Handler(Item.Id, std::move(AllPages));
+  std::optional<std::string> After = Item.Pages.add(std::move(Reply));
+  if (!After) {
+    Handler(Item.Id, Item.Pages.take());
+    return;
+  }
+  List->After = std::move(*After);
+  exchange(std::move(Item));
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Net/HttpStore.h
+++ b/bronzeward/src/Net/HttpStore.h
@@ -51,8 +51,8 @@
   struct Outgoing {
     StoreCallId Id;
     StoreCall Call;
-    /// Entries of the pages read so far.
-    StoreReply SoFar;
+    /// Pages of a list that were read so far.
+    PagedList Pages;
   };
 
   void exchange(Outgoing Item);
--- a/bronzeward/src/Store/StorePort.h
+++ b/bronzeward/src/Store/StorePort.h
@@ -106,6 +106,9 @@
   std::uint64_t Revision = 0;
   /// Whether a list has a further page.
   bool More = false;
+  /// Key of the last item of a list's page, after which the next page begins.
+  /// Also set if that item was skipped because it could not be read.
+  std::string LastKey;
   /// Whether a watch failed because the store no longer has the changes after
   /// its revision.
   bool HistoryLost = false;
--- a/standins/platform/engine.py
+++ b/standins/platform/engine.py
@@ -183,3 +183,11 @@
         event = f"id: {number}\ndata: three tokens\n\n".encode()
         writer.write(b"%x\r\n%s\r\n" % (len(event), event))
         await writer.drain()
+
+
+class SteadyEngine(Engine):
+    """An engine whose heartbeats leave its entry as it is, so that watches
+    report it only once."""
+
+    async def heartbeats(self):
+        pass
--- a/test/OddEntriesTest.cpp
+++ b/test/OddEntriesTest.cpp
@@ -95,6 +95,39 @@
   }
 }
 
+/// \returns the key after which a list's next page begins.
+std::string lastKey(const std::string &Items) {
+  return PlatformStoreCodec()
+      .parse(ListKeys{"servers/", ""}, 200, replyBody("items", Items))
+      .LastKey;
+}
+
+// Guards against a list that ends at a page of such items, so that the entries
+// of all later pages are taken for gone.
+TEST_CASE("An item that cannot be read has its place in the list",
+          "[OddEntries]") {
+  const std::string Sound = item("servers/a", SoundValue, 2);
+  for (const char *Odd :
+       {R"({"key":"servers/o","value":"dg=="})",
+        R"({"key":"servers/o","value":7,"rev":4})",
+        R"({"key":"servers/o","value":"%%%%","rev":4})",
+        "{\"key\":\"servers/o\",\"value\":\"\xff\",\"rev\":4}"}) {
+    INFO(Odd);
+    CHECK(lastKey(Odd) == "servers/o");
+    CHECK(lastKey(Sound + "," + Odd) == "servers/o");
+    CHECK(lastKey(Odd + ("," + Sound)) == "servers/a");
+  }
+  CHECK(lastKey("{\"key\":\"servers/\xff\",\"value\":\"dg==\",\"rev\":4}") ==
+        "servers/\xff");
+  CHECK(lastKey(R"({"key":"servers/a\u0000b","rev":4})") ==
+        std::string("servers/a\0b", 11));
+  for (const char *Keyless : {"7", "{}", R"({"key":7,"rev":4})",
+                              R"({"key":"servers/\ud800","rev":4})"}) {
+    CHECK(lastKey(Keyless).empty());
+    CHECK(lastKey(Sound + "," + Keyless) == "servers/a");
+  }
+}
+
 // A record that was taken for an empty one would be written anew.
 TEST_CASE("A key whose value cannot be decoded has no known value",
           "[OddEntries]") {
--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2]))
 from standins.platform import fleet  # noqa: E402
 from standins.platform import other_writer  # noqa: E402
+from standins.platform.engine import SteadyEngine  # noqa: E402
 
 MACHINES = 3
 ENGINES = 4
@@ -17,6 +18,8 @@
 # machine serves after a restart.
 READS_PER_S = 2000
 RECOVER_S = 12
+# Time in which a running instance lists again after its watch failed.
+LIST_AGAIN_S = 1.5
 # A value that fills a page of its own.
 LARGE = 1_000_000
 
@@ -29,7 +32,7 @@
         self.fleet.configure([fleet.route("/look/", "desk")],
                              [fleet.service("desk")])
         for _ in range(ENGINES):
-            self.fleet.add_engine("desk", work_s=0.005)
+            self.fleet.add_engine("desk", kind=SteadyEngine, work_s=0.005)
         self.sent = 0
 
     def restart_all(self):
@@ -50,23 +53,30 @@
                 f"odd{self.sent}").status)
         return found
 
-    def check_restart(self):
-        """Checks that all instances serve after a restart, with all engines
-        and within the store's limit on reads."""
+    def check(self, step):
+        """Checks that after a step all instances serve, and read from the
+        store within its limit meanwhile."""
         began, calls = time.monotonic(), len(self.fleet.store.calls)
-        self.restart_all()
+        step()
         self.assertEqual(self.statuses(), [200] * REQUESTS)
         took = time.monotonic() - began
         reads = [call for _, _, call in self.fleet.store.calls[calls:]
                  if call in ("kv-key", "kv-range")]
         self.assertLess(len(reads) / took, READS_PER_S)
 
+    def list_again(self):
+        """Makes the watches fail, so that running instances list again."""
+        self.fleet.do(self.fleet.store.forget_history)
+        self.fleet.store_fault_for_all("reset")
+        self.fleet.store_fault_for_all("")
+        time.sleep(LIST_AGAIN_S)
+
     def check_names(self, length):
         for name in other_writer.NAMES:
             with self.subTest(name=name):
                 self.writer.write(name, length)
                 try:
-                    self.check_restart()
+                    self.check(self.restart_all)
                 finally:
                     self.writer.remove(name)
 
@@ -77,6 +87,14 @@
     def test_entries_that_fill_a_page(self):
         self.check_names(length=LARGE)
 
+    def test_pages_of_unreadable_items(self):
+        self.fleet.store.page_items = 1
+        for fields in other_writer.ITEMS:
+            with self.subTest(fields=fields):
+                self.writer.write_item("a", fields)
+                self.check(self.restart_all)
+                self.check(self.list_again)
+
 
 if __name__ == "__main__":
     unittest.main()
