End a list that does not advance, and keep what it does not show

Callers saw: nothing of a list that repeats a page arrived, so requests were refused 503 no-upstream; the store got thousands of calls a second for the same page, beyond its limit on reads. A list that was cut short counted as whole, so the engines that it lacked were taken for gone.

Cause: HttpStore asked for the next page without a check that the list advances, and a list that ended early, also at the maximum number of entries, was passed on like a complete one.

Change: PagedList truncates a list at a page that names no new key to continue from, with a line in the log. Followers apply a truncated list as changes, watch on, and list again after 4 s; the list of instances keeps the members that a truncated list lacks.

Evidence: OddEntryRestart with a store that begins a page with the entry it was to follow, pages of one. After: all requests answered 200, running instances use all four engines, restarted ones the two that were listed, then all once the store is sound; removals are noticed meanwhile. PagedList and StoreFollower pass.

--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -264,6 +264,12 @@
     Owner.onEvacuationsChanged("store", Now);
 }
 
+void FleetCore::OperatorListener::onListedInPart(
+    const std::vector<StoreEntry> &Entries, TimePoint Now) {
+  for (const StoreEntry &Entry : Entries)
+    onChanged(Entry, Now);
+}
+
 void FleetCore::OperatorListener::onChanged(const StoreEntry &Entry,
                                             TimePoint Now) {
   Owner.applyConfiguration({Entry}, Now);
@@ -413,15 +419,29 @@
   Owner.sendFollowerDigests();
 }
 
+void FleetCore::UpstreamListener::onListedInPart(
+    const std::vector<StoreEntry> &Entries, TimePoint Now) {
+  const RegistryNews News{"store list", false, Owner.upstreamsConfirmedAt(),
+                          false, Owner.storeRecoveredAt()};
+  for (const StoreEntry &Entry : Entries)
+    Owner.applyUpstreamChange(Entry, News, Now);
+  Owner.updateUsableUpstreams(Now);
+}
+
 void FleetCore::UpstreamListener::onChanged(const StoreEntry &Entry,
                                             TimePoint Now) {
   const RegistryNews News{"store watch", false, Owner.upstreamsConfirmedAt(),
                           true, Owner.storeRecoveredAt()};
-  Owner.queueChange(Owner.Upstreams.onChanged(Entry, News, Now), Now);
-  Owner.Upstreams.onCaughtUp(Entry.Revision);
+  Owner.applyUpstreamChange(Entry, News, Now);
   Owner.updateUsableUpstreams(Now);
 }
 
+void FleetCore::applyUpstreamChange(const StoreEntry &Entry,
+                                    const RegistryNews &News, TimePoint Now) {
+  queueChange(Upstreams.onChanged(Entry, News, Now), Now);
+  Upstreams.onCaughtUp(Entry.Revision);
+}
+
 std::optional<TimePoint> FleetCore::storeRecoveredAt() const {
   return std::max(UpstreamKeys.recoveredAt(), Election.recoveredAt());
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -114,6 +114,8 @@
     explicit OperatorListener(FleetCore &Core) : Owner(Core) {}
     void onListed(const std::vector<StoreEntry> &Entries,
                   std::uint64_t Revision, TimePoint Now) override;
+    void onListedInPart(const std::vector<StoreEntry> &Entries,
+                        TimePoint Now) override;
     void onChanged(const StoreEntry &Entry, TimePoint Now) override;
 
   private:
@@ -125,6 +127,8 @@
     explicit UpstreamListener(FleetCore &Core) : Owner(Core) {}
     void onListed(const std::vector<StoreEntry> &Entries,
                   std::uint64_t Revision, TimePoint Now) override;
+    void onListedInPart(const std::vector<StoreEntry> &Entries,
+                        TimePoint Now) override;
     void onChanged(const StoreEntry &Entry, TimePoint Now) override;
 
   private:
@@ -161,6 +165,9 @@
   /// Sends a digest to the instances that rely on this one as their watcher.
   void sendFollowerDigests();
   /// Adds a change to the next batch for peers that do not watch the store.
+  /// Applies a change that the store reported, and passes it on to followers.
+  void applyUpstreamChange(const StoreEntry &Entry, const RegistryNews &News,
+                           TimePoint Now);
   void queueChange(const StoreEntry &Entry, TimePoint Now);
   /// Sends the batch of changes.
   void sendChanges(TimePoint Now);
--- a/bronzeward/src/Router/InstanceRegistry.cpp
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -156,7 +156,7 @@
 void InstanceRegistry::list(TimePoint Now) {
   readList(true, Now);
   Timers.schedule(
-      Now + (HasIncarnation ? listPeriod(MemberCount) : MaxRetryDelay),
+      Now + (HasIncarnation ? listPeriod(Listed.size()) : MaxRetryDelay),
       [this](TimePoint Due) { list(Due); });
 }
 
@@ -164,19 +164,23 @@
   Store.call(ListKeys{InstancePrefix, "", MayBeStale}, Now,
              [this](const StoreReply &Reply, TimePoint At) {
                if (Reply.Status == StoreStatus::Ok)
-                 applyList(Reply.Entries, At);
+                 applyList(Reply, At);
              });
 }
 
-void InstanceRegistry::applyList(const std::vector<StoreEntry> &Entries,
-                                 TimePoint Now) {
-  std::vector<Member> Members;
-  for (const StoreEntry &Entry : Entries) {
+void InstanceRegistry::applyList(const StoreReply &Reply, TimePoint Now) {
+  std::map<InstanceId, Member> Latest;
+  for (const StoreEntry &Entry : Reply.Entries) {
     Result<Member> Item = parseMember(Entry);
     if (Item)
-      Members.push_back(std::move(Item).value());
+      Latest[Item.value().Identity.Instance] = std::move(Item).value();
   }
-  MemberCount = Members.size();
+  if (Reply.Truncated)
+    Latest.merge(Listed);
+  Listed = std::move(Latest);
+  std::vector<Member> Members;
+  for (const auto &[Name, Item] : Listed)
+    Members.push_back(Item);
   ListedCallback(std::move(Members), Now);
 }
 
--- a/bronzeward/src/Router/InstanceRegistry.h
+++ b/bronzeward/src/Router/InstanceRegistry.h
@@ -4,6 +4,7 @@
 #include "bronzeward/Store"
 
 #include <functional>
+#include <map>
 #include <vector>
 
 namespace bronzeward {
@@ -53,7 +54,7 @@
   void onWritten(TimePoint Now);
   void list(TimePoint Now);
   void readList(bool MayBeStale, TimePoint Now);
-  void applyList(const std::vector<StoreEntry> &Entries, TimePoint Now);
+  void applyList(const StoreReply &Reply, TimePoint Now);
   void retry(TimePoint Now);
   [[nodiscard]] std::string ownKey() const;
 
@@ -66,7 +67,9 @@
   StoreLeaseId Lease;
   /// Revision of the entry that this incarnation wrote; zero before.
   std::uint64_t OwnRevision = 0;
-  std::size_t MemberCount = 0;
+  /// Members as of the latest list; those that are missing from a truncated
+  /// list are kept.
+  std::map<InstanceId, Member> Listed;
   /// Whether the incarnation is known.
   bool HasIncarnation = false;
   bool Removed = false;
--- a/bronzeward/src/Store/PagedList.cpp
+++ b/bronzeward/src/Store/PagedList.cpp
@@ -18,10 +18,22 @@
   Joined.Entries.insert(Joined.Entries.end(),
                         std::make_move_iterator(Page.Entries.begin()),
                         std::make_move_iterator(Page.Entries.end()));
-  if (!Page.More || Page.LastKey.empty() ||
-      Joined.Entries.size() >= MaxListEntries)
+  if (!Page.More)
     return std::nullopt;
+  if (Joined.Entries.size() >= MaxListEntries) {
+    truncate("more than " + std::to_string(MaxListEntries) + " entries");
+    return std::nullopt;
+  }
+  if (Page.LastKey.empty() || !Continued.insert(Page.LastKey).second) {
+    truncate("no page after key " + Page.LastKey);
+    return std::nullopt;
+  }
   return std::move(Page.LastKey);
 }
 
+void PagedList::truncate(const std::string &Reason) {
+  Joined.Truncated = true;
+  Joined.Problem = "list truncated: " + Reason;
+}
+
 } // namespace bronzeward
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -10,6 +10,8 @@
 /// Time after the end of a watch's wait, beyond that of the latest list, from
 /// which its reply counts as lost.
 constexpr Duration MaxReplyDelay = 300ms;
+/// Time after which a truncated list is read again.
+constexpr Duration RelistDelay = 4s;
 
 StoreFollower::StoreFollower(std::string KeyPrefix,
                              std::chrono::milliseconds Wait,
@@ -40,14 +42,26 @@
                  return;
                }
                ListTook = At - Now;
-               recordReply(At);
-               Revision = std::max(Revision, Reply.Revision);
-               Listener.onListed(Reply.Entries, Reply.Revision, At);
-               LastReplyAt = At;
+               onListed(Reply, At);
                watch(At);
              });
 }
 
+void StoreFollower::onListed(const StoreReply &Reply, TimePoint Now) {
+  recordReply(Now);
+  Revision = std::max(Revision, Reply.Revision);
+  if (Reply.Truncated) {
+    RelistAt = Now + RelistDelay;
+    std::vector<StoreEntry> Sorted = Reply.Entries;
+    std::ranges::sort(Sorted, {}, &StoreEntry::Revision);
+    Listener.onListedInPart(Sorted, Now);
+  } else {
+    RelistAt.reset();
+    Listener.onListed(Reply.Entries, Reply.Revision, Now);
+  }
+  LastReplyAt = Now;
+}
+
 void StoreFollower::watch(TimePoint Now) {
   if (!mayCall())
     return;
@@ -100,7 +114,10 @@
     Listener.onChanged(Entry, Now);
   Revision = std::max(Revision, Reply.Revision);
   LastReplyAt = Now;
-  watch(Now);
+  if (RelistAt && Now >= *RelistAt)
+    list(Now);
+  else
+    watch(Now);
 }
 
 void StoreFollower::retry(TimePoint Now) {
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -15,6 +15,11 @@
   /// \brief Called with every key under the prefix, as of a revision.
   virtual void onListed(const std::vector<StoreEntry> &Entries,
                         std::uint64_t Revision, TimePoint Now) = 0;
+  /// \brief Called instead where the list could not be read to its end: keys
+  /// that are missing may exist.
+  /// \param Entries in the order of their revisions.
+  virtual void onListedInPart(const std::vector<StoreEntry> &Entries,
+                              TimePoint Now) = 0;
   /// \brief Called when one key was changed or deleted.
   virtual void onChanged(const StoreEntry &Entry, TimePoint Now) = 0;
 };
@@ -24,7 +29,8 @@
 ///
 /// Lists again after a gap in the history, a failed call or a watch without a
 /// reply in time, since a connection may stall without an error. Contact counts
-/// as lost when a list fails.
+/// as lost when a list fails. A truncated list is watched like a whole one, and
+/// read again after some time.
 class StoreFollower {
 public:
   /// \param Wait longest wait of one watch; it limits how long a stalled
@@ -61,6 +67,7 @@
   /// \returns whether a call may be made; if not, \ref resume makes it.
   [[nodiscard]] bool mayCall();
   void list(TimePoint Now);
+  void onListed(const StoreReply &Reply, TimePoint Now);
   void watch(TimePoint Now);
   /// Ends the wait for the reply of the latest watch.
   void endWatch();
@@ -82,6 +89,8 @@
   std::uint64_t LastWatch = 0;
   /// Number of the watch whose reply is awaited.
   std::optional<std::uint64_t> PendingWatch;
+  /// Time from which a truncated list is read again.
+  std::optional<TimePoint> RelistAt;
   /// Whether the latest watch failed.
   bool WatchFailed = false;
   /// Time until the reply to the latest list that succeeded.
--- a/bronzeward/src/Store/StorePort.h
+++ b/bronzeward/src/Store/StorePort.h
@@ -109,6 +109,9 @@
   /// Key of the last item of a list's page, after which the next page begins.
   /// Also set if that item was skipped because it could not be read.
   std::string LastKey;
+  /// Whether a list could not be read to its end; keys that are missing from
+  /// it may exist.
+  bool Truncated = false;
   /// Whether a watch failed because the store no longer has the changes after
   /// its revision.
   bool HistoryLost = false;
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -36,6 +36,8 @@
         self.revision = FIRST_REVISION
         self.last_lease = 70000
         self.page_items, self.page_bytes = PAGE_ITEMS, PAGE_BYTES
+        # A key after which the next page begins with that key again.
+        self.repeated_key = None
         self.changed = asyncio.Event()
         self.faults = {}
         self.connections = {}
@@ -188,9 +190,10 @@
             found = {"store_revision": self.revision}
             return (200, {**item, **found}) if item else (404, found)
         if name == "kv-range":
+            after = query.get("after", "")
             keys = sorted(k for k in self.items if
                           k.startswith(query["prefix"]) and
-                          k > query.get("after", ""))
+                          (k > after or k == after == self.repeated_key))
             page = self.page([self.items[key] for key in keys])
             return 200, {"items": page, "has_more": len(keys) > len(page),
                          "store_revision": self.revision}
--- a/test/PagedListTest.cpp
+++ b/test/PagedListTest.cpp
@@ -48,5 +48,45 @@
   CHECK(All.Problem == "item skipped");
 }
 
+// Load pattern: a store that reads the key to continue from as another one.
+TEST_CASE("A list that does not advance is truncated", "[PagedList]") {
+  PagedList List;
+  CHECK(List.add(page({"a", "b"}, 7, true)) == "b");
+  CHECK_FALSE(List.add(page({"b"}, 7, true)));
+  const StoreReply All = List.take();
+  CHECK(All.Status == StoreStatus::Ok);
+  CHECK(All.Truncated);
+  CHECK_FALSE(All.Problem.empty());
+  CHECK(keysOf(All).front() == "a");
+}
+
+TEST_CASE("A list that repeats several pages is truncated", "[PagedList]") {
+  PagedList List;
+  CHECK(List.add(page({"a"}, 7, true)) == "a");
+  CHECK(List.add(page({"b"}, 7, true)) == "b");
+  CHECK_FALSE(List.add(page({"a"}, 7, true)));
+  CHECK(List.take().Truncated);
+}
+
+TEST_CASE("A list is truncated at a page without a key that can be read",
+          "[PagedList]") {
+  PagedList List;
+  CHECK(List.add(page({"a"}, 7, true)) == "a");
+  CHECK_FALSE(List.add(page({}, 7, true)));
+  CHECK(List.take().Truncated);
+}
+
+TEST_CASE("A list of too many entries is truncated", "[PagedList]") {
+  PagedList List;
+  std::vector<std::string> Keys(100'000);
+  Keys.back() = "last";
+  CHECK_FALSE(List.add(page(Keys, 7, true)));
+  CHECK(List.take().Truncated);
+  // A list that ends just there is whole.
+  PagedList Whole;
+  CHECK_FALSE(Whole.add(page(Keys, 7, false)));
+  CHECK_FALSE(Whole.take().Truncated);
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -18,6 +18,8 @@
   MAKE_MOCK3(onListed,
              void(const std::vector<StoreEntry> &, std::uint64_t, TimePoint),
              override);
+  MAKE_MOCK2(onListedInPart, void(const std::vector<StoreEntry> &, TimePoint),
+             override);
   MAKE_MOCK2(onChanged, void(const StoreEntry &, TimePoint), override);
 };
 
@@ -86,6 +88,36 @@
   CHECK(Fixture.Keys.inContact());
 }
 
+// Guards against keys that are taken for deleted since a list ended early.
+TEST_CASE("A truncated list is watched, and read again after some time",
+          "[StoreFollower]") {
+  FollowerFixture Fixture;
+  std::vector<std::string> Applied;
+  ALLOW_CALL(Fixture.Listener, onListedInPart(_, _))
+      .LR_SIDE_EFFECT(for (const StoreEntry &Entry
+                           : _1) Applied.push_back(Entry.Key));
+  StoreReply Part = ok(7);
+  Part.Truncated = true;
+  Part.Entries = {{"a/x", "v", 6, false}, {"a/y", "v", 3, false}};
+  Fixture.answer(Part);
+  CHECK(Applied == std::vector<std::string>{"a/y", "a/x"});
+  CHECK(Fixture.Keys.inContact());
+  int Watches = 0;
+  while (Fixture.lastIs<WatchKeys>()) {
+    REQUIRE(++Watches < 20);
+    Fixture.wait(1s);
+    Fixture.answer(ok(8));
+  }
+  CHECK(Watches > 1);
+  REQUIRE_CALL(Fixture.Listener, onListed(_, 9U, _));
+  Fixture.answer(ok(9));
+  for (Watches = 0; Watches < 20; ++Watches) {
+    REQUIRE(Fixture.lastIs<WatchKeys>());
+    Fixture.wait(1s);
+    Fixture.answer(ok(9));
+  }
+}
+
 // Guards against late requests at an upstream that leaves: the reply of one
 // watch was lost, and its timeout passed before the keys were read again.
 TEST_CASE("Keys are listed again soon after a watch without a reply",
--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -20,6 +20,8 @@
 RECOVER_S = 12
 # Time in which a running instance lists again after its watch failed.
 LIST_AGAIN_S = 1.5
+# Time in which an incomplete list is read again.
+RELIST_S = 6
 # A value that fills a page of its own.
 LARGE = 1_000_000
 
@@ -87,6 +89,34 @@
     def test_entries_that_fill_a_page(self):
         self.check_names(length=LARGE)
 
+    def serving_engines(self):
+        """Returns the names of the engines that get requests now."""
+        before = len(self.fleet.arrivals())
+        for _ in range(4):
+            self.assertEqual(self.statuses(), [200] * REQUESTS)
+        return {item.engine for item in self.fleet.arrivals()[before:]}
+
+    def test_list_that_does_not_advance(self):
+        everyone = {engine.id for engine in self.fleet.engines}
+        listed = set(sorted(everyone)[:2])
+        self.restart_all()
+        self.fleet.store.page_items = 1
+        self.fleet.store.repeated_key = "servers/" + max(listed)
+        self.check(self.list_again)
+        self.assertEqual(self.serving_engines(), everyone)
+        self.check(self.restart_all)
+        self.assertEqual(self.serving_engines(), listed)
+        # Entries that are removed or written meanwhile are noticed.
+        gone = min(self.fleet.engines, key=lambda engine: engine.id)
+        self.fleet.do(gone.leave)
+        self.fleet.do(self.fleet.engines[-1].announce)
+        time.sleep(LIST_AGAIN_S)
+        self.assertEqual(self.serving_engines(),
+                         listed - {gone.id} | {self.fleet.engines[-1].id})
+        self.fleet.store.repeated_key = None
+        time.sleep(RELIST_S)
+        self.assertEqual(self.serving_engines(), everyone - {gone.id})
+
     def test_pages_of_unreadable_items(self):
         self.fleet.store.page_items = 1
         for fields in other_writer.ITEMS:
