Test odd entries beside those of the operator and the instances

Entries of another writer under op/ and bronzeward/instances/, on pages of their own, before and after the keys that are used.

--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -117,6 +117,16 @@
         time.sleep(RELIST_S)
         self.assertEqual(self.serving_engines(), everyone - {gone.id})
 
+    def test_entries_beside_those_of_operator_and_instances(self):
+        self.fleet.store.page_items = 1
+        for prefix in ("op/", "bronzeward/instances/"):
+            with self.subTest(prefix=prefix):
+                self.writer.write("a+b", LARGE, prefix)
+                self.writer.write("z+z", LARGE, prefix)
+                self.writer.write_item("c", {"value": 7}, prefix)
+                self.check(self.restart_all)
+                self.check(self.list_again)
+
     def test_pages_of_unreadable_items(self):
         self.fleet.store.page_items = 1
         for fields in other_writer.ITEMS:
