Give each page of a list its own deadline

Callers saw: with a store that answers slowly, and a list of several pages, no instance was ready after a restart, and requests were refused 503 no-upstream; entries that fill pages of their own made the list that long.

Cause: the timeout of a list ran from its first call to its last page, unless a page was longer than 64 KiB. Five pages of 0.4 s exceed 0.9 s every time, so the list failed for ever.

Change: HttpStore reports each page as progress, and StoreClient restarts both the timeout and the deadline then. Bytes of one page still extend the timeout up to the deadline only.

Evidence: OddEntryRestart, five pages of one entry, every reply of the store 0.4 s late.

--- a/bronzeward/src/Net/CoreThread.cpp
+++ b/bronzeward/src/Net/CoreThread.cpp
@@ -43,7 +43,7 @@
   else if (const auto *Replied = std::get_if<StoreReplied>(&Event))
     Core->onStoreReply(Replied->Id, Replied->Reply, Now);
   else if (const auto *Progressed = std::get_if<StoreProgressed>(&Event))
-    Core->onStoreProgress(Progressed->Id, Now);
+    Core->onStoreProgress(Progressed->Id, Progressed->Arrived, Now);
   else if (const auto *Received = std::get_if<PeerReceived>(&Event))
     Core->onPeerMessage(Received->From, Received->Message, Now);
   else if (const auto *Lost = std::get_if<PeerLost>(&Event))
--- a/bronzeward/src/Net/CoreThread.h
+++ b/bronzeward/src/Net/CoreThread.h
@@ -26,6 +26,7 @@
 };
 struct StoreProgressed {
   StoreCallId Id;
+  StoreProgress Arrived;
 };
 struct PeerReceived {
   InstanceId From;
--- a/bronzeward/src/Net/HttpStore.cpp
+++ b/bronzeward/src/Net/HttpStore.cpp
@@ -29,7 +29,7 @@
     if (Body.size() < NotifiedLength + ProgressBytes)
       return;
     NotifiedLength = Body.size();
-    Owner.Progress(Item.Id);
+    Owner.Progress(Item.Id, StoreProgress::Bytes);
   }
   void onEnd() override {
     StoreReply Reply = Owner.Codec.parse(Item.Call, Status, Body);
@@ -99,6 +99,7 @@
     Handler(Item.Id, Item.Pages.take());
     return;
   }
+  Progress(Item.Id, StoreProgress::Page);
   List->After = std::move(*After);
   exchange(std::move(Item));
 }
--- a/bronzeward/src/Net/HttpStore.h
+++ b/bronzeward/src/Net/HttpStore.h
@@ -26,12 +26,12 @@
 class HttpStore : public StorePort {
 public:
   using ReplyHandler = std::function<void(StoreCallId, StoreReply)>;
-  using ProgressHandler = std::function<void(StoreCallId)>;
+  using ProgressHandler = std::function<void(StoreCallId, StoreProgress)>;
 
   /// \param Shared loop to run in; null to start a thread.
   /// \param OnReply called in the store's thread when a call has ended.
-  /// \param OnProgress called in the store's thread when a part of a long reply
-  /// has arrived.
+  /// \param OnProgress called in the store's thread when a part of a long
+  /// reply, or a page of a list before the last one, has arrived.
   HttpStore(boost::asio::io_context *Shared, HttpStoreEndpoint Address,
             const StoreCodec &Format, ReplyHandler OnReply,
             ProgressHandler OnProgress);
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -85,8 +85,9 @@
   void onLoadReport(const UpstreamName &, const LoadReport &, bool) override {}
   void onStoreReply(StoreCallId Id, const StoreReply &Reply,
                     TimePoint Now) override;
-  void onStoreProgress(StoreCallId Id, TimePoint Now) override {
-    Store.onProgress(Id, Now);
+  void onStoreProgress(StoreCallId Id, StoreProgress Arrived,
+                       TimePoint Now) override {
+    Store.onProgress(Id, Now, Arrived);
   }
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now) override;
--- a/bronzeward/src/Router/InstanceCore.h
+++ b/bronzeward/src/Router/InstanceCore.h
@@ -71,7 +71,8 @@
   virtual void onStoreReply(StoreCallId Id, const StoreReply &Reply,
                             TimePoint Now) = 0;
   /// \brief Called when a part of a long reply arrives.
-  virtual void onStoreProgress(StoreCallId Id, TimePoint Now) = 0;
+  virtual void onStoreProgress(StoreCallId Id, StoreProgress Arrived,
+                               TimePoint Now) = 0;
   virtual void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                              TimePoint Now) = 0;
   virtual void onPeerUnreachable(const InstanceId &Peer, TimePoint Now) = 0;
--- a/bronzeward/src/Store/StoreClient.cpp
+++ b/bronzeward/src/Store/StoreClient.cpp
@@ -4,9 +4,9 @@
 
 namespace bronzeward {
 
-/// Multiple of the call's timeout within which a whole reply has to arrive. It
-/// suffices for the longest value of a store, 1 MiB as text, over a link of
-/// 10 Mbit/s that other calls share.
+/// Multiple of the call's timeout within which a whole reply, or a page of a
+/// list, has to arrive. It suffices for the longest value of a store, 1 MiB as
+/// text, over a link of 10 Mbit/s that other calls share.
 constexpr int MaxReplyTimeouts = 4;
 
 static bool changesState(const StoreCall &Request) {
@@ -77,12 +77,15 @@
   Probing = false;
 }
 
-void StoreClient::onProgress(StoreCallId Id, TimePoint Now) {
+void StoreClient::onProgress(StoreCallId Id, TimePoint Now,
+                             StoreProgress Arrived) {
   const auto Found = InFlight.find(Id);
   if (Found == InFlight.end())
     return;
   Pending &Entry = Found->second;
   Entry.ReplyBegun = true;
+  if (Arrived == StoreProgress::Page)
+    Entry.Deadline = Now + MaxReplyTimeouts * Policy.CallTimeout;
   Timers.cancel(Entry.Timeout);
   Entry.Timeout =
       expireAt(Id, std::min(Now + Policy.CallTimeout, Entry.Deadline));
--- a/bronzeward/src/Store/StoreClient.h
+++ b/bronzeward/src/Store/StoreClient.h
@@ -59,7 +59,9 @@
   void onReply(StoreCallId Id, const StoreReply &Reply, TimePoint Now);
 
   /// \brief Restarts the timeout of a call when a part of its reply arrives.
-  void onProgress(StoreCallId Id, TimePoint Now);
+  /// Each page of a list has its own deadline.
+  void onProgress(StoreCallId Id, TimePoint Now,
+                  StoreProgress Arrived = StoreProgress::Bytes);
 
   /// \brief Gives up a call that changes nothing: its reply is ignored, and
   /// that it failed says nothing about the store.
@@ -83,7 +85,8 @@
   struct Pending {
     Handler Done;
     TimerQueue::Handle Timeout;
-    /// Time at which the call fails however much of its reply arrived.
+    /// Time at which the call fails however many bytes of its reply, or of the
+    /// current page of it, arrived.
     TimePoint Deadline;
     bool ReplyBegun = false;
     bool ChangesState = false;
--- a/bronzeward/src/Store/StorePort.h
+++ b/bronzeward/src/Store/StorePort.h
@@ -120,6 +120,13 @@
   std::string Problem;
 };
 
+/// \brief What has arrived of a reply that is not complete.
+enum class StoreProgress {
+  Bytes,
+  /// A whole page of a list; the call for the next one is sent.
+  Page,
+};
+
 /// \brief Sends calls to the store.
 class StorePort {
 public:
--- a/daemons/InstanceProcess.cpp
+++ b/daemons/InstanceProcess.cpp
@@ -148,7 +148,9 @@
               Log.onEvent("store-reply-unreadable", *Line);
             Core.post(StoreReplied{Id, std::move(Reply)});
           },
-          [this](StoreCallId Id) { Core.post(StoreProgressed{Id}); }),
+          [this](StoreCallId Id, StoreProgress Arrived) {
+            Core.post(StoreProgressed{Id, Arrived});
+          }),
       Peers(
           Settings.Identity.Instance,
           [this](InstanceId From, PeerMessage Message) {
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -245,6 +245,24 @@
   CHECK(Fixture.Client.failingSince() == Fixture.Now);
 }
 
+// Guards against a list of many pages that no instance can read from a slow
+// store.
+TEST_CASE("A list does not time out while its pages arrive",
+          "[StoreFollower]") {
+  FollowerFixture Fixture;
+  const StoreCallId List = Fixture.Calls.back().first;
+  for (int Page = 0; Page < 30; ++Page) {
+    Fixture.wait(900ms);
+    Fixture.Client.onProgress(List, Fixture.Now, StoreProgress::Page);
+  }
+  CHECK(Fixture.Client.failingSince() == std::nullopt);
+  for (int Part = 0; Part < 30; ++Part) {
+    Fixture.wait(500ms);
+    Fixture.Client.onProgress(List, Fixture.Now);
+  }
+  CHECK(Fixture.Client.counters().Timeouts > 0);
+}
+
 TEST_CASE("A reply that never ends times out", "[StoreFollower]") {
   FollowerFixture Fixture;
   const StoreCallId List = Fixture.Calls.back().first;
--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -127,6 +127,13 @@
                 self.check(self.restart_all)
                 self.check(self.list_again)
 
+    def test_pages_of_a_slow_store(self):
+        self.fleet.store.page_items = 1
+        self.writer.write("a+b")
+        self.restart_all()
+        self.fleet.store_fault_for_all("", delay_s=0.4)
+        self.check(self.restart_all)
+
     def test_pages_of_unreadable_items(self):
         self.fleet.store.page_items = 1
         for fields in other_writer.ITEMS:
