--- a/standins/platform/other_writer.py
+++ b/standins/platform/other_writer.py
@@ -1,4 +1,5 @@
 """Stand-in for a writer of registry entries that name no engine."""
+import json
 
 PREFIX = "servers/"
 # Names that sort before those of the engines' entries, and after them.
@@ -9,10 +10,12 @@
 # Fields of items that cannot be read; None leaves a field out.
 ITEMS = ({"value": 7}, {"value": None}, {"value": "%%%%"}, {"rev": None},
          {"rev": "x"}, {"deleted": "no"})
+# Values that no field has, besides numbers for text and text for numbers.
+ODD_FIELDS = (None, [], {}, True)
 
 
 class OtherWriter:
-    """Writes entries whose values cannot be read."""
+    """Writes entries that name no engine."""
 
     def __init__(self, fleet):
         self.fleet = fleet
@@ -29,5 +32,19 @@
         self.store.items[prefix + name] = {
             field: value for field, value in item.items() if value is not None}
 
+    def write_lookalikes(self, entry):
+        """Writes entries like an engine's, each with one field missing or of
+        another type. Returns their names."""
+        values = [{name: value for name, value in entry.items()
+                   if name != left_out} for left_out in entry]
+        values += [{**entry, name: odd} for name, value in entry.items()
+                   for odd in (*ODD_FIELDS,
+                               7 if isinstance(value, str) else "7")]
+        names = [f"k{number}" for number in range(len(values))]
+        for name, value in zip(names, values):
+            self.fleet.do(self.store.put, PREFIX + name,
+                          json.dumps(value).encode())
+        return names
+
     def remove(self, name, prefix=PREFIX):
         self.fleet.do(self.store.remove, prefix + name)
--- a/test/OddEntriesTest.cpp
+++ b/test/OddEntriesTest.cpp
@@ -5,6 +5,7 @@
 #include "test/support/FleetNetwork.h"
 
 #include <boost/algorithm/string/join.hpp>
+#include <boost/json.hpp>
 #include <capnp/message.h>
 #include <catch2/catch.hpp>
 
@@ -12,7 +13,7 @@
 namespace {
 
 const std::string SoundValue =
-    R"({"service":"s","address":"10.1.2.3:80","zone":"a","version":3,)"
+    R"({"service":"s","address":"10.1.2.3:80","zone":"a","version":"v3",)"
     R"("capacity":6,"state":"ready","warmup_left_ms":0,"sequence":9,)"
     R"("born":1700000000000})";
 
@@ -169,12 +170,10 @@
   explicit OddValues(std::uint64_t Seed) : Source(Seed) {}
 
   std::string next() {
-    std::string Value = "{";
+    std::string Value = R"({"version":"v1","warmup_left_ms":0,"sequence":9)";
     for (const char *Field :
          {"service", "address", "zone", "capacity", "state", "born"}) {
-      if (Value.size() > 1)
-        Value += ',';
-      Value += '"' + std::string(Field) + "\":" + pick(Field);
+      Value += ",\"" + std::string(Field) + "\":" + pick(Field);
     }
     Value += '}';
     if (Source.below(8) == 0)
@@ -265,6 +264,38 @@
   CHECK(Accepted > 0);
 }
 
+// Guards against calls to addresses where there is no upstream: entries that
+// had all fields in use were taken for sound ones.
+TEST_CASE("An entry with a missing field or one of another type is rejected",
+          "[OddEntries]") {
+  namespace json = boost::json;
+  const PlatformDeploymentCodec Codec;
+  const json::object Sound = json::parse(SoundValue).as_object();
+  const auto Accepts = [&](const json::object &Value) {
+    return Codec.parseUpstream({"servers/o", json::serialize(Value), 1, false})
+        .has_value();
+  };
+  REQUIRE(Accepts(Sound));
+  for (const json::key_value_pair &Field : Sound) {
+    const std::string Name = Field.key();
+    INFO(Name);
+    json::object Value = Sound;
+    // Not every upstream states when it started.
+    if (Name != "born") {
+      Value.erase(Name);
+      CHECK_FALSE(Accepts(Value));
+    }
+    const json::value OtherType =
+        Field.value().is_string() ? json::value(7) : json::value("7");
+    for (const json::value &Odd :
+         {json::value(), json::value(true), json::value(json::array()),
+          json::value(json::object()), OtherType}) {
+      Value[Name] = Odd;
+      CHECK_FALSE(Accepts(Value));
+    }
+  }
+}
+
 TEST_CASE("A key that is no name of an upstream is rejected", "[OddEntries]") {
   const PlatformDeploymentCodec Codec;
   for (const std::string &Key :
--- a/test/PlatformCodecTest.cpp
+++ b/test/PlatformCodecTest.cpp
@@ -266,20 +266,25 @@
   const auto Parse = [&](const char *Value) {
     return Codec.parseUpstream({"servers/i-1", Value, 1, false});
   };
-  const Result<UpstreamEntry> Good =
-      Parse(R"({"service":"s","address":"10.1.2.3:80","zone":"a","capacity":6,)"
-            R"("state":"draining","born":1700000000000})");
+  const std::string Unused =
+      R"("version":"v1","warmup_left_ms":0,"sequence":1,)";
+  const auto ParseFields = [&](const char *Fields) {
+    return Parse(("{" + Unused + Fields).c_str());
+  };
+  const Result<UpstreamEntry> Good = ParseFields(
+      R"("service":"s","address":"10.1.2.3:80","zone":"a","capacity":6,)"
+      R"("state":"draining","born":1700000000000})");
   REQUIRE(Good);
   CHECK(Good.value().Draining);
   CHECK(Good.value().Port == 80);
   CHECK_FALSE(Parse("\x01\x02"));
-  CHECK_FALSE(Parse(R"({"service":"s"})"));
-  CHECK_FALSE(Parse(R"({"service":7,"address":"10.1.2.3:80","zone":"a",)"
-                    R"("capacity":6,"state":"ready"})"));
-  CHECK_FALSE(Parse(R"({"service":"s","address":"10.1.2.3:80","zone":"a",)"
-                    R"("capacity":6,"state":"asleep"})"));
-  CHECK_FALSE(Parse(R"({"service":"s","address":"nowhere","zone":"a",)"
-                    R"("capacity":6,"state":"ready"})"));
+  CHECK_FALSE(ParseFields(R"("service":"s"})"));
+  CHECK_FALSE(ParseFields(R"("service":7,"address":"10.1.2.3:80","zone":"a",)"
+                          R"("capacity":6,"state":"ready"})"));
+  CHECK_FALSE(ParseFields(R"("service":"s","address":"10.1.2.3:80","zone":"a",)"
+                          R"("capacity":6,"state":"asleep"})"));
+  CHECK_FALSE(ParseFields(R"("service":"s","address":"nowhere","zone":"a",)"
+                          R"("capacity":6,"state":"ready"})"));
 }
 
 TEST_CASE("A configuration is parsed into routes, services and workspaces",
--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -127,6 +127,19 @@
                 self.check(self.restart_all)
                 self.check(self.list_again)
 
+    def test_entries_like_those_of_engines(self):
+        for address in (self.fleet.ip(250), self.fleet.engines[0].host):
+            with self.subTest(address=address):
+                names = self.writer.write_lookalikes(
+                    {"service": "desk", "zone": "zone-a", "version": "v1",
+                     "address": f"{address}:{fleet.ENGINE_PORT}",
+                     "state": "ready", "capacity": 64, "warmup_left_ms": 0,
+                     "sequence": 4})
+                self.check(self.restart_all)
+                self.check(self.list_again)
+                for name in names:
+                    self.writer.remove(name)
+
     def test_pages_of_a_slow_store(self):
         self.fleet.store.page_items = 1
         self.writer.write("a+b")
