--- a/standins/platform/other_writer.py
+++ b/standins/platform/other_writer.py
@@ -32,8 +32,8 @@
         self.store.items[prefix + name] = {
             field: value for field, value in item.items() if value is not None}
 
-    def write_lookalikes(self, entry):
-        """Writes entries like an engine's, each with one field missing or of
+    def write_lookalikes(self, entry, prefix=PREFIX):
+        """Writes entries like a sound one, each with one field missing or of
         another type. Returns their names."""
         values = [{name: value for name, value in entry.items()
                    if name != left_out} for left_out in entry]
@@ -42,7 +42,7 @@
                                7 if isinstance(value, str) else "7")]
         names = [f"k{number}" for number in range(len(values))]
         for name, value in zip(names, values):
-            self.fleet.do(self.store.put, PREFIX + name,
+            self.fleet.do(self.store.put, prefix + name,
                           json.dumps(value).encode())
         return names
 
--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -18,6 +18,7 @@
 # machine serves after a restart.
 READS_PER_S = 2000
 RECOVER_S = 12
+INSTANCES_PREFIX = "bronzeward/instances/"
 # Time in which a running instance lists again after its watch failed.
 LIST_AGAIN_S = 1.5
 # Time in which an incomplete list is read again.
@@ -119,7 +120,7 @@
 
     def test_entries_beside_those_of_operator_and_instances(self):
         self.fleet.store.page_items = 1
-        for prefix in ("op/", "bronzeward/instances/"):
+        for prefix in ("op/", INSTANCES_PREFIX):
             with self.subTest(prefix=prefix):
                 self.writer.write("a+b", LARGE, prefix)
                 self.writer.write("z+z", LARGE, prefix)
@@ -127,6 +128,14 @@
                 self.check(self.restart_all)
                 self.check(self.list_again)
 
+    def test_entries_like_those_of_instances(self):
+        self.writer.write_lookalikes(
+            {"life": 5, "failure_domain": "zone-a", "leaving": False,
+             "peer_address": f"{self.fleet.ip(250)}:{fleet.PEER_PORT}",
+             "capacity": 0.25}, INSTANCES_PREFIX)
+        self.check(self.restart_all)
+        self.check(self.list_again)
+
     def test_entries_like_those_of_engines(self):
         for address in (self.fleet.ip(250), self.fleet.engines[0].host):
             with self.subTest(address=address):
