--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -165,10 +165,10 @@
   void updateWatchRole(TimePoint Now);
   /// Sends a digest to the instances that rely on this one as their watcher.
   void sendFollowerDigests();
-  /// Adds a change to the next batch for peers that do not watch the store.
-  /// Applies a change that the store reported, and passes it on to followers.
+  /// Applies a change that the store reported, and queues it for peers.
   void applyUpstreamChange(const StoreEntry &Entry, const RegistryNews &News,
                            TimePoint Now);
+  /// Adds a change to the next batch for peers that do not watch the store.
   void queueChange(const StoreEntry &Entry, TimePoint Now);
   /// Sends the batch of changes.
   void sendChanges(TimePoint Now);
--- a/bronzeward/src/Router/InstanceRegistry.cpp
+++ b/bronzeward/src/Router/InstanceRegistry.cpp
@@ -171,9 +171,9 @@
 void InstanceRegistry::applyList(const StoreReply &Reply, TimePoint Now) {
   std::map<InstanceId, Member> Latest;
   for (const StoreEntry &Entry : Reply.Entries) {
-    Result<Member> Item = parseMember(Entry);
+    const Result<Member> Item = parseMember(Entry);
     if (Item)
-      Latest[Item.value().Identity.Instance] = std::move(Item).value();
+      Latest[Item.value().Identity.Instance] = Item.value();
   }
   if (Reply.Truncated)
     Latest.merge(Listed);
