Keep bytes of the store out of a truncated list's log line

Cause: the reason for a truncation named the key to continue from. Such a key may hold any bytes, so the line in the log could be no valid text. Change: the reason says that a page names no new key, without the key.

--- a/bronzeward/src/Store/PagedList.cpp
+++ b/bronzeward/src/Store/PagedList.cpp
@@ -25,7 +25,7 @@
     return std::nullopt;
   }
   if (Page.LastKey.empty() || !Continued.insert(Page.LastKey).second) {
-    truncate("no page after key " + Page.LastKey);
+    truncate("a page names no new key to continue from");
     return std::nullopt;
   }
   return std::move(Page.LastKey);
--- a/test/PagedListTest.cpp
+++ b/test/PagedListTest.cpp
@@ -76,6 +76,15 @@
   CHECK(List.take().Truncated);
 }
 
+// Guards against log lines that are no valid text.
+TEST_CASE("The reason for a truncation holds no bytes of the store",
+          "[PagedList]") {
+  PagedList List;
+  CHECK(List.add(page({"a\xff"}, 7, true)) == "a\xff");
+  CHECK_FALSE(List.add(page({"a\xff"}, 7, true)));
+  CHECK(List.take().Problem.find('\xff') == std::string::npos);
+}
+
 TEST_CASE("A list of too many entries is truncated", "[PagedList]") {
   PagedList List;
   std::vector<std::string> Keys(100'000);
