--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -22,7 +22,7 @@
 # Time in which a running instance lists again after its watch failed.
 LIST_AGAIN_S = 1.5
 # Time in which an incomplete list is read again.
-RELIST_S = 8
+RELIST_S = 6
 # A value that fills a page of its own.
 LARGE = 1_000_000
 
