--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -118,6 +118,14 @@
         time.sleep(RELIST_S)
         self.assertEqual(self.serving_engines(), everyone - {gone.id})
 
+    def test_list_of_instances_that_does_not_advance(self):
+        self.restart_all()
+        self.fleet.store.page_items = 1
+        self.fleet.store.repeated_key = INSTANCES_PREFIX + self.fleet.name(0)
+        self.check(self.list_again)
+        self.check(self.restart_all)
+        self.check(self.list_again)
+
     def test_entries_beside_those_of_operator_and_instances(self):
         self.fleet.store.page_items = 1
         for prefix in ("op/", INSTANCES_PREFIX):
