Check the engines that each instance may choose, not which got requests

While the list was cut after the second of four engines, the running instances' 48 requests reached the first and the fourth only, and all four were expected.

Cause: the test expected an even spread. Placement sends a call to the engine with the least expected delay, by measured times, and promises no spread. The fourth engine was not on the cut list, so the instances had kept it.

Change: the check reads the instances' log lines of their choices. Each of three instances must choose among just the expected engines for each request, and no other may get one. Before, it was enough that one of the instances used an engine.

--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -23,6 +23,8 @@
 LIST_AGAIN_S = 1.5
 # Time in which an incomplete list is read again.
 RELIST_S = 6
+# Time until a line that an instance wrote is in its log.
+LOG_DELAY_S = 2
 # A value that fills a page of its own.
 LARGE = 1_000_000
 
@@ -90,12 +92,32 @@
     def test_entries_that_fill_a_page(self):
         self.check_names(length=LARGE)
 
-    def serving_engines(self):
-        """Returns the names of the engines that get requests now."""
+    def check_engines(self, expected):
+        """Checks that each instance chooses among just these engines. Which of
+        them get requests depends on their measured times."""
         before = len(self.fleet.arrivals())
+        first = self.sent + 1
         for _ in range(4):
             self.assertEqual(self.statuses(), [200] * REQUESTS)
-        return {item.engine for item in self.fleet.arrivals()[before:]}
+        served = {item.engine for item in self.fleet.arrivals()[before:]}
+        self.assertLessEqual(served, expected)
+        for number in range(first, self.sent + 1):
+            # The requests go to the machines in turn.
+            choice = self.first_choice((number - 1) % MACHINES, f"odd{number}")
+            # The line lists at most five engines, and counts all.
+            self.assertEqual(choice["candidates"], len(expected))
+            self.assertEqual({option["upstream"]
+                              for option in choice["least_loaded"]}, expected)
+
+    def first_choice(self, machine, request):
+        """Returns an instance's log line of the first choice of an engine."""
+        until = time.monotonic() + LOG_DELAY_S
+        while True:
+            for line in self.fleet.events(machine, "choice"):
+                if line["request"] == request and line["attempt"] == 1:
+                    return line
+            self.assertLess(time.monotonic(), until, f"no choice of {request}")
+            time.sleep(0.05)
 
     def test_list_that_does_not_advance(self):
         everyone = {engine.id for engine in self.fleet.engines}
@@ -104,19 +126,19 @@
         self.fleet.store.page_items = 1
         self.fleet.store.repeated_key = "servers/" + max(listed)
         self.check(self.list_again)
-        self.assertEqual(self.serving_engines(), everyone)
+        self.check_engines(everyone)
         self.check(self.restart_all)
-        self.assertEqual(self.serving_engines(), listed)
+        self.check_engines(listed)
         # Entries that are removed or written meanwhile are noticed.
         gone = min(self.fleet.engines, key=lambda engine: engine.id)
         self.fleet.do(gone.leave)
         self.fleet.do(self.fleet.engines[-1].announce)
         time.sleep(LIST_AGAIN_S)
-        self.assertEqual(self.serving_engines(),
-                         listed - {gone.id} | {self.fleet.engines[-1].id})
+        self.check_engines(
+            listed - {gone.id} | {self.fleet.engines[-1].id})
         self.fleet.store.repeated_key = None
         time.sleep(RELIST_S)
-        self.assertEqual(self.serving_engines(), everyone - {gone.id})
+        self.check_engines(everyone - {gone.id})
 
     def test_list_of_instances_that_does_not_advance(self):
         self.restart_all()
