Let kept engines expire before a cut list's engines are checked

Seen: with a product changed to take a cut list as whole, the test test_list_that_does_not_advance passed: after an outage of the store, engines without an entry stay in use for up to 1.6 s, and the check came after 1.5 s.

Change: the check waits for 2 s more, the platform's limit for an engine whose entry is gone. With the changed product it fails now (2 engines to choose among, 4 expected), with the product it passes (one run each).

--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -23,6 +23,8 @@
 LIST_AGAIN_S = 1.5
 # Time in which an incomplete list is read again.
 RELIST_S = 6
+# Time after which an engine without an entry gets no more requests.
+GONE_S = 2
 # Time until a line that an instance wrote is in its log.
 LOG_DELAY_S = 2
 # A value that fills a page of its own.
@@ -126,6 +128,7 @@
         self.fleet.store.page_items = 1
         self.fleet.store.repeated_key = "servers/" + max(listed)
         self.check(self.list_again)
+        time.sleep(GONE_S)
         self.check_engines(everyone)
         self.check(self.restart_all)
         self.check_engines(listed)
