Tell the instances on every page of a change

Seen: beside an odd entry in the list of instances, `bronzewardctl apply` told none of the instances on later pages of the list of the new configuration.

Cause: the tool read one page of the list, which held only the odd entry.

Evidence: OddEntryNotice runs the tool against the stand-in of the store. With pages of one entry, an entry that fills a page, and a list that repeats a page, the first listener that was to be told after the first page got no connection within 2 s; with one page for all, each was told before, too.

Change: ControlStore::list reads the pages by PagedList, as the instances do, so that a list that does not advance ends for the tool as well.

--- a/tools/ControlStore.cpp
+++ b/tools/ControlStore.cpp
@@ -61,6 +61,18 @@
   return Reply;
 }
 
+std::vector<StoreEntry> ControlStore::list(const std::string &Prefix) {
+  PagedList Pages;
+  std::optional<std::string> After = "";
+  while (After) {
+    StoreReply Page = call(ListKeys{Prefix, *After, false});
+    if (Page.Status != StoreStatus::Ok)
+      break;
+    After = Pages.add(std::move(Page));
+  }
+  return Pages.take().Entries;
+}
+
 Result<std::optional<StoreEntry>> ControlStore::read(const std::string &Key) {
   StoreReply Reply = call(ReadKey{Key});
   if (Reply.Status != StoreStatus::Ok)
--- a/tools/ControlStore.h
+++ b/tools/ControlStore.h
@@ -25,6 +25,10 @@
   /// \brief Makes one call. A reply that is lost has the status Unknown.
   [[nodiscard]] StoreReply call(const StoreCall &Call);
 
+  /// \returns every key under a prefix. Pages after one that cannot be read
+  /// are missing.
+  [[nodiscard]] std::vector<StoreEntry> list(const std::string &Prefix);
+
   /// \returns the value and revision of a key; nothing where it is absent.
   [[nodiscard]] Result<std::optional<StoreEntry>> read(const std::string &Key);
 
--- a/tools/PeerNotice.cpp
+++ b/tools/PeerNotice.cpp
@@ -10,8 +10,7 @@
 constexpr std::chrono::milliseconds DeliveryTime{300};
 
 PeerNotice::PeerNotice(ControlStore &Store) {
-  const StoreReply Reply = Store.call(ListKeys{InstancePrefix, "", false});
-  for (const StoreEntry &Entry : Reply.Entries) {
+  for (const StoreEntry &Entry : Store.list(InstancePrefix)) {
     Result<Member> Item = parseMember(Entry);
     if (Item && Members.size() < MaxTold)
       Members.push_back(std::move(Item).value());
