Test sound values under odd names

Tried: an entry with an engine's value under a name of its own, all instances restarted, lists of several pages. The engine refuses calls that name another, and an address without a listener takes none; another engine serves them.

--- a/standins/platform/other_writer.py
+++ b/standins/platform/other_writer.py
@@ -1,4 +1,5 @@
 """Stand-in for a writer of registry entries that name no engine."""
+import base64
 import json
 
 PREFIX = "servers/"
@@ -46,5 +47,13 @@
                           json.dumps(value).encode())
         return names
 
+    def write_copy(self, name, of, address):
+        """Writes the value of an engine's entry, with another address."""
+        value = json.loads(
+            base64.b64decode(self.store.items[PREFIX + of]["value"]))
+        value["address"] = address
+        self.fleet.do(self.store.put, PREFIX + name,
+                      json.dumps(value).encode())
+
     def remove(self, name, prefix=PREFIX):
         self.fleet.do(self.store.remove, prefix + name)
--- a/test/process/OddEntryRestartTest.py
+++ b/test/process/OddEntryRestartTest.py
@@ -182,6 +182,19 @@
                 for name in names:
                     self.writer.remove(name)
 
+    def test_sound_values_under_odd_names(self):
+        """An engine refuses calls that name another, and nothing listens at
+        the second address."""
+        self.fleet.store.page_items = 1
+        for address in (self.fleet.engines[0].host, self.fleet.ip(250)):
+            for name in ("a+b", "a b", "a&b", "a#b", "a%zz", " ab", "ab ",
+                         self.fleet.engines[0].id + " "):
+                with self.subTest(address=address, name=name):
+                    self.writer.write_copy(name, self.fleet.engines[0].id,
+                                           f"{address}:{fleet.ENGINE_PORT}")
+                    self.check(self.restart_all)
+                    self.writer.remove(name)
+
     def test_pages_of_a_slow_store(self):
         self.fleet.store.page_items = 1
         self.writer.write("a+b")
