--- a/review/harness-2/case.py
+++ b/review/harness-2/case.py
@@ -1,10 +1,12 @@
 """What the scripts of cases have in common: a fleet of the deploy file's
 program beside the project's stand-ins, consumers with kept channels, and the
 record of what was sent, answered and run."""
+import asyncio
 import http.client
 import os
 import pathlib
 import select
+import socket
 import sys
 import time
 
