--- a/review/harness-2/case.py
+++ b/review/harness-2/case.py
@@ -2,7 +2,9 @@
 program beside the project's stand-ins, consumers with kept channels, and the
 record of what was sent, answered and run."""
 import asyncio
+import base64
 import http.client
+import json
 import os
 import pathlib
 import select
