--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,7 @@
-"""Processes that are restarted some way into a day outgrow the memory of their
-machines while they read the ledger."""
+"""A request that crashes engines is sent to engines again after all processes
+have been restarted, although the fleet had held it back."""
 import pathlib
-import subprocess
 import sys
-import tempfile
 import threading
 import time
 
@@ -11,146 +9,95 @@
 sys.path.insert(0, str(HERE.parent / "harness-2"))
 import case  # noqa: E402
 from case import fleet  # noqa: E402
+from standins.platform import crashes  # noqa: E402
 
 MACHINES = 3
-# Of the machines of tsogchair-ops.
-MEMORY_MB = 110
-# Traffic before the restart, at the rate of tsogchair-ops' sheet.
-MINUTES, PER_SECOND = 55, 95
+ENGINES = 6
+DOWN_S = 3.0
+CONTACT_S = 3.0
 RESTART_S = 0.5
-# Of the script, from its start.
-LENGTH_S = 113
-# As many ends of so many machines break the rule.
-ENDS, ENDING_MACHINES = 3, 2
-PREPAID = 100_000_000_000
-CALLERS, PAUSE_S = 6, 0.25
-
-
-class MemoryLimit(threading.Thread):
-    """The platform's limit: a process that exceeds its memory is killed, and
-    started again after a short delay."""
-
-    def __init__(self, machines, record):
-        super().__init__(daemon=True)
-        self.machines, self.record = machines, record
-        self.ends = [0] * MACHINES
-        self.peaks = [0.0] * MACHINES
-        self.ending = threading.Event()
-        self.due = [None] * MACHINES
-        self.paused = False
-
-    def run(self):
-        while not self.ending.wait(0.02):
-            for machine in range(MACHINES):
-                if not self.paused:
-                    self.check(machine)
-
-    def check(self, machine):
-        if self.due[machine] is not None:
-            if time.monotonic() >= self.due[machine]:
-                self.due[machine] = None
-                self.machines.spawn(machine)
-            return
-        try:
-            # Pages of the process alone: its code and files don't count.
-            used = self.machines.memory_mb_of(machine, "RssAnon")
-        except (OSError, TypeError):
-            return
-        self.peaks[machine] = max(self.peaks[machine], used)
-        if used <= MEMORY_MB:
-            return
-        self.ends[machine] += 1
-        self.record.note(f"{self.machines.name(machine)} uses {used:.0f} MB "
-                         f"and ends, time {self.ends[machine]}")
-        self.machines.kill(machine)
-        self.due[machine] = time.monotonic() + RESTART_S
-
-    def stop(self):
-        self.ending.set()
-        if self.is_alive():
-            self.join()
+# Arrivals later than contact_ms after the third crash that are allowed.
+ALLOWED = 3
+GAP_S = 2.0
+BEFORE_S, AFTER_S = 26.0, 40.0
+CALLERS = 6
 
 
 class Caller(threading.Thread):
-    """Sends plain requests, one after the other."""
+    """Sends sound requests that may not be repeated, one after the other."""
 
     def __init__(self, machines, number):
         super().__init__(daemon=True)
         self.machines, self.number = machines, number
         self.ending = threading.Event()
-        self.statuses = {}
+        self.lost = 0
 
     def run(self):
         sent = 0
-        while not self.ending.wait(PAUSE_S):
+        while not self.ending.wait(0.02):
             sent += 1
-            attempt = f"{self.number}a{sent}"
+            attempt = f"sound{self.number}x{sent}"
             answer = self.machines.request(self.number % MACHINES,
-                                           "/read/" + attempt, attempt)
-            self.statuses[answer.status] = (
-                self.statuses.get(answer.status, 0) + 1)
-
-
-def restart_late(machines, limit, record):
-    """Kills all processes, and starts them on the ledger that the traffic of
-    the time before has left."""
-    limit.paused = True
-    for machine in range(MACHINES):
-        machines.kill(machine)
-    with tempfile.TemporaryDirectory() as folder:
-        path = pathlib.Path(folder) / "ledger"
-        made = subprocess.run(
-            [case.ROOT / "target" / "review" / "history", path, str(MINUTES),
-             str(PER_SECOND)], check=True, capture_output=True, text=True)
-        record.note(f"the store holds the ledger of {MINUTES} minutes with "
-                    f"{PER_SECOND} requests a second: {made.stdout.strip()}")
-        with path.open("rb") as file:
-            while sizes := file.readline():
-                key, value = map(int, sizes.split())
-                machines.do(machines.store.put, file.read(key).decode(),
-                            file.read(value))
-    time.sleep(RESTART_S)
-    for machine in range(MACHINES):
-        machines.spawn(machine)
-    limit.paused = False
-    record.note("all machines were killed and are started again")
+                                           "/file/" + attempt, attempt, "POST",
+                                           b"x" * 100)
+            self.lost += answer.status == 502
 
 
 def run(record):
-    machines = fleet.Fleet(machines=MACHINES, memory_mb=MEMORY_MB)
-    limit = MemoryLimit(machines, record)
+    deadly = crashes.DeadlyContent("deadly", down_s=DOWN_S)
+    machines = fleet.Fleet(machines=MACHINES)
     try:
         machines.store_fault_for_all("", delay_s=case.STORE_ANSWER_S)
-        tenants = [{"name": f"tenant-{n}", "priority": 1, "prepaid": PREPAID,
-                    "api_keys": [fleet.KEY if n == 0 else f"{fleet.KEY}{n}"]}
-                   for n in range(10)]
-        machines.configure([fleet.route("/read/", "desk")],
-                           [fleet.service("desk")], tenants=tenants)
-        for _ in range(2):
-            machines.add_engine("desk")
+        machines.configure(
+            [fleet.route("/file/", "desk", kind="non_idempotent", attempts=1)],
+            [fleet.service("desk")])
+        for _ in range(ENGINES):
+            machines.add_engine("desk", handle=deadly.handle, work_s=0.06)
         machines.start()
-        limit.start()
+        time.sleep(CONTACT_S)
         callers = [Caller(machines, n) for n in range(CALLERS)]
         for caller in callers:
             caller.start()
-        time.sleep(2)
+        repeated = crashes.RepeatingCallers(
+            machines, "/file/deadly", gap_s=GAP_S, method="POST",
+            body=b"y" * 100)
+        time.sleep(BEFORE_S)
+        repeated.stop()
+        record.note(f"before: {len(deadly.crashes)} crashes, "
+                    f"{len(deadly.late_runs(CONTACT_S))} late arrivals")
         if case.TROUBLE:
-            restart_late(machines, limit, record)
-        while time.monotonic() < record.began + LENGTH_S - 5:
-            time.sleep(5)
-            record.note("MB used at most: " + ", ".join(
-                f"{machines.name(m)} {limit.peaks[m]:.0f}"
-                for m in range(MACHINES)))
-            if sum(e >= ENDS for e in limit.ends) >= ENDING_MACHINES:
-                break
+            for machine in range(MACHINES):
+                machines.kill(machine)
+            time.sleep(RESTART_S)
+            for machine in range(MACHINES):
+                machines.spawn(machine)
+            for machine in range(MACHINES):
+                machines.await_ready(machine)
+            record.note("all machines were killed and are ready again")
+        time.sleep(CONTACT_S + 1.0)
+        lost_before = sum(caller.lost for caller in callers)
+        again = crashes.RepeatingCallers(
+            machines, "/file/deadly", gap_s=GAP_S, seed=2, method="POST",
+            body=b"y" * 100)
+        time.sleep(AFTER_S)
+        again.stop()
         for caller in callers:
             caller.ending.set()
-        record.note("answers by status: " + str([c.statuses for c in callers]))
-        record.note(f"ends by memory: {limit.ends}")
-        broken = sum(e >= ENDS for e in limit.ends) >= ENDING_MACHINES
-        return case.BROKEN if broken else case.HELD
+        late = deadly.late_runs(CONTACT_S)
+        for word, outcomes in (("before", repeated.outcomes),
+                               ("after", again.outcomes)):
+            record.note(f"{word}: the request was answered " + " ".join(
+                str(outcome.status) for outcome in outcomes))
+        record.note("arrivals of the request, seconds after the third crash: "
+                    + " ".join(f"{at - sorted(deadly.crashes)[2]:.1f}"
+                               for at in deadly.runs))
+        record.note(f"{len(deadly.crashes)} crashes; {len(late)} arrivals "
+                    f"later than {CONTACT_S:.0f} s after the third, {ALLOWED} "
+                    "are allowed")
+        record.note("sound requests that broke off since: "
+                    f"{sum(c.lost for c in callers) - lost_before}")
+        return case.BROKEN if len(late) > ALLOWED else case.HELD
     finally:
-        limit.stop()
         machines.stop()
 
 
