--- a/review/8/case.py
+++ b/review/8/case.py
@@ -59,10 +59,13 @@
 class Stream(threading.Thread):
     """One consumer attempt; reads events until the answer ends or breaks."""
 
-    def __init__(self, machines, machine, attempt, **headers):
+    def __init__(self, machines, machine, attempt, first=None, **headers):
         super().__init__(daemon=True)
         self.machines, self.machine, self.attempt = machines, machine, attempt
         self.headers = headers
+        # A consumer's tries share the time that it waits.
+        self.until = first.until if first else (time.monotonic() +
+                                                DEADLINE_MS / 1000)
         self.status, self.reason, self.last = 0, "", 0
         self.channel = None
         self.start()
@@ -72,7 +75,8 @@
             self.channel = case.Channel(self.machines, self.machine, 20)
             connection = self.channel.connection
             fields = {"Host": fleet.HOST, "X-Attempt-Id": self.attempt,
-                      "X-Deadline-Ms": str(DEADLINE_MS),
+                      "X-Deadline-Ms":
+                          str(int(1000 * (self.until - time.monotonic()))),
                       "Authorization": f"Bearer {fleet.KEY}"}
             fields.update({name.replace("_", "-"): value for name, value in
                            {**SIZE, **self.headers}.items()})
@@ -150,7 +154,7 @@
             stream.join(5)
         served_by = {a.attempt: a.engine for a in machines.arrivals()}
         taken_up = [Stream(machines, others[n % len(others)], f"again{n}",
-                           Last_Event_Id=str(stream.last),
+                           first=stream, Last_Event_Id=str(stream.last),
                            Resumes=stream.attempt)
                     for n, stream in enumerate(streams) if stream.last > 0]
         fresh = [Stream(machines, others[n % len(others)], f"fresh{n}")
