Restore the copies of streams' versions after restarts

A stream was replicated once, when it began. An instance that restarted, or that took the place of one that left, was never told of it. Now whoever knows a stream replicates it again to replicas that joined, registered anew, were unreachable or moved up; an instance that has just registered asks the others for its share; and a search asks six instances, so that lists of members may differ. Notices carry ages, so copies end with their originals.

--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -111,6 +111,7 @@
       version @60 :UInt64;
       possible @61 :List(UInt64);
     }
+    streamOriginRecall @62 :Void;
   }
 }
 
@@ -153,6 +154,7 @@
 struct StreamOrigin {
   stream @0 :UInt64;
   version @1 :UInt64;
+  ageMs @2 :UInt32;
 }
 
 struct PartNotice {
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -84,6 +84,7 @@
     STREAM_ORIGINS,
     STREAM_ORIGIN_REQUEST,
     STREAM_ORIGIN_REPLY,
+    STREAM_ORIGIN_RECALL,
   };
   struct Submit;
   struct Results;
@@ -465,7 +466,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d2fcfab53780f403, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(d2fcfab53780f403, 3, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -622,6 +623,9 @@
   inline bool isStreamOriginReply() const;
   inline typename StreamOriginReply::Reader getStreamOriginReply() const;
 
+  inline bool isStreamOriginRecall() const;
+  inline  ::capnp::Void getStreamOriginRecall() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -742,6 +746,10 @@
   inline typename StreamOriginReply::Builder getStreamOriginReply();
   inline typename StreamOriginReply::Builder initStreamOriginReply();
 
+  inline bool isStreamOriginRecall();
+  inline  ::capnp::Void getStreamOriginRecall();
+  inline void setStreamOriginRecall( ::capnp::Void value = ::capnp::VOID);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2989,6 +2997,8 @@
 
   inline  ::uint64_t getVersion() const;
 
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3023,6 +3033,9 @@
   inline  ::uint64_t getVersion();
   inline void setVersion( ::uint64_t value);
 
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3895,6 +3908,32 @@
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::StreamOriginReply::Builder(_builder);
 }
+inline bool PeerMessage::Reader::isStreamOriginRecall() const {
+  return which() == PeerMessage::STREAM_ORIGIN_RECALL;
+}
+inline bool PeerMessage::Builder::isStreamOriginRecall() {
+  return which() == PeerMessage::STREAM_ORIGIN_RECALL;
+}
+inline  ::capnp::Void PeerMessage::Reader::getStreamOriginRecall() const {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_RECALL),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void PeerMessage::Builder::getStreamOriginRecall() {
+  KJ_IREQUIRE((which() == PeerMessage::STREAM_ORIGIN_RECALL),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setStreamOriginRecall( ::capnp::Void value) {
+  _builder.setDataField<PeerMessage::Which>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_RECALL);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerMessage::Submit::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5741,6 +5780,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t StreamOrigin::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StreamOrigin::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void StreamOrigin::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PartNotice::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/bronzeward/src/Base/StreamOrigin.h
+++ b/bronzeward/src/Base/StreamOrigin.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/src/Base/Identifiers.h"
 
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -33,6 +34,8 @@
 struct StreamOrigin {
   StreamKey Stream;
   VersionId Version;
+  /// Time since the stream began.
+  std::chrono::milliseconds Age{0};
 };
 
 /// @}
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -205,11 +205,15 @@
   std::vector<UpstreamBacklog> Upstreams;
 };
 
-/// \brief Tells at which versions streams of the sender began.
+/// \brief Tells at which versions streams began.
 struct StreamOriginNotice {
   std::vector<StreamOrigin> Streams;
 };
 
+/// \brief Asks for the streams that the sender has to remember, because it has
+/// just started.
+struct StreamOriginRecall {};
+
 /// \brief Asks at which version a stream began.
 struct StreamOriginRequest {
   std::uint64_t Number = 0;
@@ -235,7 +239,7 @@
                  ConfigurationOffer, ConfigurationRequest, UpstreamList,
                  LoanRequest, Loan, LoadNotice, OperationsHandover,
                  PermitRequest, PermitReply, PartNews, StreamOriginNotice,
-                 StreamOriginRequest, StreamOriginReply>;
+                 StreamOriginRecall, StreamOriginRequest, StreamOriginReply>;
 
 /// \brief Sends messages to other instances, without a delivery guarantee.
 class PeerPort {
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -193,9 +193,15 @@
   for (unsigned Index = 0; Index < In.Streams.size(); ++Index) {
     List[Index].setStream(In.Streams[Index].Stream.Hash);
     List[Index].setVersion(In.Streams[Index].Version.Hash);
+    List[Index].setAgeMs(
+        static_cast<std::uint32_t>(In.Streams[Index].Age.count()));
   }
 }
 
+static void writeOne(Builder Out, const StreamOriginRecall &) {
+  Out.setStreamOriginRecall();
+}
+
 static void writeOne(Builder Out, const StreamOriginRequest &In) {
   schema::PeerMessage::StreamOriginRequest::Builder Group =
       Out.initStreamOriginRequest();
@@ -369,8 +375,9 @@
 readStreamOrigins(schema::PeerMessage::StreamOrigins::Reader In) {
   StreamOriginNotice Out;
   for (schema::StreamOrigin::Reader Item : In.getStreams())
-    Out.Streams.push_back(
-        {StreamKey{Item.getStream()}, VersionId{Item.getVersion()}});
+    Out.Streams.push_back({StreamKey{Item.getStream()},
+                           VersionId{Item.getVersion()},
+                           std::chrono::milliseconds(Item.getAgeMs())});
   return Out;
 }
 
@@ -431,6 +438,8 @@
     return readPartNews(In.getPartNews());
   case schema::PeerMessage::STREAM_ORIGINS:
     return readStreamOrigins(In.getStreamOrigins());
+  case schema::PeerMessage::STREAM_ORIGIN_RECALL:
+    return StreamOriginRecall{};
   case schema::PeerMessage::STREAM_ORIGIN_REQUEST:
     return StreamOriginRequest{
         In.getStreamOriginRequest().getNumber(),
--- a/bronzeward/src/Relay/StreamOriginAgent.cpp
+++ b/bronzeward/src/Relay/StreamOriginAgent.cpp
@@ -1,14 +1,25 @@
 #include "bronzeward/src/Relay/StreamOriginAgent.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace bronzeward {
 
 /// Instances that remember each stream, so that some remain when others fail.
 constexpr std::size_t ReplicaCount = 3;
+/// Instances that a search asks. Those that remember a stream are among them
+/// even if the lists of members differ in some instances.
+constexpr std::size_t SearchFanout = 6;
 /// Streams of which an instance remembers the origin.
 constexpr std::size_t MaxStreams = 32768;
+/// Streams that an instance replicates again at once, the newest, and the
+/// maximum number in one message.
+constexpr std::size_t MaxReplicatedAgain = 4096;
+constexpr std::size_t MaxStreamsPerNotice = 1024;
+/// An instance is hardly ever a replica of a stream for which more than this
+/// multiple of ReplicaCount instances are expected to rank before it.
+constexpr std::uint64_t RankMargin = 8;
 /// Time for which streams are collected before they are sent.
 constexpr Duration ReplicationDelay = 30ms;
 /// Time after which a search ends without the missing replies: several round
@@ -20,13 +31,21 @@
     : Self(std::move(Own)), Deps(Dependencies),
       Known(VersionHistory::StreamLifetime, MaxStreams) {}
 
-std::vector<InstanceId> StreamOriginAgent::replicasOf(StreamKey Stream) const {
+static std::uint64_t rankOf(const InstanceId &Instance, StreamKey Stream) {
+  return hash64(Instance.Value, Stream.Hash);
+}
+
+/// \returns the instances that remember a stream for the fleet, in order of
+/// preference.
+static std::vector<InstanceId> replicasOf(StreamKey Stream,
+                                          const std::vector<Member> &Members,
+                                          std::size_t MaxCount) {
   std::vector<std::pair<std::uint64_t, InstanceId>> Ranked;
-  for (const Member &Item : Deps.Members.members())
+  for (const Member &Item : Members)
     if (!Item.Leaving)
-      Ranked.emplace_back(hash64(Item.Identity.Instance.Value, Stream.Hash),
+      Ranked.emplace_back(rankOf(Item.Identity.Instance, Stream),
                           Item.Identity.Instance);
-  const std::size_t Count = std::min(ReplicaCount, Ranked.size());
+  const std::size_t Count = std::min(MaxCount, Ranked.size());
   std::partial_sort(Ranked.begin(),
                     Ranked.begin() + static_cast<std::ptrdiff_t>(Count),
                     Ranked.end());
@@ -68,19 +87,104 @@
 }
 
 void StreamOriginAgent::replicate(const StreamOrigin &Begun, TimePoint Now) {
+  for (const InstanceId &Replica :
+       replicasOf(Begun.Stream, Deps.Members.members(), ReplicaCount))
+    queue(Replica, Begun, Now);
+}
+
+void StreamOriginAgent::queue(const InstanceId &Replica,
+                              const StreamOrigin &Begun, TimePoint Now) {
+  if (Replica == Self)
+    return;
   if (Outbox.empty())
     Deps.Timers.schedule(Now + ReplicationDelay,
                          [this](TimePoint) { flush(); });
-  for (const InstanceId &Replica : replicasOf(Begun.Stream))
-    if (Replica != Self)
-      Outbox[Replica].push_back(Begun);
+  Outbox[Replica].push_back(Begun);
 }
 
 void StreamOriginAgent::flush() {
   std::map<InstanceId, std::vector<StreamOrigin>> Sent;
   Sent.swap(Outbox);
-  for (auto &[Replica, Streams] : Sent)
-    Deps.Peers.send(Replica, StreamOriginNotice{std::move(Streams)});
+  for (const auto &[Replica, Streams] : Sent)
+    for (std::size_t First = 0; First < Streams.size();
+         First += MaxStreamsPerNotice) {
+      const std::size_t End =
+          std::min(First + MaxStreamsPerNotice, Streams.size());
+      const auto At = Streams.begin();
+      Deps.Peers.send(
+          Replica, StreamOriginNotice{{At + static_cast<std::ptrdiff_t>(First),
+                                       At + static_cast<std::ptrdiff_t>(End)}});
+    }
+}
+
+void StreamOriginAgent::onMembersChanged(TimePoint Now) {
+  const std::vector<Member> &Members = Deps.Members.members();
+  const std::vector<Member> Before = std::exchange(Replicating, Members);
+  std::map<InstanceId, std::uint64_t> LivesBefore;
+  std::set<InstanceId> Left;
+  for (const Member &Item : Before)
+    if (!Item.Leaving) {
+      LivesBefore[Item.Identity.Instance] = Item.Identity.Epoch;
+      Left.insert(Item.Identity.Instance);
+    }
+  std::set<InstanceId> Empty;
+  for (const Member &Item : Members) {
+    if (Item.Leaving)
+      continue;
+    Left.erase(Item.Identity.Instance);
+    const auto Life = LivesBefore.find(Item.Identity.Instance);
+    if (Life == LivesBefore.end() || Life->second != Item.Identity.Epoch)
+      Empty.insert(Item.Identity.Instance);
+  }
+  replicateAgain(Before, Empty, Left, Now);
+  if (!Recalled && Deps.Members.find(Self) != nullptr)
+    recall();
+}
+
+void StreamOriginAgent::recall() {
+  Recalled = true;
+  for (const Member &Item : Deps.Members.members())
+    if (Item.Identity.Instance != Self)
+      Deps.Peers.send(Item.Identity.Instance, StreamOriginRecall{});
+}
+
+/// \returns whether an instance may be a replica of a stream, without ranking
+/// all members.
+static bool mayRemember(const InstanceId &Instance, StreamKey Stream,
+                        std::size_t MemberCount) {
+  const std::uint64_t Share =
+      std::numeric_limits<std::uint64_t>::max() / (MemberCount + 1);
+  return MemberCount <= RankMargin * ReplicaCount ||
+         rankOf(Instance, Stream) / (RankMargin * ReplicaCount) < Share;
+}
+
+void StreamOriginAgent::replicateAgain(const std::vector<Member> &Before,
+                                       const std::set<InstanceId> &Empty,
+                                       const std::set<InstanceId> &Left,
+                                       TimePoint Now) {
+  std::set<InstanceId> Changed = Empty;
+  Changed.insert(Left.begin(), Left.end());
+  Changed.erase(Self);
+  if (Changed.empty())
+    return;
+  std::set<StreamKey> NotReplicated;
+  for (const LocalStream &Item : Unreplicated)
+    NotReplicated.insert(Item.Begun.Stream);
+  const std::vector<Member> &Members = Deps.Members.members();
+  for (const StreamOrigin &Item : Known.newest(MaxReplicatedAgain, Now)) {
+    const bool Affected =
+        std::ranges::any_of(Changed, [&](const InstanceId &Instance) {
+          return mayRemember(Instance, Item.Stream, Members.size());
+        });
+    if (!Affected || NotReplicated.contains(Item.Stream))
+      continue;
+    const std::vector<InstanceId> Old =
+        replicasOf(Item.Stream, Before, ReplicaCount);
+    for (const InstanceId &Replica :
+         replicasOf(Item.Stream, Members, ReplicaCount))
+      if (Empty.contains(Replica) || std::ranges::count(Old, Replica) == 0)
+        queue(Replica, Item, Now);
+  }
 }
 
 // Searches.
@@ -94,7 +198,8 @@
   const std::optional<VersionId> Sole = Deps.Versions.sole(Service);
   if (Sole && Deps.Versions.confirmed(Now))
     return {Outcome::Found, *Sole};
-  std::vector<InstanceId> Asked = replicasOf(Stream);
+  std::vector<InstanceId> Asked =
+      replicasOf(Stream, Deps.Members.members(), SearchFanout);
   std::erase(Asked, Self);
   if (Asked.empty()) {
     const bool Alone = Deps.Members.find(Self) != nullptr;
@@ -102,7 +207,7 @@
                          : OriginLookup{Outcome::Unknown, {}};
   }
   const std::uint64_t Number = ++LastSearch;
-  Search Started{Request, Service, Asked.size(), 0, true, {}};
+  Search Started{Request, Service, Stream, Asked.size(), 0, true, {}};
   Started.Timeout =
       Deps.Timers.schedule(Now + SearchTimeout, [this, Number](TimePoint At) {
         conclude(Number, At);
@@ -124,7 +229,8 @@
 
 void StreamOriginAgent::requestRecord(const ServiceName &Service) {
   const StreamKey Any{hash64(Self.Value)};
-  for (const InstanceId &Peer : replicasOf(Any))
+  for (const InstanceId &Peer :
+       replicasOf(Any, Deps.Members.members(), ReplicaCount))
     if (Peer != Self)
       Deps.Peers.send(Peer, StreamOriginRequest{0, Service, Any});
 }
@@ -132,6 +238,9 @@
 void StreamOriginAgent::onPeerMessage(const InstanceId &From,
                                       const PeerMessage &Message,
                                       TimePoint Now) {
+  const bool WasUnreached = Unreached.erase(From) > 0;
+  if (WasUnreached || std::holds_alternative<StreamOriginRecall>(Message))
+    replicateAgain(Deps.Members.members(), {From}, {}, Now);
   if (const auto *Notice = std::get_if<StreamOriginNotice>(&Message)) {
     for (const StreamOrigin &Begun : Notice->Streams)
       Known.add(Begun, Now);
@@ -158,6 +267,8 @@
   if (Found == Searches.end())
     return;
   if (Message.Origin) {
+    // The stream goes on here, where its caller may look for it again.
+    Known.add({Found->second.Stream, *Message.Origin}, Now);
     finish(Message.Number, Message.Origin, Now);
     return;
   }
--- a/bronzeward/src/Relay/StreamOriginAgent.h
+++ b/bronzeward/src/Relay/StreamOriginAgent.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bronzeward {
@@ -52,8 +53,9 @@
 ///
 /// Nothing is exchanged while all streams of a service began at one version.
 /// Else each stream is replicated to a few instances, chosen by rendezvous
-/// hashing, which any instance can ask. docs/design/stream-versions.md
-/// describes the protocol.
+/// hashing, which any instance can ask. Whoever knows a stream replicates it
+/// again when one of them restarts, leaves or was unreachable.
+/// docs/design/stream-versions.md describes the protocol.
 class StreamOriginAgent {
 public:
   StreamOriginAgent(InstanceId Own, StreamOriginDependencies Dependencies);
@@ -75,8 +77,13 @@
   /// \brief Replicates the streams that began here while all were at one
   /// version, for services that now may have several; called periodically.
   void onVersionsChanged(TimePoint Now);
+  /// \brief Replicates streams to the instances that have to remember them
+  /// after a change of the list of members.
+  void onMembersChanged(TimePoint Now);
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now);
+  /// \brief Called when messages to a peer were lost.
+  void onPeerUnreachable(const InstanceId &Peer) { Unreached.insert(Peer); }
 
   /// \returns the versions at which a new stream may begin now.
   [[nodiscard]] std::vector<VersionId> startable(const ServiceName &Service,
@@ -94,6 +101,7 @@
   struct Search {
     RequestId Request;
     ServiceName Service;
+    StreamKey Stream;
     std::size_t Asked = 0;
     std::size_t Replied = 0;
     /// Whether every reply names the same only version as this instance.
@@ -101,9 +109,21 @@
     TimerQueue::Handle Timeout;
   };
 
-  /// \returns the instances that remember a stream for the fleet.
-  [[nodiscard]] std::vector<InstanceId> replicasOf(StreamKey Stream) const;
   void replicate(const StreamOrigin &Begun, TimePoint Now);
+  /// Adds a stream to the next notice to a replica.
+  void queue(const InstanceId &Replica, const StreamOrigin &Begun,
+             TimePoint Now);
+  /// Replicates the newest known streams to those of their replicas that had
+  /// none of them before.
+  /// \param Before list of members according to which the streams were
+  /// replicated.
+  /// \param Empty instances that may have lost what they were told.
+  /// \param Left instances that remember streams no longer.
+  void replicateAgain(const std::vector<Member> &Before,
+                      const std::set<InstanceId> &Empty,
+                      const std::set<InstanceId> &Left, TimePoint Now);
+  /// Asks the other members for the streams that this instance has to remember.
+  void recall();
   void flush();
   void onRequest(const InstanceId &From, const StreamOriginRequest &Message,
                  TimePoint Now);
@@ -121,6 +141,11 @@
   /// Value of VersionHistory::changes() when Unreplicated was last searched.
   std::uint64_t VersionsSeen = 0;
   std::map<InstanceId, std::vector<StreamOrigin>> Outbox;
+  /// List of members according to which streams are replicated.
+  std::vector<Member> Replicating;
+  /// Peers to which messages were lost since they were last heard.
+  std::set<InstanceId> Unreached;
+  bool Recalled = false;
   std::map<std::uint64_t, Search> Searches;
   std::uint64_t LastSearch = 0;
 };
--- a/bronzeward/src/Relay/StreamOriginTable.cpp
+++ b/bronzeward/src/Relay/StreamOriginTable.cpp
@@ -3,19 +3,36 @@
 namespace bronzeward {
 
 void StreamOriginTable::add(const StreamOrigin &Begun, TimePoint Now) {
-  if (!Versions.try_emplace(Begun.Stream, Item{Begun.Version, Now}).second)
+  const TimePoint BegunAt = Now - Begun.Age;
+  if (Begun.Age >= KeptFor ||
+      !Versions.try_emplace(Begun.Stream, Item{Begun.Version, BegunAt}).second)
     return;
-  Order.emplace_back(Now, Begun.Stream);
-  while (Order.size() > Limit || Now >= Order.front().first + KeptFor) {
-    Versions.erase(Order.front().second);
+  Order.push_back(Begun.Stream);
+  while (Order.size() > Limit ||
+         Now >= Versions.at(Order.front()).BegunAt + KeptFor) {
+    Versions.erase(Order.front());
     Order.pop_front();
   }
 }
 
+std::vector<StreamOrigin> StreamOriginTable::newest(std::size_t Count,
+                                                    TimePoint Now) const {
+  std::vector<StreamOrigin> Found;
+  for (auto Stream = Order.rbegin();
+       Stream != Order.rend() && Found.size() < Count; ++Stream) {
+    const Item &Known = Versions.at(*Stream);
+    if (Now < Known.BegunAt + KeptFor)
+      Found.push_back({*Stream, Known.Version,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Now - Known.BegunAt)});
+  }
+  return Found;
+}
+
 std::optional<VersionId> StreamOriginTable::find(StreamKey Stream,
                                                  TimePoint Now) const {
   const auto Found = Versions.find(Stream);
-  if (Found == Versions.end() || Now >= Found->second.AddedAt + KeptFor)
+  if (Found == Versions.end() || Now >= Found->second.BegunAt + KeptFor)
     return std::nullopt;
   return Found->second.Version;
 }
--- a/bronzeward/src/Relay/StreamOriginTable.h
+++ b/bronzeward/src/Relay/StreamOriginTable.h
@@ -22,22 +22,26 @@
   StreamOriginTable(Duration Retention, std::size_t MaxStreams)
       : KeptFor(Retention), Limit(MaxStreams) {}
 
+  /// \brief Adds a stream; its age counts towards the retention.
   void add(const StreamOrigin &Begun, TimePoint Now);
   [[nodiscard]] std::optional<VersionId> find(StreamKey Stream,
                                               TimePoint Now) const;
+  /// \returns the streams that were added last, in that order.
+  [[nodiscard]] std::vector<StreamOrigin> newest(std::size_t Count,
+                                                 TimePoint Now) const;
   [[nodiscard]] std::size_t size() const { return Versions.size(); }
 
 private:
   struct Item {
     VersionId Version;
-    TimePoint AddedAt;
+    TimePoint BegunAt;
   };
 
   Duration KeptFor;
   std::size_t Limit;
   std::map<StreamKey, Item> Versions;
   /// Streams in the order in which they were added.
-  std::deque<std::pair<TimePoint, StreamKey>> Order;
+  std::deque<StreamKey> Order;
 };
 
 /// @}
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -175,6 +175,7 @@
     UnlistedPeers.erase(Item.Identity.Instance);
   Members.update(Listed);
   Election.onMembers(Listed);
+  Origins.onMembersChanged(Now);
   updatePermitIssuers(Now);
   if (Latest.find(Identity.Instance) != nullptr)
     confirmMembership(Now + InstanceRegistry::listPeriod(Listed.size()) +
@@ -739,6 +740,7 @@
 
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
   Limits.onPeerUnreachable(Peer);
+  Origins.onPeerUnreachable(Peer);
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
--- a/test/StreamVersionsTest.cpp
+++ b/test/StreamVersionsTest.cpp
@@ -227,6 +227,68 @@
   CHECK(Fixture.versionOf(Fixture.resume(6, First)) == "a");
 }
 
+/// \returns how many streams that began at the last instance go on at others
+/// after it is killed.
+std::size_t resumedElsewhere(VersionFixture &Fixture,
+                             const std::vector<std::uint64_t> &Streams) {
+  Fixture.Fleet.kill(Instances - 1);
+  std::size_t Resumed = 0;
+  for (std::size_t Index = 0; Index < Streams.size(); ++Index) {
+    const std::uint64_t Next =
+        Fixture.resume(Index % (Instances - 1), Streams[Index]);
+    Resumed += Fixture.versionOf(Next) == Fixture.versionOf(Streams[Index]);
+  }
+  return Resumed;
+}
+
+// Failure: streams were refused after restarts one by one, since a restarted
+// instance was not told again which streams it has to remember.
+TEST_CASE("Streams go on after restarts of the instances one by one",
+          "[StreamVersions]") {
+  VersionFixture Fixture;
+  Fixture.add("b");
+  Fixture.Fleet.runFor(ChangeTime);
+  std::vector<std::uint64_t> Streams;
+  while (Streams.size() < 12)
+    Streams.push_back(Fixture.begin(Instances - 1));
+  const Duration Pause = GENERATE(Duration(300ms), Duration(1s), Duration(3s));
+  for (std::size_t Index = 0; Index + 1 < Instances; ++Index) {
+    Fixture.Fleet.restart(Index);
+    Fixture.Fleet.runFor(Pause);
+  }
+  Fixture.Fleet.runFor(1s);
+  CHECK(resumedElsewhere(Fixture, Streams) == Streams.size());
+}
+
+// Failure: instances that remember a stream were lost one after the other, and
+// those that took their place did not know it.
+TEST_CASE("Streams go on after the loss of every instance that was told first",
+          "[StreamVersions]") {
+  VersionFixture Fixture;
+  Fixture.add("b");
+  Fixture.Fleet.runFor(ChangeTime);
+  std::vector<std::uint64_t> Streams;
+  while (Streams.size() < 12)
+    Streams.push_back(Fixture.begin(Instances - 1));
+  const bool Drained = GENERATE(false, true);
+  for (std::size_t Index = 0; Index < 4; ++Index) {
+    if (Drained) {
+      Fixture.Fleet.drain(Index);
+      Fixture.Fleet.runFor(5s);
+    }
+    Fixture.Fleet.kill(Index);
+    Fixture.Fleet.expireEntry(Index);
+    Fixture.Fleet.runFor(5s);
+  }
+  Fixture.Fleet.kill(Instances - 1);
+  std::size_t Resumed = 0;
+  for (std::size_t Index = 0; Index < Streams.size(); ++Index) {
+    const std::uint64_t Next = Fixture.resume(4 + Index % 3, Streams[Index]);
+    Resumed += Fixture.versionOf(Next) == Fixture.versionOf(Streams[Index]);
+  }
+  CHECK(Resumed == Streams.size());
+}
+
 TEST_CASE("An unknown attempt is refused at once where versions differ",
           "[StreamVersions]") {
   VersionFixture Fixture;
@@ -329,10 +391,13 @@
     return internal::read(Built.getRoot<schema::PeerMessage>().asReader());
   };
   const StreamOriginNotice Notice = std::get<StreamOriginNotice>(
-      Transfer(StreamOriginNotice{{{StreamKey{7}, VersionId{8}}}}));
+      Transfer(StreamOriginNotice{{{StreamKey{7}, VersionId{8}, 9ms}}}));
   REQUIRE(Notice.Streams.size() == 1);
   CHECK(Notice.Streams.front().Stream == StreamKey{7});
   CHECK(Notice.Streams.front().Version == VersionId{8});
+  CHECK(Notice.Streams.front().Age == 9ms);
+  CHECK(std::holds_alternative<StreamOriginRecall>(
+      Transfer(StreamOriginRecall{})));
   const StreamOriginRequest Request = std::get<StreamOriginRequest>(
       Transfer(StreamOriginRequest{5, ServiceName{"s"}, StreamKey{7}}));
   CHECK(Request.Number == 5);
