Get evidence of crashes to instances that are short of processor time

Instances convicted by their own crashes alone. Evidence of others waited 11 to 40 s in connections behind load notices that no longer held, or was lost: a connection without a confirmation for a second is closed, and a single crash was sent once. Now one load notice at most is unconfirmed at a peer, and the latest replaces those that wait; a peer to which messages were lost is told the evidence in force when it is heard again; a trial waits as long as the crashes took to be learned.

Cuts in the simulated network now report lost messages to their sender, as the transport does.

--- a/bronzeward/src/Net/PeerTransport.cpp
+++ b/bronzeward/src/Net/PeerTransport.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <optional>
 #include <sys/eventfd.h>
 #include <unistd.h>
 #include <utility>
@@ -144,6 +145,11 @@
     kj::Own<capnp::TwoPartyClient> Rpc;
     schema::Peer::Client Remote = nullptr;
     std::size_t Unconfirmed = 0;
+    /// Whether a load notice is unconfirmed, and the latest one that waits for
+    /// its confirmation. Each replaces the one before, so a peer that is slow
+    /// to confirm gets no queue of them, in which other messages would wait.
+    bool LoadUnconfirmed = false;
+    std::optional<LoadNotice> NextLoad;
   };
 
   void wake() const {
@@ -256,6 +262,12 @@
     std::shared_ptr<Connection> Peer = connection(To);
     if (!Peer || Peer->Unconfirmed >= MaxUnconfirmed)
       return;
+    const auto *Load = std::get_if<LoadNotice>(&Item.Message);
+    if (Load != nullptr && Peer->LoadUnconfirmed) {
+      Peer->NextLoad = *Load;
+      return;
+    }
+    Peer->LoadUnconfirmed |= Load != nullptr;
     try {
       auto Request = Peer->Remote.deliverRequest();
       internal::write(Request.initMessage(), Self, Item.Message);
@@ -264,13 +276,26 @@
           Io->provider->getTimer()
               .timeoutAfter(Timeout.count() * kj::MILLISECONDS,
                             Request.send().ignoreResult())
-              .then([Peer] { --Peer->Unconfirmed; },
-                    [this, To, Peer](kj::Exception &&) { drop(To, Peer); }));
+              .then(
+                  [this, To, Peer, IsLoad = Load != nullptr] {
+                    --Peer->Unconfirmed;
+                    if (IsLoad)
+                      sendNextLoad(To, *Peer);
+                  },
+                  [this, To, Peer](kj::Exception &&) { drop(To, Peer); }));
     } catch (const kj::Exception &) {
       drop(To, Peer);
     }
   }
 
+  /// Sends the load notice that waited for the confirmation of another.
+  void sendNextLoad(const Route &To, Connection &Peer) {
+    Peer.LoadUnconfirmed = false;
+    if (const std::optional<LoadNotice> Next =
+            std::exchange(Peer.NextLoad, std::nullopt))
+      deliver({To.first, *Next});
+  }
+
   /// Removes a failed connection, unless a newer one has replaced it.
   void drop(const Route &To, const std::shared_ptr<Connection> &Failed) {
     const auto Found = Connections.find(To);
--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 namespace bronzeward {
@@ -26,6 +28,8 @@
 constexpr int MaxTrials = 2;
 constexpr Duration TrialDelay = 3s;
 constexpr Duration TrialTurn = 500ms;
+/// Limit of the time by which trials wait for crashes that are learned late.
+constexpr Duration MaxDetectionDelay = 10s;
 /// Instances begin one quarantine within this time of each other. A later
 /// report tells of a trial.
 constexpr Duration QuarantineSkew = 2s;
@@ -244,13 +248,21 @@
                        [Known](TimePoint At) { return At > Known; });
 }
 
+Duration PartQuarantine::detectionDelay(const Entry &Item) {
+  Duration Longest{};
+  for (const Crash &Stored : Item.Crashes)
+    Longest = std::max(Longest, Stored.LearnedAt - Stored.At);
+  return std::min(Longest, MaxDetectionDelay);
+}
+
 std::optional<std::uint64_t> PartQuarantine::trialTurn(PartId Part,
                                                        TimePoint Now) const {
   const auto Found = Entries.find(Part);
   if (Found == Entries.end() || Found->second.TrialsLeft <= 0 ||
       lateCrashes(Found->second) >= MaxTrials || !quarantined(Part, Now))
     return std::nullopt;
-  const Duration Due = Now - *Found->second.QuarantinedAt - TrialDelay;
+  const Duration Due = Now - *Found->second.QuarantinedAt - TrialDelay -
+                       detectionDelay(Found->second);
   if (Due < Duration())
     return std::nullopt;
   return static_cast<std::uint64_t>(Due / TrialTurn);
@@ -433,6 +445,29 @@
   return News;
 }
 
+PartNews PartQuarantine::evidence(TimePoint Now) const {
+  using Ranked = std::tuple<std::size_t, TimePoint, PartId>;
+  std::vector<Ranked> Suspects;
+  for (const auto &[Part, Item] : Entries)
+    if (!Item.Crashes.empty())
+      Suspects.emplace_back(std::min(Item.Crashes.size(), CrashesToSuspect),
+                            Item.Crashes.back().LearnedAt, Part);
+  const std::size_t Count = std::min(Suspects.size(), MaxPartsInMessage);
+  std::partial_sort(Suspects.begin(),
+                    Suspects.begin() + static_cast<std::ptrdiff_t>(Count),
+                    Suspects.end(), std::greater<>());
+  Suspects.resize(Count);
+  PartNews News;
+  for (const auto &[Crashes, LearnedAt, Part] : Suspects) {
+    const Entry &Item = Entries.at(Part);
+    for (const Crash &Stored : Item.Crashes)
+      addCrashNotice(News, Part, {Stored.Upstream, ageOf(Stored.At, Now), {}});
+    if (quarantined(Part, Now))
+      News.Quarantined.push_back({Part, ageOf(*Item.QuarantinedAt, Now)});
+  }
+  return News;
+}
+
 ContentFingerprint fingerprintOf(PartId Part) {
   const std::string_view Prefix = isContent(Part) ? ContentPrefix : PartPrefix;
   std::array<char, 16> Digits{};
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -134,6 +134,9 @@
   /// \returns the quarantined parts, and what was learned a short time ago
   /// about those that are close to it, for peers that missed earlier messages.
   [[nodiscard]] PartNews recentNews(TimePoint Now) const;
+  /// \returns the evidence in force, the strongest and latest first if there is
+  /// too much for a message, for a peer to which messages were lost.
+  [[nodiscard]] PartNews evidence(TimePoint Now) const;
 
 private:
   struct Crash : CrashRecord {
@@ -168,6 +171,9 @@
   /// \returns the number of crashes some time after those that would have
   /// sufficed for a quarantine.
   [[nodiscard]] static std::ptrdiff_t lateCrashes(const Entry &Item);
+  /// \returns the longest time from a crash until it was learned, in which
+  /// others may have happened that are not known yet.
+  [[nodiscard]] static Duration detectionDelay(const Entry &Item);
   /// \returns whether the crashes that may count suffice for a quarantine.
   /// \param Again whether the suspect was quarantined before.
   [[nodiscard]] static bool convicts(const Entry &Item, bool Again,
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -622,6 +622,12 @@
     Deps.Peers.send(Peer, News);
 }
 
+void FleetCore::resendPartNews(const InstanceId &Peer, TimePoint Now) {
+  PartNews News = Engine.partQuarantine().evidence(Now);
+  if (!News.Crashes.empty())
+    Deps.Peers.send(Peer, std::move(News));
+}
+
 void FleetCore::onPartNewsLearned(TimePoint Now) {
   if (PartNewsScheduled)
     return;
@@ -718,6 +724,8 @@
 void FleetCore::onPeerMessage(const InstanceId &From,
                               const PeerMessage &Message, TimePoint Now) {
   LastHeardAt[From] = Now;
+  if (PartNewsLost.erase(From) > 0)
+    resendPartNews(From, Now);
   if (const auto *Digest = std::get_if<PeerDigest>(&Message))
     onDigest(From, *Digest, Now);
   else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
@@ -741,6 +749,7 @@
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
   Limits.onPeerUnreachable(Peer);
   Origins.onPeerUnreachable(Peer);
+  PartNewsLost.insert(Peer);
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -196,6 +196,8 @@
   /// Sends what was learned about prompt parts to some peers at once, so that
   /// it spreads from peer to peer.
   void sendPartNews(TimePoint Now);
+  /// Repeats the evidence of crashes to a peer to which messages were lost.
+  void resendPartNews(const InstanceId &Peer, TimePoint Now);
   void sendLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
@@ -283,6 +285,9 @@
   TimePoint NextStoreReport;
   std::optional<TimePoint> HousekeepingDue;
   bool PartNewsScheduled = false;
+  /// Peers to which messages were lost since they were last told all evidence
+  /// of crashes.
+  std::set<InstanceId> PartNewsLost;
   bool EvacuationNewsScheduled = false;
   /// Until then, the instance is not ready because of its own congestion.
   TimePoint CongestedUntil;
--- a/test/PartQuarantineTest.cpp
+++ b/test/PartQuarantineTest.cpp
@@ -194,6 +194,27 @@
   }
 }
 
+// Failure: where messages between instances were lost, each of them let a
+// content crash upstreams until it had evidence of its own.
+TEST_CASE("Crashes count everywhere though the first messages are lost",
+          "[PartQuarantine]") {
+  constexpr std::size_t Instances = 8;
+  CrashingPartFixture Fixture(Instances, 18, 7);
+  Fixture.Fleet.crashOnBody("poison");
+  for (std::size_t Round = 0; Round < 10; ++Round) {
+    const std::size_t Visited = Round % Instances;
+    Fixture.Fleet.setPeersUnreachable(Visited, true);
+    Fixture.Fleet.requestWithBody(Visited, "poison");
+    Fixture.Fleet.runFor(3s);
+    Fixture.Fleet.setPeersUnreachable(Visited, false);
+    Fixture.Fleet.runFor(4s);
+  }
+  const std::vector<TimePoint> &Crashes = Fixture.Fleet.crashes();
+  REQUIRE(Crashes.size() >= 3);
+  CAPTURE(Crashes.size());
+  CHECK(Fixture.arrivals("poison", Crashes[2] + NoticeTime) <= AllowedCalls);
+}
+
 // Load pattern: many callers send one content, of which several are at an
 // upstream that crashes for another reason.
 TEST_CASE("One crash convicts no content that others are answered",
@@ -358,6 +379,26 @@
   CHECK_FALSE(Parts.quarantined(7, Now));
 }
 
+// Failure: where crashes became known late, trials came before the crashes that
+// left none of them.
+TEST_CASE("A trial waits as long as the crashes took to be learned",
+          "[PartQuarantine]") {
+  for (const Duration Delay : {Duration(0s), Duration(6s), Duration(60s)}) {
+    PartQuarantine Parts;
+    TimePoint Now{1h};
+    for (int Index = 0; Index < 3; ++Index) {
+      Parts.onCrash({runOf("u" + std::to_string(Index)), Now - Delay, {}}, {7},
+                    Now);
+      Now += ReviewTime;
+    }
+    Parts.review(Now);
+    REQUIRE(Parts.quarantined(7, Now));
+    const Duration Waits = 3s + std::min(Delay, Duration(10s));
+    CHECK_FALSE(Parts.trialTurn(7, Now + Waits - 1ms));
+    CHECK(Parts.trialTurn(7, Now + Waits) == 0);
+  }
+}
+
 TEST_CASE("An answer clears a part, also after its quarantine",
           "[PartQuarantine]") {
   PartQuarantine Parts;
--- a/test/PeerTransportTest.cpp
+++ b/test/PeerTransportTest.cpp
@@ -99,6 +99,13 @@
   return Text;
 }
 
+/// \returns a free port, since the transport does not report the port it binds.
+std::uint16_t freePort() {
+  boost::asio::io_context Io;
+  const Tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return Free.local_endpoint().port();
+}
+
 // Guards against short messages that wait behind a long one or time out with
 // it: a long configuration is sent to an instance whose link is congested by
 // callers, while digests and load notices are sent every second.
@@ -115,13 +122,7 @@
         Digests += std::holds_alternative<PeerDigest>(Message) ? 1 : 0;
       },
       [](const InstanceId &) {});
-  // Find a free port, since the transport does not report the port it binds.
-  std::uint16_t Port = 0;
-  {
-    boost::asio::io_context Io;
-    Tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    Port = Free.local_endpoint().port();
-  }
+  const std::uint16_t Port = freePort();
   REQUIRE(Receiver.listen("127.0.0.1", Port));
   SlowLink Link(Port);
   PeerTransport Sender(
@@ -157,12 +158,7 @@
       InstanceId{"b"},
       [&](const InstanceId &, const PeerMessage &) { ++Digests; },
       [](const InstanceId &) {});
-  std::uint16_t Port = 0;
-  {
-    boost::asio::io_context Io;
-    Tcp::acceptor Free(Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    Port = Free.local_endpoint().port();
-  }
+  const std::uint16_t Port = freePort();
   REQUIRE(Receiver.listen("127.0.0.1", Port));
   PeerTransport Sender(
       InstanceId{"a"}, [](const InstanceId &, const PeerMessage &) {},
@@ -180,5 +176,45 @@
   Receiver.stop();
 }
 
+// Failure: what was learned about crashes reached instances without processor
+// time many seconds late, behind load notices that no longer held.
+TEST_CASE("Load notices do not delay other messages to a slow peer",
+          "[PeerTransport]") {
+  std::atomic<int> Loads = 0;
+  std::atomic<std::uint32_t> LastLoad = 0;
+  std::atomic<bool> Arrived = false;
+  PeerTransport Receiver(
+      InstanceId{"b"},
+      [&](const InstanceId &, const PeerMessage &Message) {
+        std::this_thread::sleep_for(20ms);
+        if (const auto *Load = std::get_if<LoadNotice>(&Message)) {
+          ++Loads;
+          LastLoad = Load->Upstreams.front().Calls;
+        }
+        Arrived = Arrived || std::holds_alternative<PartNews>(Message);
+      },
+      [](const InstanceId &) {});
+  const std::uint16_t Port = freePort();
+  REQUIRE(Receiver.listen("127.0.0.1", Port));
+  PeerTransport Sender(
+      InstanceId{"a"}, [](const InstanceId &, const PeerMessage &) {},
+      [](const InstanceId &) {});
+  REQUIRE(Sender.listen("127.0.0.1", 0));
+  Sender.setMembers({Member{Incarnation{InstanceId{"b"}, 1}, FailureDomain{"d"},
+                            "127.0.0.1:" + std::to_string(Port)}});
+  constexpr std::uint32_t Sent = 300;
+  for (std::uint32_t Calls = 1; Calls <= Sent; ++Calls) {
+    Sender.send(InstanceId{"b"}, LoadNotice{{{UpstreamName{"u"}, Calls, 0}}});
+    std::this_thread::sleep_for(1ms);
+  }
+  Sender.send(InstanceId{"b"}, PartNews());
+  std::this_thread::sleep_for(500ms);
+  CHECK(Arrived);
+  CHECK(LastLoad == Sent);
+  CHECK(Loads < 60);
+  Sender.stop();
+  Receiver.stop();
+}
+
 } // namespace
 } // namespace bronzeward
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -571,8 +571,10 @@
     Refused.emplace_back(From, Index);
     return;
   }
-  if (WithoutPeers.contains(From) || WithoutPeers.contains(Index))
+  if (WithoutPeers.contains(From) || WithoutPeers.contains(Index)) {
+    LostBehindCut.emplace_back(Now + DeliveryTimeout, From, Index);
     return;
+  }
   capnp::MallocMessageBuilder Built;
   internal::write(Built.initRoot<schema::PeerMessage>(),
                   InstanceId{"i" + std::to_string(From)}, Message);
@@ -643,6 +645,10 @@
 void FleetNetwork::reportUnreachable() {
   std::vector<std::pair<std::size_t, std::size_t>> Reports;
   Reports.swap(Refused);
+  for (; !LostBehindCut.empty() && Now >= std::get<0>(LostBehindCut.front());
+       LostBehindCut.pop_front())
+    Reports.emplace_back(std::get<1>(LostBehindCut.front()),
+                         std::get<2>(LostBehindCut.front()));
   for (const auto &[From, To] : Reports)
     if (Nodes[From]->Core)
       Nodes[From]->Core->onPeerUnreachable(InstanceId{"i" + std::to_string(To)},
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -292,6 +292,8 @@
   std::vector<UnansweredCall> Unanswered;
   /// Sender and receiver of messages to instances that do not run.
   std::vector<std::pair<std::size_t, std::size_t>> Refused;
+  /// Messages lost behind a cut: when that is noticed, sender and receiver.
+  std::deque<std::tuple<TimePoint, std::size_t, std::size_t>> LostBehindCut;
   std::map<UpstreamName, std::string> StatedLimits;
   std::map<std::string, std::string> VersionOf;
   std::vector<PendingAnswer> PendingAnswers;
