Count the new occupant of an upstream's address as proof of its crash

Calls sent in between were answered 421 by that occupant. Such an answer now proves the end of the upstream that was called, as a vanished entry does; its body no longer counts as a sign of life.

--- a/bronzeward/src/Relay/CrashTracker.cpp
+++ b/bronzeward/src/Relay/CrashTracker.cpp
@@ -85,8 +85,9 @@
   recordCrashes(Evidence.onDown(Upstream, Now), Sign, Now);
 }
 
-void CrashTracker::onVanished(const UpstreamName &Upstream, TimePoint Now) {
-  recordCrashes(Evidence.onVanished(Upstream, Now), "vanished in silence", Now);
+void CrashTracker::onVanished(const UpstreamName &Upstream,
+                              const std::string &Sign, TimePoint Now) {
+  recordCrashes(Evidence.onVanished(Upstream, Now), Sign, Now);
 }
 
 void CrashTracker::recordCrashes(const std::vector<InterruptedCall> &Calls,
--- a/bronzeward/src/Relay/CrashTracker.h
+++ b/bronzeward/src/Relay/CrashTracker.h
@@ -56,9 +56,12 @@
   [[nodiscard]] std::vector<UpstreamName> silentUpstreams() const {
     return Evidence.silentUpstreams();
   }
-  /// \brief Records that the registry entry of a silent upstream vanished,
-  /// though the upstream had not announced that it leaves.
-  void onVanished(const UpstreamName &Upstream, TimePoint Now);
+  /// \brief Records that the registry entry of a silent upstream vanished, or
+  /// that another answers at its address, though the upstream had not announced
+  /// that it leaves.
+  /// \param Sign how it is known, for the log.
+  void onVanished(const UpstreamName &Upstream, const std::string &Sign,
+                  TimePoint Now);
   /// \brief Records that an upstream ended.
   /// \param Sign how it is known, for the log.
   void onDown(const UpstreamName &Upstream, const std::string &Sign,
--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -512,8 +512,11 @@
     return;
   Congestion.onAnswerBegun(Now);
   Item->Head = Deps.Codec.parseAnswerHead(Head);
-  // What another upstream at the address says does not concern this one.
-  if (!Item->Head->Misdirected) {
+  // What another upstream at the address says does not concern this one, but
+  // shows that its process has ended.
+  if (Item->Head->Misdirected) {
+    Crashes.onVanished(Item->Upstream, "another answers at its address", Now);
+  } else {
     Crashes.onHeard(Item->Upstream);
     if (Item->Head->Load)
       Pool.onLoad(Item->Upstream, *Item->Head->Load, Now);
@@ -555,7 +558,8 @@
   ActiveCall *Item = find(Attempt);
   if (Item == nullptr || !Item->Head)
     return;
-  Crashes.onHeard(Item->Upstream);
+  if (!Item->Head->Misdirected)
+    Crashes.onHeard(Item->Upstream);
   if (Item->Head->NotRun) {
     skipRejection(*Item, Bytes.size(), Now);
     return;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -889,7 +889,7 @@
   confirmMembershipByPeers(Now);
   for (const UpstreamName &Name : Engine.crashTracker().silentUpstreams())
     if (Upstreams.hasVanished(Name, Now))
-      Engine.crashTracker().onVanished(Name, Now);
+      Engine.crashTracker().onVanished(Name, "vanished in silence", Now);
   Engine.reviewParts(Now);
   if (Engine.congested(Now))
     CongestedUntil = Now + CongestionRest;
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -702,6 +702,25 @@
   CHECK_FALSE(isContent(Suspects[1]));
 }
 
+// Failure: an upstream that crashed in silence and whose address had a new
+// occupant was not known to have crashed if its registry entry lived on.
+TEST_CASE("Another upstream at the address proves that a silent one crashed",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.addUpstreams(1);
+  Fixture.request("/post/x", "same");
+  Fixture.wait(6s);
+  REQUIRE(Fixture.Answers.size() == 1);
+  Fixture.request("/post/y");
+  REQUIRE(Fixture.Calls.size() == 2);
+  Fixture.head(421, {{"Not-Run", "1"}, {"Misdirected", "1"}});
+  Fixture.bytes("of another");
+  const PartNews News = Fixture.Engine.partQuarantine().takeUnsent(Fixture.Now);
+  REQUIRE(News.Crashes.size() == 1);
+  CHECK(News.Crashes.front().Upstream.Name == Fixture.Calls.front().Upstream);
+  CHECK(News.Crashes.front().Parts.size() == 1);
+}
+
 // Guards against a part that crashes upstreams late in their answers.
 TEST_CASE("A call is a suspect at any time of its answer", "[RelayEngine]") {
   RelayFixture Fixture;
