Keep the evidence against crash suspects in the store

Crashes, quarantines and trials were in the memory of the instances alone, though the rule counts over the whole time.

One key of the store now holds what is quarantined or one crash away from it, with crashes, times and trials. It is read once at the start and written by instances whose calls were part of the evidence; nothing is called while nothing crashes.

--- a/bronzeward/src/Base/Time.h
+++ b/bronzeward/src/Base/Time.h
@@ -10,7 +10,8 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
 
-/// Calendar time, written into bills only. No decision depends on it.
+/// Calendar time, written into bills. Decisions depend on it only for the age
+/// of evidence that outlasts the instances.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
 /// \ingroup Base
--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -50,6 +50,10 @@
 constexpr std::size_t MaxCrashes = 16;
 /// Maximum number of parts in one message, over all its lists.
 constexpr std::size_t MaxPartsInMessage = 256;
+/// Maximum number of suspects whose evidence outlasts the instances, and of
+/// crashes for each.
+constexpr std::size_t MaxLasting = 128;
+constexpr std::size_t MaxLastingCrashes = 6;
 /// Prefixes of the names under which operators see suspects.
 constexpr std::string_view PartPrefix = "part-";
 constexpr std::string_view ContentPrefix = "content-";
@@ -159,8 +163,11 @@
     return CrashVerdict::AnsweredSince;
   // A crash under a trial confirms the quarantine.
   if (Item->QuarantinedAt && Item->TrialsLeft < MaxTrials &&
-      Seen.At >= *Item->QuarantinedAt)
+      Seen.At >= *Item->QuarantinedAt) {
     Item->TrialsLeft = 0;
+    Item->TrialsMade = Item->TrialsMade > 0 ? MaxTrials : 0;
+    ++LastingChanges;
+  }
   std::vector<Crash> &Crashes = Item->Crashes;
   if (std::any_of(Crashes.begin(), Crashes.end(), [&](const Crash &Stored) {
         return Stored.Upstream == Seen.Upstream;
@@ -175,6 +182,8 @@
   if (Crashes.size() >= MaxCrashes)
     return CrashVerdict::Full;
   Crashes.push_back({Seen, Now, CommonCause});
+  Item->Own = Item->Own || Seen.Ran;
+  LastingChanges += Crashes.size() >= CrashesToSuspect ? 1 : 0;
   return CommonCause ? CrashVerdict::CommonCause : CrashVerdict::Counted;
 }
 
@@ -190,6 +199,7 @@
     Item->QuarantinedAt.reset();
   if (Refuted == 0 && !Ended)
     return false;
+  ++LastingChanges;
   Item->AnswerLearnedAt = Now;
   return true;
 }
@@ -219,6 +229,7 @@
     return;
   }
   Item->QuarantinedAt = At;
+  ++LastingChanges;
   // An instance that has not seen the crashes does not know of earlier trials.
   Item->TrialsLeft =
       Item->Crashes.size() >= CrashesToQuarantine ? MaxTrials : 0;
@@ -228,11 +239,14 @@
                                  TimePoint Now) {
   Item.QuarantinedAt = At;
   --Item.TrialsLeft;
+  ++Item.TrialsMade;
+  ++LastingChanges;
   if (beginQueuing(Now))
     Unsent.Quarantined.push_back({Part, queuedAge(At)});
 }
 
 void PartQuarantine::beginTrial(PartId Part, TimePoint Now) {
+  Entries.at(Part).Own = true;
   recordTrial(Part, Entries.at(Part), Now, Now);
 }
 
@@ -351,6 +365,8 @@
       continue;
     Item.QuarantinedAt = Now;
     Item.TrialsLeft = MaxTrials;
+    Item.TrialsMade = 0;
+    ++LastingChanges;
     Begun New{Part, {}};
     for (const Crash &Stored : Item.Crashes)
       New.Crashed.push_back(Stored.Upstream.Name);
@@ -364,6 +380,7 @@
   Item.Crashes.clear();
   Item.QuarantinedAt.reset();
   Item.LiftedUntil = Now + QuarantineTime;
+  ++LastingChanges;
 }
 
 PartNews PartQuarantine::takeUnsent(TimePoint Now) {
@@ -445,6 +462,74 @@
   return News;
 }
 
+bool PartQuarantine::lasts(PartId Part, const Entry &Item,
+                           TimePoint Now) const {
+  return quarantined(Part, Now) || Item.Crashes.size() >= CrashesToQuarantine ||
+         separateOutages(Item) >= CrashesToSuspect;
+}
+
+std::vector<SuspectEvidence>
+PartQuarantine::lastingEvidence(TimePoint Now) const {
+  // The order does not depend on the instance.
+  std::vector<std::tuple<bool, std::size_t, PartId>> Ranked;
+  for (const auto &[Part, Item] : Entries)
+    if (lasts(Part, Item, Now))
+      Ranked.emplace_back(quarantined(Part, Now), Item.Crashes.size(), Part);
+  std::sort(Ranked.begin(), Ranked.end(), std::greater<>());
+  Ranked.resize(std::min(Ranked.size(), MaxLasting));
+  std::vector<SuspectEvidence> All;
+  for (const auto &[Held, Crashes, Part] : Ranked) {
+    const Entry &Item = Entries.at(Part);
+    SuspectEvidence Evidence{Part, {}, {}, Item.TrialsMade, Item.Own};
+    for (const Crash &Stored : Item.Crashes)
+      if (Evidence.Crashes.size() < MaxLastingCrashes)
+        Evidence.Crashes.push_back({Stored.Upstream, ageOf(Stored.At, Now)});
+    if (Held)
+      Evidence.QuarantineAge = ageOf(*Item.QuarantinedAt, Now);
+    All.push_back(std::move(Evidence));
+  }
+  return All;
+}
+
+void PartQuarantine::restore(const SuspectEvidence &Evidence, TimePoint Now) {
+  Entry *Item = entryFor(Evidence.Suspect, Now);
+  if (Item == nullptr || Now < Item->LiftedUntil)
+    return;
+  const auto Refuted = [Item](TimePoint At) {
+    return Item->AnsweredAt && At <= *Item->AnsweredAt;
+  };
+  for (const SuspectCrash &Seen : Evidence.Crashes) {
+    const TimePoint At = Now - Seen.Age;
+    const bool Known = std::any_of(Item->Crashes.begin(), Item->Crashes.end(),
+                                   [&Seen](const Crash &Stored) {
+                                     return Stored.Upstream == Seen.Upstream;
+                                   });
+    if (Known || Refuted(At) || Seen.Age >= QuarantineTime ||
+        Item->Crashes.size() >= MaxCrashes)
+      continue;
+    const CrashRecord Restored{Seen.Upstream, At, {}};
+    const bool CommonCause = std::any_of(
+        Item->Crashes.begin(), Item->Crashes.end(), [&](const Crash &Stored) {
+          return !areApart(Evidence.Suspect, Stored, Restored);
+        });
+    Item->Crashes.push_back({Restored, At, CommonCause});
+  }
+  ++LastingChanges;
+  if (!Evidence.QuarantineAge || *Evidence.QuarantineAge >= QuarantineTime ||
+      Refuted(Now - *Evidence.QuarantineAge))
+    return;
+  const TimePoint At = Now - *Evidence.QuarantineAge;
+  const int Left = MaxTrials - std::min(Evidence.TrialsMade, MaxTrials);
+  if (Item->QuarantinedAt) {
+    Item->QuarantinedAt = std::max(*Item->QuarantinedAt, At);
+    Item->TrialsLeft = std::min(Item->TrialsLeft, Left);
+  } else {
+    Item->QuarantinedAt = At;
+    Item->TrialsLeft = Left;
+  }
+  Item->TrialsMade = std::max(Item->TrialsMade, Evidence.TrialsMade);
+}
+
 PartNews PartQuarantine::evidence(TimePoint Now) const {
   using Ranked = std::tuple<std::size_t, TimePoint, PartId>;
   std::vector<Ranked> Suspects;
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -67,6 +67,28 @@
   std::optional<Duration> Ran;
 };
 
+/// \ingroup Relay
+/// \brief A crash that counts against a suspect.
+struct SuspectCrash {
+  UpstreamRun Upstream;
+  /// Time since the crash.
+  std::chrono::milliseconds Age{0};
+};
+
+/// \ingroup Relay
+/// \brief The evidence against a suspect that is quarantined, or close to it.
+struct SuspectEvidence {
+  PartId Suspect = 0;
+  /// The first ones since the last answer.
+  std::vector<SuspectCrash> Crashes;
+  /// Time since the quarantine or its last trial; empty if there is none.
+  std::optional<std::chrono::milliseconds> QuarantineAge;
+  /// Trials of the quarantine.
+  int TrialsMade = 0;
+  /// Whether calls of this instance were part of it.
+  bool Own = false;
+};
+
 /// \ingroup Relay
 /// \brief Finds prompt parts and contents that crash every upstream that
 /// answers on them, from the crashes that all instances of the fleet met.
@@ -134,6 +156,17 @@
   /// \returns the quarantined parts, and what was learned a short time ago
   /// about those that are close to it, for peers that missed earlier messages.
   [[nodiscard]] PartNews recentNews(TimePoint Now) const;
+  /// \returns the evidence that should outlast the instances, the strongest if
+  /// there is too much.
+  [[nodiscard]] std::vector<SuspectEvidence>
+  lastingEvidence(TimePoint Now) const;
+  /// \returns how often such evidence may have changed so far.
+  [[nodiscard]] std::uint64_t lastingChanges() const { return LastingChanges; }
+  /// \returns whether anything is stored about a suspect, such as an answer
+  /// that refutes earlier evidence.
+  [[nodiscard]] bool knows(PartId Part) const { return Entries.contains(Part); }
+  /// \brief Adds evidence from before a restart, unless it was refuted since.
+  void restore(const SuspectEvidence &Evidence, TimePoint Now);
   /// \returns the evidence in force, the strongest and latest first if there is
   /// too much for a message, for a peer to which messages were lost.
   [[nodiscard]] PartNews evidence(TimePoint Now) const;
@@ -154,6 +187,10 @@
     /// quarantined, also after the quarantine's end.
     std::optional<TimePoint> QuarantinedAt;
     int TrialsLeft = 0;
+    /// Trials of the quarantine that are known; all after a crash under one.
+    int TrialsMade = 0;
+    /// Whether calls of this instance were part of the evidence.
+    bool Own = false;
     TimePoint LiftedUntil;
   };
 
@@ -178,6 +215,8 @@
   /// \param Again whether the suspect was quarantined before.
   [[nodiscard]] static bool convicts(const Entry &Item, bool Again,
                                      TimePoint Now);
+  /// \returns whether the evidence should outlast the instances.
+  [[nodiscard]] bool lasts(PartId Part, const Entry &Item, TimePoint Now) const;
   /// \returns the number of crashes, where those of an outage are one.
   [[nodiscard]] static std::size_t separateOutages(const Entry &Item);
   /// Records a trial and tells the peers.
@@ -189,6 +228,7 @@
   [[nodiscard]] std::chrono::milliseconds queuedAge(TimePoint At) const;
 
   std::map<PartId, Entry> Entries;
+  std::uint64_t LastingChanges = 0;
   /// Answers of a short time ago, most of them on parts without a crash.
   std::map<PartId, TimePoint> LastAnswers;
   /// The next message, with ages as of UnsentSince.
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -117,7 +117,9 @@
              RelayDependencies{Dependencies.Callers, Dependencies.Upstreams,
                                Dependencies.Log, Dependencies.Wall, Timers,
                                RandomSource, PlatformCodecs.Calls, Members,
-                               Limits}) {
+                               Limits}),
+      StoredSuspects({Store, RandomSource, Dependencies.Log, Dependencies.Wall,
+                      Engine.partQuarantine()}) {
   Engine.notify(*this);
   Engine.limitVersions(Origins);
   Engine.limitBufferedBytes(Policy.MaxBufferedBytes);
@@ -629,6 +631,8 @@
 }
 
 void FleetCore::onPartNewsLearned(TimePoint Now) {
+  // A trial has to be recorded even if all instances are lost right after it.
+  StoredSuspects.update(Now);
   if (PartNewsScheduled)
     return;
   PartNewsScheduled = true;
@@ -896,6 +900,7 @@
   updateWatchRole(Now);
   updateRegistryState();
   maintainVersionRecord(Now);
+  StoredSuspects.update(Now);
   if (NextLapse && Now >= *NextLapse)
     updateUsableUpstreams(Now);
   if (Budgets && Now >= NextExcessReturn) {
@@ -969,8 +974,11 @@
     return "no upstreams";
   if (Now < CongestedUntil)
     return "own link or processor congested";
-  if (!OwnIncarnation && StartedAt && Now < *StartedAt + RegistrationTimeout)
+  const bool Starting = StartedAt && Now < *StartedAt + RegistrationTimeout;
+  if (!OwnIncarnation && Starting)
     return "not registered: the store does not answer";
+  if (!StoredSuspects.loaded() && Starting)
+    return "crash suspects not read: the store does not answer";
   return "";
 }
 
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -5,6 +5,7 @@
 #include "bronzeward/src/Router/InstanceCore.h"
 #include "bronzeward/src/Router/InstanceRegistry.h"
 #include "bronzeward/src/Router/StartReport.h"
+#include "bronzeward/src/Router/SuspectRecord.h"
 #include "bronzeward/src/Router/UpstreamRegistry.h"
 #include "bronzeward/src/Router/VersionRecord.h"
 #include "bronzeward/src/Router/WatcherElection.h"
@@ -254,6 +255,7 @@
   VersionRecord StoredVersions;
   StreamOriginAgent Origins;
   RelayEngine Engine;
+  SuspectRecord StoredSuspects;
   std::unique_ptr<BudgetAgent> Budgets;
   std::optional<Incarnation> OwnIncarnation;
   ConfigurationVersion Version;
--- /dev/null
+++ b/bronzeward/src/Router/SuspectRecord.cpp
@@ -0,0 +1,197 @@
+#include "bronzeward/src/Router/SuspectRecord.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace bronzeward {
+
+namespace json = boost::json;
+
+const std::string SuspectsKey = "bronzeward/crash-suspects";
+/// Longest time until a call that failed or conflicted is repeated. Several
+/// instances may write evidence of the same crash.
+constexpr Duration MaxRetryDelay = 500ms;
+/// Minimum time between two writes of one instance.
+constexpr Duration WritePeriod = 500ms;
+
+/// Maximum number of suspects in the record.
+constexpr std::size_t MaxSuspects = 256;
+
+static std::int64_t timeOf(std::chrono::milliseconds Age, WallTime Now) {
+  return (Now - Age).time_since_epoch().count();
+}
+
+static std::chrono::milliseconds ageOf(const json::value &Time, WallTime Now) {
+  const WallTime At{std::chrono::milliseconds(Time.as_int64())};
+  return std::max(Now - At, std::chrono::milliseconds{0});
+}
+
+std::string encodeSuspects(const std::vector<SuspectEvidence> &Suspects,
+                           WallTime Now) {
+  json::array List;
+  for (const SuspectEvidence &Item : Suspects) {
+    json::array Crashes;
+    for (const SuspectCrash &Crash : Item.Crashes)
+      Crashes.push_back(
+          json::array{Crash.Upstream.Name.Value,
+                      Crash.Upstream.Started.time_since_epoch().count(),
+                      timeOf(Crash.Age, Now)});
+    json::object Object{{"suspect", fingerprintOf(Item.Suspect).Value},
+                        {"crashes", std::move(Crashes)}};
+    if (Item.QuarantineAge) {
+      Object["quarantined_ms"] = timeOf(*Item.QuarantineAge, Now);
+      Object["trials"] = Item.TrialsMade;
+    }
+    List.push_back(std::move(Object));
+  }
+  return json::serialize(List);
+}
+
+static SuspectEvidence parseSuspect(const json::object &Object, WallTime Now) {
+  const std::optional<PartId> Suspect =
+      partOf({Object.at("suspect").as_string().c_str()});
+  if (!Suspect)
+    throw std::invalid_argument("not the name of a suspect");
+  SuspectEvidence Item;
+  Item.Suspect = *Suspect;
+  for (const json::value &Crash : Object.at("crashes").as_array()) {
+    const json::array &Fields = Crash.as_array();
+    const WallTime Started{std::chrono::milliseconds(Fields.at(1).as_int64())};
+    Item.Crashes.push_back(
+        {{UpstreamName{Fields.at(0).as_string().c_str()}, Started},
+         ageOf(Fields.at(2), Now)});
+  }
+  if (const json::value *Time = Object.if_contains("quarantined_ms")) {
+    Item.QuarantineAge = ageOf(*Time, Now);
+    Item.TrialsMade = Object.at("trials").to_number<int>();
+  }
+  return Item;
+}
+
+Result<std::vector<SuspectEvidence>> parseSuspects(const std::string &Text,
+                                                   WallTime Now) {
+  try {
+    std::vector<SuspectEvidence> Suspects;
+    const json::value Parsed = json::parse(Text);
+    for (const json::value &Item : Parsed.as_array())
+      Suspects.push_back(parseSuspect(Item.as_object(), Now));
+    return Suspects;
+  } catch (const std::exception &Failure) {
+    return fail(ErrorKind::InvalidData, "parse suspects", SuspectsKey,
+                Failure.what());
+  }
+}
+
+SuspectRecord::Summary SuspectRecord::summaryOf(const SuspectEvidence &Item) {
+  return {Item.Crashes.size(), Item.QuarantineAge.has_value(), Item.TrialsMade};
+}
+
+bool SuspectRecord::outdated(TimePoint Now) const {
+  std::map<PartId, Summary> Known;
+  for (const SuspectEvidence &Item : Deps.Parts.lastingEvidence(Now)) {
+    const auto Found = Recorded.find(Item.Suspect);
+    const bool Differs =
+        Found == Recorded.end() || Found->second != summaryOf(Item);
+    if (Item.Own && Differs)
+      return true;
+    Known.emplace(Item.Suspect, summaryOf(Item));
+  }
+  return std::ranges::any_of(Recorded, [&](const auto &Item) {
+    return Deps.Parts.knows(Item.first) && !Known.contains(Item.first);
+  });
+}
+
+void SuspectRecord::update(TimePoint Now) {
+  if (!Loaded) {
+    if (!Busy && Now >= NextCall)
+      read(Now);
+    return;
+  }
+  const std::uint64_t Changes = Deps.Parts.lastingChanges();
+  if (Changes != ChangesSeen) {
+    ChangesSeen = Changes;
+    Outdated = outdated(Now);
+  }
+  if (Outdated && !Busy && Now >= NextCall)
+    read(Now);
+}
+
+void SuspectRecord::read(TimePoint Now) {
+  Busy = true;
+  Deps.Store.call(
+      ReadKey{SuspectsKey}, Now,
+      [this](const StoreReply &Reply, TimePoint At) { onRead(Reply, At); });
+}
+
+void SuspectRecord::onRead(const StoreReply &Reply, TimePoint Now) {
+  Busy = false;
+  if (Reply.Status != StoreStatus::Ok) {
+    postpone(Now);
+    return;
+  }
+  std::vector<SuspectEvidence> Read;
+  std::uint64_t Revision = 0;
+  if (!Reply.Entries.empty()) {
+    Revision = Reply.Entries.front().Revision;
+    Result<std::vector<SuspectEvidence>> Parsed =
+        parseSuspects(Reply.Entries.front().Value, Deps.Wall.wallNow());
+    // A record that cannot be read is replaced by the next one.
+    if (Parsed)
+      Read = std::move(Parsed).value();
+    else
+      Deps.Log.onEvent("crash-suspects-invalid", describe(Parsed.error()));
+  }
+  if (!Loaded) {
+    for (const SuspectEvidence &Item : Read)
+      Deps.Parts.restore(Item, Now);
+    if (!Read.empty())
+      Deps.Log.onEvent("crash-suspects",
+                       std::to_string(Read.size()) + " known from the store");
+  }
+  Loaded = true;
+  remember(Read);
+  ChangesSeen = Deps.Parts.lastingChanges();
+  Outdated = outdated(Now);
+  std::erase_if(Read, [this](const SuspectEvidence &Item) {
+    return Deps.Parts.knows(Item.Suspect);
+  });
+  if (Outdated)
+    write(Revision, Read, Now);
+}
+
+void SuspectRecord::write(std::uint64_t ExpectedRevision,
+                          const std::vector<SuspectEvidence> &Others,
+                          TimePoint Now) {
+  Busy = true;
+  std::vector<SuspectEvidence> Due = Deps.Parts.lastingEvidence(Now);
+  for (const SuspectEvidence &Item : Others)
+    if (Due.size() < MaxSuspects)
+      Due.push_back(Item);
+  Deps.Store.call(CompareAndSwap{SuspectsKey,
+                                 encodeSuspects(Due, Deps.Wall.wallNow()),
+                                 ExpectedRevision, StoreLeaseId{}},
+                  Now, [this, Due](const StoreReply &Reply, TimePoint At) {
+                    Busy = false;
+                    if (Reply.Status != StoreStatus::Ok) {
+                      postpone(At);
+                      return;
+                    }
+                    NextCall = At + WritePeriod;
+                    remember(Due);
+                    Outdated = outdated(At);
+                  });
+}
+
+void SuspectRecord::remember(const std::vector<SuspectEvidence> &Suspects) {
+  Recorded.clear();
+  for (const SuspectEvidence &Item : Suspects)
+    Recorded.emplace(Item.Suspect, summaryOf(Item));
+}
+
+void SuspectRecord::postpone(TimePoint Now) {
+  NextCall = Now + std::chrono::duration_cast<Duration>(MaxRetryDelay *
+                                                        Deps.Source.unit());
+}
+
+} // namespace bronzeward
--- a/test/PartQuarantineTest.cpp
+++ b/test/PartQuarantineTest.cpp
@@ -304,6 +304,37 @@
   CHECK(Fixture.served(Start, Fixture.Fleet.now() - 1s) > 0.8);
 }
 
+// Failure: after a loss of all instances the fleet counted from zero, and a
+// content crashed three more upstreams and two in trials.
+TEST_CASE("Evidence against a content outlasts all instances",
+          "[PartQuarantine]") {
+  constexpr std::size_t Instances = 3;
+  for (const std::size_t CrashesBefore : {2, 3, 4}) {
+    CAPTURE(CrashesBefore);
+    CrashingPartFixture Fixture(Instances, 18, 11);
+    Fixture.Fleet.crashOnBody("poison");
+    const auto Send = [&](Duration Time) {
+      for (const TimePoint End = Fixture.Fleet.now() + Time;
+           Fixture.Fleet.now() < End; Fixture.Fleet.runFor(2s))
+        Fixture.Fleet.requestWithBody(Fixture.Source.below(Instances),
+                                      "poison");
+    };
+    const std::vector<TimePoint> &Crashes = Fixture.Fleet.crashes();
+    while (Crashes.size() < CrashesBefore)
+      Send(2s);
+    for (std::size_t Index = 0; Index < Instances; ++Index)
+      Fixture.Fleet.kill(Index);
+    for (std::size_t Index = 0; Index < Instances; ++Index)
+      Fixture.Fleet.restart(Index);
+    Fixture.Fleet.runFor(4s);
+    Send(40s);
+    REQUIRE(Crashes.size() >= 3);
+    CAPTURE(Crashes.size());
+    CHECK(Fixture.arrivals("poison", Crashes[2] + NoticeTime) <= AllowedCalls);
+    CHECK(Crashes.size() <= 5);
+  }
+}
+
 // An instance that starts after the crashes learns of the part from its peers.
 TEST_CASE("A restarted instance sends no call with a quarantined part",
           "[PartQuarantine]") {
@@ -445,6 +476,41 @@
   CHECK(Parts.quarantined(7, Now));
 }
 
+TEST_CASE("Recorded evidence keeps its crashes, times and trials",
+          "[PartQuarantine]") {
+  PartQuarantine Parts;
+  TimePoint Now{1h};
+  crashRepeatedly(Parts, 7, 3, Now);
+  Now += 5s;
+  Parts.beginTrial(7, Now);
+  Now += 10s;
+  const std::vector<SuspectEvidence> Before = Parts.lastingEvidence(Now);
+  REQUIRE(Before.size() == 1);
+  const WallTime Written(1h);
+  const std::vector<SuspectEvidence> Read =
+      parseSuspects(encodeSuspects(Before, Written), Written + 1min).value();
+  REQUIRE(Read.size() == 1);
+  CHECK(Read.front().Crashes.front().Age ==
+        Before.front().Crashes.front().Age + 1min);
+  PartQuarantine After;
+  Now += 1min;
+  After.restore(Read.front(), Now);
+  CHECK(After.crashes(7) == 3);
+  CHECK(After.quarantined(7, Now));
+  REQUIRE(After.trialTurn(7, Now));
+  After.beginTrial(7, Now);
+  CHECK_FALSE(After.trialTurn(7, Now + 1min));
+  // An answer that is known refutes it.
+  PartQuarantine Answered;
+  crashRepeatedly(Answered, 7, 1, Now);
+  Answered.onAnswered({7}, Now);
+  Answered.restore(Read.front(), Now);
+  CHECK_FALSE(Answered.quarantined(7, Now));
+  for (const char *Text : {"", "{}", "[1]", R"([{"suspect":"x","crashes":[]}])",
+                           R"([{"suspect":"part-7","crashes":[["a"]]}])"})
+    CHECK_FALSE(parseSuspects(Text, Written));
+}
+
 TEST_CASE("A quarantine that was lifted is not restored by peers",
           "[PartQuarantine]") {
   PartQuarantine Parts;
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -75,6 +75,20 @@
   std::map<std::string, std::size_t> Counts;
 };
 
+/// \brief A clock that shows the network's time.
+class SteppedClock : public Clock {
+public:
+  explicit SteppedClock(const TimePoint &Source) : Time(Source) {}
+  [[nodiscard]] TimePoint now() const override { return Time; }
+  [[nodiscard]] WallTime wallNow() const override {
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(
+        Time.time_since_epoch()));
+  }
+
+private:
+  const TimePoint &Time;
+};
+
 /// \brief A call that reached a simulated upstream.
 struct UpstreamArrival {
   UpstreamName Upstream;
@@ -275,7 +289,7 @@
   CountingCodec Deployment;
   platform::PlatformCallCodec Calls;
   CountingLog Log;
-  FixedClock Wall;
+  SteppedClock Wall{Now};
   InMemoryStore Store;
   std::size_t Domains = 0;
   std::vector<double> Bandwidth;
