Rely on a list of upstreams only as of the time at which it held

Streams that had begun at upstreams of a new version while some instances stood still were taken up at these and joined to the old version: 10 and 9 of 20 on real processes, where the store answered 300 and 500 ms after the standstill and the only instance in step was killed.

A search went on at the only version if every reply that came named it, however old the lists behind the replies were; and a list counted as recent from the time at which a reply was read, though it had waited in a socket. Now a list is complete as of its call, or of the end of a watch's wait in vain; replies carry for how long their list may have missed changes; one of them, or the instance itself by then, has to be certain. The record is read again after a gap that may hide a version. Searches wait up to 0.3 s for a recent list, and ask the watchers in a large fleet.

--- a/bronzeward/schema/Peer.capnp
+++ b/bronzeward/schema/Peer.capnp
@@ -110,6 +110,8 @@
       known @59 :Bool;
       version @60 :UInt64;
       possible @61 :List(UInt64);
+      certain @63 :Bool;
+      uncertaintyMs @64 :UInt32;
     }
     streamOriginRecall @62 :Void;
   }
--- a/bronzeward/schema/Peer.capnp.h
+++ b/bronzeward/schema/Peer.capnp.h
@@ -2416,6 +2416,10 @@
   inline bool hasPossible() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPossible() const;
 
+  inline bool getCertain() const;
+
+  inline  ::uint32_t getUncertaintyMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2468,6 +2472,12 @@
   inline void adoptPossible(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPossible();
 
+  inline bool getCertain();
+  inline void setCertain(bool value);
+
+  inline  ::uint32_t getUncertaintyMs();
+  inline void setUncertaintyMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3903,7 +3913,9 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, PeerMessage::STREAM_ORIGIN_REPLY);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField<bool>(::capnp::bounded<64>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField<bool>(::capnp::bounded<65>() * ::capnp::ELEMENTS, 0);
   _builder.setDataField< ::uint64_t>(::capnp::bounded<2>() * ::capnp::ELEMENTS, 0);
+  _builder.setDataField< ::uint32_t>(::capnp::bounded<6>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename PeerMessage::StreamOriginReply::Builder(_builder);
@@ -5351,6 +5363,34 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool PeerMessage::StreamOriginReply::Reader::getCertain() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerMessage::StreamOriginReply::Builder::getCertain() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::StreamOriginReply::Builder::setCertain(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PeerMessage::StreamOriginReply::Reader::getUncertaintyMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PeerMessage::StreamOriginReply::Builder::getUncertaintyMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::StreamOriginReply::Builder::setUncertaintyMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t SlotOperation::Reader::getSlot() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/bronzeward/src/Budget/PeerPort.h
+++ b/bronzeward/src/Budget/PeerPort.h
@@ -230,6 +230,9 @@
   /// Versions at which running streams of the service may have begun; empty if
   /// the sender does not know.
   std::vector<VersionId> Possible;
+  /// Time before the reply from which on the sender may have missed a change;
+  /// empty if it does not know.
+  std::optional<std::chrono::milliseconds> Uncertainty;
 };
 
 /// \brief A message between instances.
--- a/bronzeward/src/Net/PeerCodec.cpp
+++ b/bronzeward/src/Net/PeerCodec.cpp
@@ -217,6 +217,9 @@
   Group.setService(In.Service.Value);
   Group.setKnown(In.Origin.has_value());
   Group.setVersion(In.Origin.value_or(VersionId()).Hash);
+  Group.setCertain(In.Uncertainty.has_value());
+  Group.setUncertaintyMs(static_cast<std::uint32_t>(
+      In.Uncertainty.value_or(std::chrono::milliseconds()).count()));
   auto List = Group.initPossible(In.Possible.size());
   for (unsigned Index = 0; Index < In.Possible.size(); ++Index)
     List.set(Index, In.Possible[Index].Hash);
@@ -388,6 +391,8 @@
   Out.Service.Value = In.getService().cStr();
   if (In.getKnown())
     Out.Origin = VersionId{In.getVersion()};
+  if (In.getCertain())
+    Out.Uncertainty = std::chrono::milliseconds(In.getUncertaintyMs());
   for (const std::uint64_t Version : In.getPossible())
     Out.Possible.push_back(VersionId{Version});
   return Out;
--- a/bronzeward/src/Relay/StreamOriginAgent.cpp
+++ b/bronzeward/src/Relay/StreamOriginAgent.cpp
@@ -25,6 +25,9 @@
 /// Time after which a search ends without the missing replies: several round
 /// trips between failure domains, a fraction of what callers wait for.
 constexpr Duration SearchTimeout = 120ms;
+/// Time after which a search ends that awaits a recent list of upstreams, here
+/// or at a peer. After a pause of the process, the store replies within it.
+constexpr Duration ListTimeout = 300ms;
 
 StreamOriginAgent::StreamOriginAgent(InstanceId Own,
                                      StreamOriginDependencies Dependencies)
@@ -193,29 +196,45 @@
                                        const ServiceName &Service,
                                        StreamKey Stream, TimePoint Now) {
   using Outcome = OriginLookup::Outcome;
-  if (const std::optional<VersionId> Here = Known.find(Stream, Now))
-    return {Outcome::Found, *Here};
+  const bool Confirmed = Deps.Versions.confirmed(Now);
+  if (const std::optional<VersionId> Here = Known.find(Stream, Now)) {
+    if (Confirmed || Deps.Versions.lists(Service, *Here))
+      return {Outcome::Found, *Here};
+    beginSearch(Request, Service, Stream, Now).Origin = Here;
+    return {Outcome::Pending, {}};
+  }
   const std::optional<VersionId> Sole = Deps.Versions.sole(Service);
-  if (Sole && Deps.Versions.confirmed(Now))
+  if (Sole && Confirmed)
     return {Outcome::Found, *Sole};
   std::vector<InstanceId> Asked =
       replicasOf(Stream, Deps.Members.members(), SearchFanout);
+  for (const InstanceId &Watcher : Watchers)
+    if (std::ranges::count(Asked, Watcher) == 0)
+      Asked.push_back(Watcher);
   std::erase(Asked, Self);
-  if (Asked.empty()) {
-    const bool Alone = Deps.Members.find(Self) != nullptr;
-    return Alone && Sole ? OriginLookup{Outcome::Found, *Sole}
-                         : OriginLookup{Outcome::Unknown, {}};
-  }
+  if (Asked.empty() && !Sole)
+    return {Outcome::Unknown, {}};
+  beginSearch(Request, Service, Stream, Now).Asked = Asked.size();
+  for (const InstanceId &Replica : Asked)
+    Deps.Peers.send(Replica, StreamOriginRequest{LastSearch, Service, Stream});
+  return {Outcome::Pending, {}};
+}
+
+StreamOriginAgent::Search &
+StreamOriginAgent::beginSearch(const RequestId &Request,
+                               const ServiceName &Service, StreamKey Stream,
+                               TimePoint Now) {
   const std::uint64_t Number = ++LastSearch;
-  Search Started{Request, Service, Stream, Asked.size(), 0, true, {}};
+  Search &Started = Searches[Number];
+  Started.Request = Request;
+  Started.Service = Service;
+  Started.Stream = Stream;
+  Started.BeganAt = Now;
   Started.Timeout =
       Deps.Timers.schedule(Now + SearchTimeout, [this, Number](TimePoint At) {
-        conclude(Number, At);
+        conclude(Number, true, At);
       });
-  Searches.emplace(Number, std::move(Started));
-  for (const InstanceId &Replica : Asked)
-    Deps.Peers.send(Replica, StreamOriginRequest{Number, Service, Stream});
-  return {Outcome::Pending, {}};
+  return Started;
 }
 
 void StreamOriginAgent::abandon(const RequestId &Request) {
@@ -254,10 +273,14 @@
 void StreamOriginAgent::onRequest(const InstanceId &From,
                                   const StreamOriginRequest &Message,
                                   TimePoint Now) {
+  std::optional<std::chrono::milliseconds> Uncertainty;
+  if (const std::optional<Duration> Unknown = Deps.Versions.uncertainty(Now))
+    Uncertainty = std::chrono::ceil<std::chrono::milliseconds>(*Unknown);
   Deps.Peers.send(From,
                   StreamOriginReply{Message.Number, Message.Service,
                                     Known.find(Message.Stream, Now),
-                                    Deps.Versions.possible(Message.Service)});
+                                    Deps.Versions.possible(Message.Service),
+                                    Uncertainty});
 }
 
 void StreamOriginAgent::onReply(const StreamOriginReply &Message,
@@ -269,25 +292,73 @@
   if (Message.Origin) {
     // The stream goes on here, where its caller may look for it again.
     Known.add({Found->second.Stream, *Message.Origin}, Now);
-    finish(Message.Number, Message.Origin, Now);
+    Found->second.Origin = Message.Origin;
+    conclude(Message.Number, false, Now);
     return;
   }
   Search &Item = Found->second;
+  ++Item.Replied;
   const std::optional<VersionId> Sole = Deps.Versions.sole(Item.Service);
-  Item.Agreed = Item.Agreed && Sole && Message.Possible.size() == 1 &&
-                Message.Possible.front() == *Sole;
-  if (++Item.Replied == Item.Asked)
-    conclude(Message.Number, Now);
+  // An instance that has just started knows no version.
+  Item.Agreed = Item.Agreed && Sole &&
+                std::ranges::all_of(Message.Possible, [&Sole](VersionId Named) {
+                  return Named == *Sole;
+                });
+  // The reply was written after the search began, however late it is read.
+  if (Message.Uncertainty && !Message.Possible.empty())
+    Item.CompleteUntil =
+        std::max(Item.CompleteUntil,
+                 std::optional<TimePoint>(Item.BeganAt - *Message.Uncertainty));
+  conclude(Message.Number, false, Now);
+}
+
+bool StreamOriginAgent::certain(const Search &Item, TimePoint Now) const {
+  const bool ByPeer = Item.CompleteUntil &&
+                      Now < *Item.CompleteUntil + VersionHistory::ListValidity;
+  return Item.Agreed && Deps.Versions.sole(Item.Service) &&
+         (ByPeer || Deps.Versions.confirmed(Now));
 }
 
-void StreamOriginAgent::conclude(std::uint64_t Number, TimePoint Now) {
+void StreamOriginAgent::onListConfirmed(TimePoint Now) {
+  if (Searches.empty() || !Deps.Versions.confirmed(Now))
+    return;
+  std::vector<std::uint64_t> Numbers;
+  for (const auto &[Number, Item] : Searches)
+    Numbers.push_back(Number);
+  for (const std::uint64_t Number : Numbers)
+    conclude(Number, false, Now);
+}
+
+void StreamOriginAgent::conclude(std::uint64_t Number, bool TimedOut,
+                                 TimePoint Now) {
   const auto Found = Searches.find(Number);
   if (Found == Searches.end())
     return;
-  const Search &Item = Found->second;
-  const bool OneVersion = Item.Agreed && Item.Replied > 0;
-  finish(Number, OneVersion ? Deps.Versions.sole(Item.Service) : std::nullopt,
-         Now);
+  Search &Item = Found->second;
+  const bool Final = Now >= Item.BeganAt + ListTimeout;
+  if (Item.Origin) {
+    if (Final || Deps.Versions.confirmed(Now) ||
+        Deps.Versions.lists(Item.Service, *Item.Origin))
+      finish(Number, Item.Origin, Now);
+    else if (TimedOut)
+      awaitList(Number, Item);
+    return;
+  }
+  if (!TimedOut && Item.Replied < Item.Asked)
+    return;
+  const std::optional<VersionId> Sole = Deps.Versions.sole(Item.Service);
+  const bool Decided = certain(Item, Now);
+  if (Decided || Final || !Item.Agreed || !Sole)
+    finish(Number, Decided ? Sole : std::nullopt, Now);
+  else if (TimedOut)
+    awaitList(Number, Item);
+}
+
+void StreamOriginAgent::awaitList(std::uint64_t Number, Search &Item) {
+  Item.Asked = Item.Replied;
+  Item.Timeout = Deps.Timers.schedule(
+      Item.BeganAt + ListTimeout,
+      [this, Number](TimePoint At) { conclude(Number, true, At); });
 }
 
 void StreamOriginAgent::finish(std::uint64_t Number,
--- a/bronzeward/src/Relay/StreamOriginAgent.h
+++ b/bronzeward/src/Relay/StreamOriginAgent.h
@@ -72,6 +72,13 @@
                       StreamKey Stream, TimePoint Now);
   /// \brief Ends the search for a request, if any.
   void abandon(const RequestId &Request);
+  /// \brief Sets instances that know the list of upstreams first; searches ask
+  /// them too.
+  void setWatchers(std::vector<InstanceId> Listed) {
+    Watchers = std::move(Listed);
+  }
+  /// \brief Ends the searches that a more recent list of upstreams decides.
+  void onListConfirmed(TimePoint Now);
   /// \brief Asks some peers for the recorded versions of a service.
   void requestRecord(const ServiceName &Service);
   /// \brief Replicates the streams that began here while all were at one
@@ -102,10 +109,17 @@
     RequestId Request;
     ServiceName Service;
     StreamKey Stream;
+    TimePoint BeganAt;
     std::size_t Asked = 0;
     std::size_t Replied = 0;
-    /// Whether every reply names the same only version as this instance.
+    /// Whether every reply that names versions names the same only one as this
+    /// instance.
     bool Agreed = true;
+    /// Time until which the instances that replied know every change of the
+    /// list.
+    std::optional<TimePoint> CompleteUntil;
+    /// The version, if it is known and its upstreams may not be listed yet.
+    std::optional<VersionId> Origin;
     TimerQueue::Handle Timeout;
   };
 
@@ -128,8 +142,17 @@
   void onRequest(const InstanceId &From, const StreamOriginRequest &Message,
                  TimePoint Now);
   void onReply(const StreamOriginReply &Message, TimePoint Now);
-  /// Ends a search with what the replies so far tell.
-  void conclude(std::uint64_t Number, TimePoint Now);
+  /// Starts a search that ends at a time limit.
+  Search &beginSearch(const RequestId &Request, const ServiceName &Service,
+                      StreamKey Stream, TimePoint Now);
+  /// Ends a search if what is known so far decides it.
+  /// \param TimedOut whether missing replies are no longer awaited.
+  void conclude(std::uint64_t Number, bool TimedOut, TimePoint Now);
+  /// Lets a search wait for a recent list of upstreams after its last reply.
+  void awaitList(std::uint64_t Number, Search &Item);
+  /// \returns whether all streams of the service began at its only version, by
+  /// the word of an instance that knows the list up to now.
+  [[nodiscard]] bool certain(const Search &Item, TimePoint Now) const;
   void finish(std::uint64_t Number, std::optional<VersionId> Version,
               TimePoint Now);
 
@@ -146,6 +169,7 @@
   /// Peers to which messages were lost since they were last heard.
   std::set<InstanceId> Unreached;
   bool Recalled = false;
+  std::vector<InstanceId> Watchers;
   std::map<std::uint64_t, Search> Searches;
   std::uint64_t LastSearch = 0;
 };
--- a/bronzeward/src/Relay/VersionHistory.cpp
+++ b/bronzeward/src/Relay/VersionHistory.cpp
@@ -117,8 +117,24 @@
   return OthersListed ? std::nullopt : std::optional(Versions.front());
 }
 
+void VersionHistory::onComplete(std::optional<TimePoint> Until) {
+  // A version needs the settling time until a stream begins at it, so a shorter
+  // gap hides none.
+  const bool Gap =
+      CompleteUntil && Until && *Until >= *CompleteUntil + SettlingTime;
+  Doubts += Gap ? 1 : 0;
+  CompleteUntil = Until;
+}
+
+std::optional<Duration> VersionHistory::uncertainty(TimePoint Now) const {
+  if (!CompleteUntil || recordInDoubt())
+    return std::nullopt;
+  return Now - *CompleteUntil;
+}
+
 bool VersionHistory::confirmed(TimePoint Now) const {
-  return ListConfirmedAt && Now < *ListConfirmedAt + ListValidity;
+  const std::optional<Duration> Unknown = uncertainty(Now);
+  return Unknown && *Unknown < ListValidity;
 }
 
 } // namespace bronzeward
--- a/bronzeward/src/Relay/VersionHistory.h
+++ b/bronzeward/src/Relay/VersionHistory.h
@@ -27,8 +27,8 @@
   /// Time for which a stream may go on after its begin, over all attempts of
   /// its caller.
   static constexpr Duration StreamLifetime = 60s;
-  /// A list of upstreams that was confirmed within this time holds every
-  /// version at which streams have begun.
+  /// A list of upstreams that was complete within this time holds every version
+  /// at which streams have begun.
   static constexpr Duration ListValidity = 1500ms;
   /// Time from the record of a further version to the first stream at it. By
   /// then, lists without that version are no longer valid.
@@ -39,14 +39,28 @@
 
   /// \brief Updates which versions the upstreams have that may receive calls.
   void onListed(const std::vector<UpstreamEntry> &Usable, TimePoint Now);
-  /// \brief Sets when the list of upstreams was last known to be complete.
+  /// \brief Sets when the list of upstreams was last confirmed, in the store or
+  /// by a peer that may have been out of touch itself for some seconds.
   void onConfirmed(std::optional<TimePoint> At) { ListConfirmedAt = At; }
+  /// \brief Sets until when every change of the list is known for certain.
+  void onComplete(std::optional<TimePoint> Until);
   /// \brief Replaces the known record by what was read or written.
   void onRecord(const RecordedVersions &Read, TimePoint Now);
   /// \brief Adds to the record of a service what a peer knows of it.
   void onPeerRecord(const ServiceName &Service,
                     const std::vector<VersionId> &Versions, TimePoint Now);
 
+  /// \returns a number that rises when the record has to be read again before
+  /// it is relied on: a version may have come and gone unseen.
+  [[nodiscard]] std::uint64_t doubts() const { return Doubts; }
+  /// \brief Records that the record was read.
+  /// \param Settled value of \ref doubts before the read.
+  void onRecordRead(std::uint64_t Settled) { SettledDoubts = Settled; }
+  /// \returns whether the record has to be read again.
+  [[nodiscard]] bool recordInDoubt() const {
+    return SettledDoubts < Doubts && !Listed.empty();
+  }
+
   /// \returns the record as it should be: with every listed version, and
   /// without versions whose streams have all ended.
   [[nodiscard]] RecordedVersions dueRecord() const;
@@ -70,6 +84,14 @@
   /// \returns whether the list of upstreams is recent enough that \ref sole
   /// holds for the streams of all instances.
   [[nodiscard]] bool confirmed(TimePoint Now) const;
+  /// \returns the time since which changes of the list may be unknown; empty if
+  /// the list or the record is not relied on.
+  [[nodiscard]] std::optional<Duration> uncertainty(TimePoint Now) const;
+  /// \returns whether an upstream of that version is listed.
+  [[nodiscard]] bool lists(const ServiceName &Service,
+                           VersionId Version) const {
+    return Listed.contains({Service, Version});
+  }
 
 private:
   using Key = std::pair<ServiceName, VersionId>;
@@ -88,6 +110,10 @@
   /// When a version that is not listed was last, or became known.
   std::map<Key, TimePoint> LastSeen;
   std::optional<TimePoint> ListConfirmedAt;
+  std::optional<TimePoint> CompleteUntil;
+  /// The record that peers told may be older than the list.
+  std::uint64_t Doubts = 1;
+  std::uint64_t SettledDoubts = 0;
 };
 
 /// @}
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -177,6 +177,7 @@
     UnlistedPeers.erase(Item.Identity.Instance);
   Members.update(Listed);
   Election.onMembers(Listed);
+  Origins.setWatchers(Election.watchers());
   Origins.onMembersChanged(Now);
   updatePermitIssuers(Now);
   if (Latest.find(Identity.Instance) != nullptr)
@@ -478,11 +479,13 @@
   return InContact ? storeRecoveredAt() : Now;
 }
 
-void FleetCore::updateRegistryState() {
+void FleetCore::updateRegistryState(TimePoint Now) {
   const std::optional<TimePoint> ConfirmedAt = upstreamsConfirmedAt();
   Engine.setRegistryState(
       {Upstreams.revision(), ConfirmedAt.value_or(TimePoint())});
   Versions.onConfirmed(ConfirmedAt);
+  Versions.onComplete(UpstreamKeys.completeUntil());
+  Origins.onListConfirmed(Now);
 }
 
 void FleetCore::queueChange(const StoreEntry &Entry, TimePoint Now) {
@@ -533,7 +536,7 @@
   Engine.setUsable(Evacuated.withoutEvacuated(Usable), Now);
   NextLapse = Upstreams.nextRemoval(Now);
   updateVersions(Usable, Now);
-  updateRegistryState();
+  updateRegistryState(Now);
 }
 
 void FleetCore::updateVersions(std::vector<UpstreamEntry> Listed,
@@ -898,7 +901,7 @@
   if (Engine.congested(Now))
     CongestedUntil = Now + CongestionRest;
   updateWatchRole(Now);
-  updateRegistryState();
+  updateRegistryState(Now);
   maintainVersionRecord(Now);
   StoredSuspects.update(Now);
   if (NextLapse && Now >= *NextLapse)
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -163,7 +163,7 @@
   /// \returns when the store became reachable again, if a complete list from a
   /// peer follows an outage: now, unless this instance noticed it before.
   [[nodiscard]] std::optional<TimePoint> outageEndedAt(TimePoint Now) const;
-  void updateRegistryState();
+  void updateRegistryState(TimePoint Now);
   /// Updates which versions of services with resumable routes are listed.
   void updateVersions(std::vector<UpstreamEntry> Listed, TimePoint Now);
   /// Reads or writes the record of versions if that is due.
--- a/bronzeward/src/Router/VersionRecord.cpp
+++ b/bronzeward/src/Router/VersionRecord.cpp
@@ -13,7 +13,10 @@
 /// Longest time from the sight of a new version to the read that precedes its
 /// record, and between two tries. Many instances see it at the same time; the
 /// first to read writes the record for the others.
-constexpr Duration MaxDelay = 500ms;
+constexpr Duration MaxWriteDelay = 500ms;
+/// Longest time until a record that is in doubt is read, though it will hardly
+/// be written.
+constexpr Duration MaxReadDelay = 100ms;
 constexpr int HashBase = 16;
 
 static std::string textOf(VersionId Version) {
@@ -61,11 +64,15 @@
   }
 }
 
-bool VersionRecord::due() const {
+bool VersionRecord::differs() const {
   return Deps.Versions.dueRecord() != Deps.Versions.record();
 }
 
-void VersionRecord::postpone(TimePoint Now) {
+bool VersionRecord::due() const {
+  return Deps.Versions.recordInDoubt() || differs();
+}
+
+void VersionRecord::postpone(TimePoint Now, Duration MaxDelay) {
   NextCall =
       Now + std::chrono::duration_cast<Duration>(MaxDelay * Deps.Source.unit());
 }
@@ -76,10 +83,11 @@
     return;
   }
   if (!NextCall)
-    postpone(Now);
+    postpone(Now, differs() ? MaxWriteDelay : MaxReadDelay);
   if (Now < *NextCall)
     return;
   Busy = true;
+  DoubtsAtRead = Deps.Versions.doubts();
   Deps.Store.call(
       ReadKey{RecordKey}, Now,
       [this](const StoreReply &Reply, TimePoint At) { onRead(Reply, At); });
@@ -88,7 +96,7 @@
 void VersionRecord::onRead(const StoreReply &Reply, TimePoint Now) {
   Busy = false;
   if (Reply.Status != StoreStatus::Ok) {
-    postpone(Now);
+    postpone(Now, MaxWriteDelay);
     return;
   }
   RecordedVersions Read;
@@ -99,13 +107,14 @@
         parseVersions(Reply.Entries.front().Value);
     if (!Parsed) {
       Deps.Log.onEvent("upstream-versions-invalid", describe(Parsed.error()));
-      postpone(Now);
+      postpone(Now, MaxWriteDelay);
       return;
     }
     Read = Parsed.value();
   }
+  Deps.Versions.onRecordRead(DoubtsAtRead);
   apply(Read, Now);
-  if (due())
+  if (differs())
     write(Revision, Now);
 }
 
@@ -119,7 +128,7 @@
                     if (Reply.Status == StoreStatus::Ok)
                       apply(Due, At);
                     else
-                      postpone(At);
+                      postpone(At, MaxWriteDelay);
                   });
 }
 
--- a/bronzeward/src/Router/VersionRecord.h
+++ b/bronzeward/src/Router/VersionRecord.h
@@ -26,7 +26,7 @@
 
 /// \brief Keeps the store's record of the upstreams' versions and what this
 /// instance knows of it up to date. Reads it once at the start, and again only
-/// when a version appears or has ended.
+/// when a version appears or has ended, or may have done so unseen.
 class VersionRecord {
 public:
   explicit VersionRecord(VersionRecordDependencies Dependencies)
@@ -36,9 +36,11 @@
   void update(TimePoint Now);
 
 private:
+  /// \returns whether the record should be written, as far as it is known.
+  [[nodiscard]] bool differs() const;
   [[nodiscard]] bool due() const;
   /// Schedules the next read at random, so that few instances write at once.
-  void postpone(TimePoint Now);
+  void postpone(TimePoint Now, Duration MaxDelay);
   void onRead(const StoreReply &Reply, TimePoint Now);
   void write(std::uint64_t ExpectedRevision, TimePoint Now);
   void apply(const RecordedVersions &Versions, TimePoint Now);
@@ -46,6 +48,8 @@
   VersionRecordDependencies Deps;
   bool Busy = false;
   std::optional<TimePoint> NextCall;
+  /// Value of VersionHistory::doubts() when the latest read began.
+  std::uint64_t DoubtsAtRead = 0;
 };
 
 /// @}
--- a/bronzeward/src/Router/WatcherElection.cpp
+++ b/bronzeward/src/Router/WatcherElection.cpp
@@ -16,6 +16,7 @@
     : Self(std::move(Name)), Domain(std::move(OwnDomain)) {}
 
 void WatcherElection::onMembers(const std::vector<Member> &Listed) {
+  Watchers.clear();
   Followers.clear();
   Elected = true;
   if (Listed.size() <= SmallFleet)
@@ -27,6 +28,9 @@
       Ranked.emplace_back(-Item.Capacity, hash64(Item.Identity.Instance.Value),
                           Item.Identity.Instance);
   std::sort(Ranked.begin(), Ranked.end());
+  for (std::size_t Index = 0;
+       Index < std::min(WatchersPerDomain, Ranked.size()); ++Index)
+    Watchers.push_back(std::get<2>(Ranked[Index]));
   const auto Own =
       std::find_if(Ranked.begin(), Ranked.end(), [this](const auto &Entry) {
         return std::get<2>(Entry) == Self;
--- a/bronzeward/src/Router/WatcherElection.h
+++ b/bronzeward/src/Router/WatcherElection.h
@@ -35,6 +35,11 @@
   [[nodiscard]] const std::vector<InstanceId> &followers() const {
     return Followers;
   }
+  /// \returns the elected instances of the own failure domain; empty in a small
+  /// fleet, where all watch.
+  [[nodiscard]] const std::vector<InstanceId> &watchers() const {
+    return Watchers;
+  }
   /// \returns when the latest confirmation arrived.
   [[nodiscard]] std::optional<TimePoint> confirmedAt() const {
     return ConfirmedAt;
@@ -49,6 +54,7 @@
   InstanceId Self;
   FailureDomain Domain;
   bool Elected = true;
+  std::vector<InstanceId> Watchers;
   std::vector<InstanceId> Followers;
   std::optional<TimePoint> ConfirmedAt;
   std::optional<TimePoint> RecoveredAt;
--- a/bronzeward/src/Store/StoreFollower.cpp
+++ b/bronzeward/src/Store/StoreFollower.cpp
@@ -42,12 +42,13 @@
                  return;
                }
                ListTook = At - Now;
-               onListed(Reply, At);
+               onListed(Reply, Now, At);
                watch(At);
              });
 }
 
-void StoreFollower::onListed(const StoreReply &Reply, TimePoint Now) {
+void StoreFollower::onListed(const StoreReply &Reply, TimePoint CalledAt,
+                             TimePoint Now) {
   recordReply(Now);
   Revision = std::max(Revision, Reply.Revision);
   if (Reply.Truncated) {
@@ -57,6 +58,7 @@
     Listener.onListedInPart(Sorted, Now);
   } else {
     RelistAt.reset();
+    CompleteUntil = CalledAt;
     Listener.onListed(Reply.Entries, Reply.Revision, Now);
   }
   LastReplyAt = Now;
@@ -69,9 +71,9 @@
   PendingWatch = Number;
   const StoreCallId Call =
       Store.call(WatchKeys{Prefix, Revision, WatchWait}, Now,
-                 [this, Number](const StoreReply &Reply, TimePoint At) {
+                 [this, Number, Now](const StoreReply &Reply, TimePoint At) {
                    if (PendingWatch == Number)
-                     onWatched(Reply, At);
+                     onWatched(Reply, Now, At);
                  });
   // The call may have failed at once.
   if (PendingWatch == Number)
@@ -96,7 +98,18 @@
   list(Now);
 }
 
-void StoreFollower::onWatched(const StoreReply &Reply, TimePoint Now) {
+void StoreFollower::recordCompleteness(const StoreReply &Reply,
+                                       TimePoint CalledAt, TimePoint Now) {
+  if (!CompleteUntil || RelistAt)
+    return;
+  // Without a change, the store replies at the end of the wait.
+  const bool WaitedInVain =
+      Reply.Entries.empty() && Now >= CalledAt + WatchWait;
+  CompleteUntil = WaitedInVain ? CalledAt + WatchWait : CalledAt;
+}
+
+void StoreFollower::onWatched(const StoreReply &Reply, TimePoint CalledAt,
+                              TimePoint Now) {
   endWatch();
   if (Reply.HistoryLost || Reply.Status != StoreStatus::Ok) {
     // A watch may be cut, or its reply lost, while the store serves others.
@@ -110,6 +123,7 @@
   }
   WatchFailed = false;
   recordReply(Now);
+  recordCompleteness(Reply, CalledAt, Now);
   for (const StoreEntry &Entry : Reply.Entries)
     Listener.onChanged(Entry, Now);
   Revision = std::max(Revision, Reply.Revision);
--- a/bronzeward/src/Store/StoreFollower.h
+++ b/bronzeward/src/Store/StoreFollower.h
@@ -60,6 +60,12 @@
   [[nodiscard]] std::optional<TimePoint> lastReplyAt() const {
     return LastReplyAt;
   }
+  /// \returns a time up to which every change was passed to the listener;
+  /// nothing before the first complete list. A reply that was read late, such
+  /// as after a pause of the process, tells nothing about the time since.
+  [[nodiscard]] std::optional<TimePoint> completeUntil() const {
+    return CompleteUntil;
+  }
   /// \returns the revision up to which all changes were received.
   [[nodiscard]] std::uint64_t revision() const { return Revision; }
 
@@ -67,13 +73,16 @@
   /// \returns whether a call may be made; if not, \ref resume makes it.
   [[nodiscard]] bool mayCall();
   void list(TimePoint Now);
-  void onListed(const StoreReply &Reply, TimePoint Now);
+  void onListed(const StoreReply &Reply, TimePoint CalledAt, TimePoint Now);
   void watch(TimePoint Now);
   /// Ends the wait for the reply of the latest watch.
   void endWatch();
   /// Lists the keys if no part of a watch's reply has arrived in time.
   void onLateReply(StoreCallId Call, TimePoint Now);
-  void onWatched(const StoreReply &Reply, TimePoint Now);
+  void onWatched(const StoreReply &Reply, TimePoint CalledAt, TimePoint Now);
+  /// Sets from a successful watch until when all changes are known.
+  void recordCompleteness(const StoreReply &Reply, TimePoint CalledAt,
+                          TimePoint Now);
   void retry(TimePoint Now);
   /// Lists the keys after a random delay.
   void listLater(TimePoint Now);
@@ -104,6 +113,7 @@
   bool LostContact = false;
   std::optional<TimePoint> RecoveredAt;
   std::optional<TimePoint> LastReplyAt;
+  std::optional<TimePoint> CompleteUntil;
 };
 
 } // namespace bronzeward
--- a/standins/platform/engine.py
+++ b/standins/platform/engine.py
@@ -30,10 +30,12 @@
     """
 
     def __init__(self, store, service, host, port, name, handle=None,
-                 capacity=64, work_s=0.015, events=0, event_gap_s=0.02):
+                 capacity=64, work_s=0.015, events=0, event_gap_s=0.02,
+                 version="v1"):
         self.store = store
         self.service, self.host, self.port = service, host, port
         self.name, self.capacity = name, capacity
+        self.version = version
         self.work_s, self.events, self.event_gap_s = work_s, events, event_gap_s
         self.handle = handle or Engine.run
         self.boot = 0
@@ -64,8 +66,8 @@
     def announce(self):
         """Writes the entry; returns the store's revision."""
         self.sequence += 1
-        entry = {"service": self.service, "zone": "zone-a", "version": "v1",
-                 "address": f"{self.host}:{self.port}", "state": self.state,
+        entry = {"service": self.service, "zone": "zone-a",
+                 "version": self.version, "address": f"{self.host}:{self.port}", "state": self.state,
                  "capacity": self.capacity, "warmup_left_ms": 0,
                  "sequence": self.sequence, "born": self.born}
         return self.store.put(f"servers/{self.id}", json.dumps(entry).encode())
--- a/test/StoreFollowerTest.cpp
+++ b/test/StoreFollowerTest.cpp
@@ -75,6 +75,29 @@
   CHECK(std::get<WatchKeys>(Fixture.Calls.back().second).AfterRevision == 9);
 }
 
+// Failure: a reply that lay in a socket while the process stood still confirmed
+// a list as of the time at which it was read.
+TEST_CASE("A reply that is read late tells nothing about the time since",
+          "[StoreFollower]") {
+  FollowerFixture Fixture;
+  ALLOW_CALL(Fixture.Listener, onListed(_, _, _));
+  ALLOW_CALL(Fixture.Listener, onChanged(_, _));
+  const TimePoint Start = Fixture.Now;
+  Fixture.Now += 5s;
+  Fixture.answer(ok(7));
+  CHECK(Fixture.Keys.completeUntil() == Start);
+  const TimePoint Watched = Fixture.Now;
+  Fixture.Now += 5s;
+  Fixture.answer(ok(7));
+  CHECK(Fixture.Keys.completeUntil() == Watched + 1500ms);
+  StoreReply Change = ok(9);
+  Change.Entries.push_back({"a/x", "v", 9, false});
+  const TimePoint WatchedAgain = Fixture.Now;
+  Fixture.Now += 100ms;
+  Fixture.answer(Change);
+  CHECK(Fixture.Keys.completeUntil() == WatchedAgain);
+}
+
 TEST_CASE("Keys are listed again after a gap in the history",
           "[StoreFollower]") {
   FollowerFixture Fixture;
--- a/test/StreamVersionsTest.cpp
+++ b/test/StreamVersionsTest.cpp
@@ -21,7 +21,8 @@
 /// name is its version.
 class VersionFixture {
 public:
-  VersionFixture() : Fleet(Instances, 3, LinkBytesPerSecond) {
+  explicit VersionFixture(std::size_t Size = Instances)
+      : Fleet(Size, 3, LinkBytesPerSecond) {
     Fleet.restartWithRetries(100.0);
     Fleet.setAttempts(2);
     Fleet.setWritingTime(2s);
@@ -212,6 +213,86 @@
   CHECK(Fixture.versionOf(Fixture.begin(5)) == "b");
 }
 
+// Instances of a large fleet that do not watch the store have no recent list of
+// their own.
+TEST_CASE("Streams go on at every instance of a large fleet",
+          "[StreamVersions]") {
+  constexpr std::size_t Size = 40;
+  VersionFixture Fixture(Size);
+  std::vector<std::uint64_t> Streams;
+  while (Streams.size() < Size)
+    Streams.push_back(Fixture.begin(0));
+  Fixture.Fleet.kill(0);
+  Fixture.Fleet.runFor(1s);
+  std::size_t Resumed = 0;
+  for (std::size_t Index = 1; Index < Size; ++Index)
+    Resumed +=
+        Fixture.versionOf(Fixture.resume(Index, Streams[Index])) == "a" ? 1 : 0;
+  CHECK(Resumed == Size - 1);
+}
+
+// Failure: instances that had stood still confirmed each other's old list, and
+// streams of a version that they had not seen were joined.
+TEST_CASE("Instances that stood still do not join streams of a new version",
+          "[StreamVersions]") {
+  for (const Duration StoreDelay :
+       {Duration(0ms), Duration(100ms), Duration(400ms), Duration(2s)}) {
+    VersionFixture Fixture;
+    const auto SetInStep = [&Fixture](bool IsInStep) {
+      for (std::size_t Index = 0; Index + 1 < Instances; ++Index)
+        Fixture.Fleet.setPaused(Index, !IsInStep);
+    };
+    const auto SetStore = [&Fixture](bool IsReachable) {
+      for (std::size_t Index = 0; Index + 1 < Instances; ++Index)
+        Fixture.Fleet.setStoreUnreachable(Index, !IsReachable);
+    };
+    SetInStep(false);
+    SetStore(false);
+    Fixture.add("b");
+    Fixture.Fleet.runFor(ChangeTime);
+    std::vector<std::uint64_t> Streams;
+    while (Streams.size() < 8)
+      Streams.push_back(Fixture.beginAt("b", Instances - 1));
+    Fixture.Fleet.kill(Instances - 1);
+    SetInStep(true);
+    std::vector<std::uint64_t> Next;
+    for (std::size_t Index = 0; Index < Streams.size(); ++Index) {
+      Next.push_back(Fixture.Fleet.resume(Index % (Instances - 1),
+                                          std::to_string(Streams[Index]), 2));
+      Fixture.Fleet.runFor(StoreDelay / 8);
+    }
+    SetStore(true);
+    Fixture.Fleet.runFor(3s);
+    CAPTURE(StoreDelay.count());
+    for (const std::uint64_t Ticket : Next)
+      CHECK((Fixture.versionOf(Ticket).empty() ||
+             Fixture.versionOf(Ticket) == "b"));
+  }
+}
+
+// Failure: a version that came and went unseen was missing in what an instance
+// knew of the record, and it joined the version's streams to another.
+TEST_CASE("An instance that missed a version does not join its streams",
+          "[StreamVersions]") {
+  VersionFixture Fixture;
+  Fixture.Fleet.setStoreUnreachable(5, true);
+  Fixture.Fleet.setPaused(5, true);
+  Fixture.add("b");
+  Fixture.Fleet.runFor(ChangeTime);
+  std::vector<std::uint64_t> Streams;
+  while (Streams.size() < 6)
+    Streams.push_back(Fixture.beginAt("b", Streams.size() % 5));
+  Fixture.remove("b");
+  Fixture.Fleet.runFor(1s);
+  Fixture.Fleet.setStoreUnreachable(5, false);
+  Fixture.Fleet.setPaused(5, false);
+  for (const std::uint64_t First : Streams) {
+    Fixture.Fleet.runFor(100ms);
+    const std::uint64_t Next = Fixture.resume(5, First);
+    CHECK(Fixture.versionOf(Next).empty());
+  }
+}
+
 TEST_CASE("A chain of attempts keeps its version while a third one rolls out",
           "[StreamVersions]") {
   VersionFixture Fixture;
@@ -406,11 +487,12 @@
   for (const std::optional<VersionId> Origin :
        {std::optional<VersionId>(), std::optional<VersionId>(VersionId{8})}) {
     const StreamOriginReply Reply = std::get<StreamOriginReply>(Transfer(
-        StreamOriginReply{5, ServiceName{"s"}, Origin, {VersionId{8}}}));
+        StreamOriginReply{5, ServiceName{"s"}, Origin, {VersionId{8}}, 9ms}));
     CHECK(Reply.Number == 5);
     CHECK(Reply.Service == ServiceName{"s"});
     CHECK(Reply.Origin == Origin);
     CHECK(Reply.Possible == std::vector<VersionId>{VersionId{8}});
+    CHECK(Reply.Uncertainty == 9ms);
   }
 }
 
--- a/test/support/FleetNetwork.cpp
+++ b/test/support/FleetNetwork.cpp
@@ -302,6 +302,13 @@
     WithoutPeers.erase(Index);
 }
 
+void FleetNetwork::setPaused(std::size_t Index, bool IsPaused) {
+  if (IsPaused)
+    Paused.insert(Index);
+  else
+    Paused.erase(Index);
+}
+
 void FleetNetwork::kill(std::size_t Index) {
   ++Starts[Index];
   Nodes[Index]->Core.reset();
@@ -612,8 +619,10 @@
   Connections &Link = Links[To];
   std::erase_if(Link, [](const auto &Item) { return Item.second.empty(); });
   const double Share =
-      Bandwidth[To] * std::chrono::duration<double>(StepTime).count() /
-      static_cast<double>(std::max<std::size_t>(1, Link.size()));
+      Paused.contains(To)
+          ? 0.0
+          : Bandwidth[To] * std::chrono::duration<double>(StepTime).count() /
+                static_cast<double>(std::max<std::size_t>(1, Link.size()));
   std::vector<std::pair<std::size_t, Transfer>> Done;
   std::vector<std::size_t> Lost;
   for (auto &[From, Waiting] : Link) {
@@ -667,7 +676,7 @@
 void FleetNetwork::failUnansweredCalls() {
   std::vector<UnansweredCall> Due;
   std::erase_if(Unanswered, [&](const UnansweredCall &Item) {
-    if (Now < Item.Until)
+    if (Now < Item.Until || Paused.contains(Item.Caller))
       return false;
     Due.push_back(Item);
     return true;
@@ -698,9 +707,9 @@
   timeOutAttempts();
   answerCalls();
   restartUpstreams();
-  for (const std::unique_ptr<Node> &Item : Nodes)
-    if (Item->Core)
-      Item->Core->runTimers(Now);
+  for (std::size_t Index = 0; Index < size(); ++Index)
+    if (Nodes[Index]->Core && !Paused.contains(Index))
+      Nodes[Index]->Core->runTimers(Now);
 }
 
 void FleetNetwork::runFor(Duration Time) {
--- a/test/support/FleetNetwork.h
+++ b/test/support/FleetNetwork.h
@@ -144,6 +144,10 @@
   /// them again.
   void setPeersUnreachable(std::size_t Index, bool IsUnreachable);
 
+  /// \brief Stops the process of an instance, which reads what arrived
+  /// meanwhile once it continues.
+  void setPaused(std::size_t Index, bool IsPaused);
+
   /// \brief Lets an instance's connections to upstreams time out, as behind a
   /// full link.
   void setLinkFull(std::size_t Index, bool IsFull);
@@ -301,6 +305,7 @@
   std::set<std::size_t> WithoutStore;
   std::set<std::size_t> WithoutPeers;
   std::set<std::size_t> FullLinks;
+  std::set<std::size_t> Paused;
   /// Attempts behind a full link, and when they time out.
   std::deque<std::tuple<TimePoint, std::size_t, AttemptId>> TimingOut;
   std::vector<UnansweredCall> Unanswered;
