Keep the stronger evidence where instances record the same suspect

Instances that knew different crashes of one suspect would have replaced each other's record by turns, each half a second, and an instance without evidence of its own would have dropped what the record held of a suspect that it knew by a single crash. The stronger side stays now; what an answer or an operator cleared is removed.

Found by reading. Renames some members whose names said too little.

--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -491,6 +491,15 @@
   return All;
 }
 
+bool PartQuarantine::cleared(PartId Part) const {
+  const auto Found = Entries.find(Part);
+  if (Found == Entries.end())
+    return false;
+  const Entry &Item = Found->second;
+  return Item.Crashes.empty() && !Item.QuarantinedAt &&
+         (Item.AnsweredAt || Item.LiftedUntil != TimePoint());
+}
+
 void PartQuarantine::restore(const SuspectEvidence &Evidence, TimePoint Now) {
   Entry *Item = entryFor(Evidence.Suspect, Now);
   if (Item == nullptr || Now < Item->LiftedUntil)
@@ -530,7 +539,7 @@
   Item->TrialsMade = std::max(Item->TrialsMade, Evidence.TrialsMade);
 }
 
-PartNews PartQuarantine::evidence(TimePoint Now) const {
+PartNews PartQuarantine::catchUpNews(TimePoint Now) const {
   using Ranked = std::tuple<std::size_t, TimePoint, PartId>;
   std::vector<Ranked> Suspects;
   for (const auto &[Part, Item] : Entries)
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -162,14 +162,14 @@
   lastingEvidence(TimePoint Now) const;
   /// \returns how often such evidence may have changed so far.
   [[nodiscard]] std::uint64_t lastingChanges() const { return LastingChanges; }
-  /// \returns whether anything is stored about a suspect, such as an answer
-  /// that refutes earlier evidence.
-  [[nodiscard]] bool knows(PartId Part) const { return Entries.contains(Part); }
+  /// \returns whether an answer or an operator cleared a suspect of all
+  /// evidence.
+  [[nodiscard]] bool cleared(PartId Part) const;
   /// \brief Adds evidence from before a restart, unless it was refuted since.
   void restore(const SuspectEvidence &Evidence, TimePoint Now);
   /// \returns the evidence in force, the strongest and latest first if there is
   /// too much for a message, for a peer to which messages were lost.
-  [[nodiscard]] PartNews evidence(TimePoint Now) const;
+  [[nodiscard]] PartNews catchUpNews(TimePoint Now) const;
 
 private:
   struct Crash : CrashRecord {
--- a/bronzeward/src/Relay/StreamOriginAgent.cpp
+++ b/bronzeward/src/Relay/StreamOriginAgent.cpp
@@ -122,7 +122,7 @@
 
 void StreamOriginAgent::onMembersChanged(TimePoint Now) {
   const std::vector<Member> &Members = Deps.Members.members();
-  const std::vector<Member> Before = std::exchange(Replicating, Members);
+  const std::vector<Member> Before = std::exchange(ReplicatedMembers, Members);
   std::map<InstanceId, std::uint64_t> LivesBefore;
   std::set<InstanceId> Left;
   for (const Member &Item : Before)
--- a/bronzeward/src/Relay/StreamOriginAgent.h
+++ b/bronzeward/src/Relay/StreamOriginAgent.h
@@ -165,7 +165,7 @@
   std::uint64_t VersionsSeen = 0;
   std::map<InstanceId, std::vector<StreamOrigin>> Outbox;
   /// List of members according to which streams are replicated.
-  std::vector<Member> Replicating;
+  std::vector<Member> ReplicatedMembers;
   /// Peers to which messages were lost since they were last heard.
   std::set<InstanceId> Unreached;
   bool Recalled = false;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -628,7 +628,7 @@
 }
 
 void FleetCore::resendPartNews(const InstanceId &Peer, TimePoint Now) {
-  PartNews News = Engine.partQuarantine().evidence(Now);
+  PartNews News = Engine.partQuarantine().catchUpNews(Now);
   if (!News.Crashes.empty())
     Deps.Peers.send(Peer, std::move(News));
 }
@@ -731,7 +731,7 @@
 void FleetCore::onPeerMessage(const InstanceId &From,
                               const PeerMessage &Message, TimePoint Now) {
   LastHeardAt[From] = Now;
-  if (PartNewsLost.erase(From) > 0)
+  if (PeersMissingPartNews.erase(From) > 0)
     resendPartNews(From, Now);
   if (const auto *Digest = std::get_if<PeerDigest>(&Message))
     onDigest(From, *Digest, Now);
@@ -756,7 +756,7 @@
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
   Limits.onPeerUnreachable(Peer);
   Origins.onPeerUnreachable(Peer);
-  PartNewsLost.insert(Peer);
+  PeersMissingPartNews.insert(Peer);
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -289,7 +289,7 @@
   bool PartNewsScheduled = false;
   /// Peers to which messages were lost since they were last told all evidence
   /// of crashes.
-  std::set<InstanceId> PartNewsLost;
+  std::set<InstanceId> PeersMissingPartNews;
   bool EvacuationNewsScheduled = false;
   /// Until then, the instance is not ready because of its own congestion.
   TimePoint CongestedUntil;
--- a/bronzeward/src/Router/SuspectRecord.cpp
+++ b/bronzeward/src/Router/SuspectRecord.cpp
@@ -83,25 +83,37 @@
   }
 }
 
-SuspectRecord::Summary SuspectRecord::summaryOf(const SuspectEvidence &Item) {
-  return {Item.Crashes.size(), Item.QuarantineAge.has_value(), Item.TrialsMade};
+SuspectRecord::Weight SuspectRecord::weightOf(const SuspectEvidence &Item) {
+  return {Item.QuarantineAge.has_value(), Item.TrialsMade, Item.Crashes.size()};
 }
 
 bool SuspectRecord::outdated(TimePoint Now) const {
-  std::map<PartId, Summary> Known;
   for (const SuspectEvidence &Item : Deps.Parts.lastingEvidence(Now)) {
     const auto Found = Recorded.find(Item.Suspect);
-    const bool Differs =
-        Found == Recorded.end() || Found->second != summaryOf(Item);
-    if (Item.Own && Differs)
+    if (Item.Own && (Found == Recorded.end() || Found->second < weightOf(Item)))
       return true;
-    Known.emplace(Item.Suspect, summaryOf(Item));
   }
-  return std::ranges::any_of(Recorded, [&](const auto &Item) {
-    return Deps.Parts.knows(Item.first) && !Known.contains(Item.first);
+  return std::ranges::any_of(Recorded, [this](const auto &Item) {
+    return Deps.Parts.cleared(Item.first);
   });
 }
 
+std::vector<SuspectEvidence>
+SuspectRecord::merged(const std::vector<SuspectEvidence> &Read,
+                      TimePoint Now) const {
+  std::vector<SuspectEvidence> All = Deps.Parts.lastingEvidence(Now);
+  for (const SuspectEvidence &Item : Read) {
+    const auto Own =
+        std::ranges::find(All, Item.Suspect, &SuspectEvidence::Suspect);
+    if (Own != All.end() && weightOf(*Own) < weightOf(Item))
+      *Own = Item;
+    else if (Own == All.end() && All.size() < MaxSuspects &&
+             !Deps.Parts.cleared(Item.Suspect))
+      All.push_back(Item);
+  }
+  return All;
+}
+
 void SuspectRecord::update(TimePoint Now) {
   if (!Loaded) {
     if (!Busy && Now >= NextCall)
@@ -153,40 +165,32 @@
   remember(Read);
   ChangesSeen = Deps.Parts.lastingChanges();
   Outdated = outdated(Now);
-  std::erase_if(Read, [this](const SuspectEvidence &Item) {
-    return Deps.Parts.knows(Item.Suspect);
-  });
   if (Outdated)
-    write(Revision, Read, Now);
+    write(Revision, merged(Read, Now), Now);
 }
 
 void SuspectRecord::write(std::uint64_t ExpectedRevision,
-                          const std::vector<SuspectEvidence> &Others,
-                          TimePoint Now) {
+                          std::vector<SuspectEvidence> Due, TimePoint Now) {
   Busy = true;
-  std::vector<SuspectEvidence> Due = Deps.Parts.lastingEvidence(Now);
-  for (const SuspectEvidence &Item : Others)
-    if (Due.size() < MaxSuspects)
-      Due.push_back(Item);
-  Deps.Store.call(CompareAndSwap{SuspectsKey,
-                                 encodeSuspects(Due, Deps.Wall.wallNow()),
-                                 ExpectedRevision, StoreLeaseId{}},
-                  Now, [this, Due](const StoreReply &Reply, TimePoint At) {
-                    Busy = false;
-                    if (Reply.Status != StoreStatus::Ok) {
-                      postpone(At);
-                      return;
-                    }
-                    NextCall = At + WritePeriod;
-                    remember(Due);
-                    Outdated = outdated(At);
-                  });
+  const std::string Text = encodeSuspects(Due, Deps.Wall.wallNow());
+  Deps.Store.call(
+      CompareAndSwap{SuspectsKey, Text, ExpectedRevision, StoreLeaseId{}}, Now,
+      [this, Due = std::move(Due)](const StoreReply &Reply, TimePoint At) {
+        Busy = false;
+        if (Reply.Status != StoreStatus::Ok) {
+          postpone(At);
+          return;
+        }
+        NextCall = At + WritePeriod;
+        remember(Due);
+        Outdated = outdated(At);
+      });
 }
 
 void SuspectRecord::remember(const std::vector<SuspectEvidence> &Suspects) {
   Recorded.clear();
   for (const SuspectEvidence &Item : Suspects)
-    Recorded.emplace(Item.Suspect, summaryOf(Item));
+    Recorded.emplace(Item.Suspect, weightOf(Item));
 }
 
 void SuspectRecord::postpone(TimePoint Now) {
--- a/bronzeward/src/Router/SuspectRecord.h
+++ b/bronzeward/src/Router/SuspectRecord.h
@@ -48,24 +48,26 @@
   [[nodiscard]] bool loaded() const { return Loaded; }
 
 private:
-  /// What the record says of a suspect, as far as changes of it are written.
-  struct Summary {
-    std::size_t Crashes = 0;
+  /// The weight of the evidence against a suspect; the greater one is recorded.
+  struct Weight {
     bool Quarantined = false;
     int TrialsMade = 0;
-    bool operator==(const Summary &) const = default;
+    std::size_t Crashes = 0;
+    auto operator<=>(const Weight &) const = default;
   };
 
-  [[nodiscard]] static Summary summaryOf(const SuspectEvidence &Item);
+  [[nodiscard]] static Weight weightOf(const SuspectEvidence &Item);
   /// \returns whether the record lacks evidence that this instance has to
-  /// write, or holds some that is refuted.
+  /// write, or holds some that was cleared.
   [[nodiscard]] bool outdated(TimePoint Now) const;
   void read(TimePoint Now);
   void onRead(const StoreReply &Reply, TimePoint Now);
-  /// \param Others evidence in the record about which this instance knows
-  /// nothing.
-  void write(std::uint64_t ExpectedRevision,
-             const std::vector<SuspectEvidence> &Others, TimePoint Now);
+  /// \returns the evidence of this instance and of the record, where neither
+  /// side loses what the other does not know.
+  [[nodiscard]] std::vector<SuspectEvidence>
+  merged(const std::vector<SuspectEvidence> &Read, TimePoint Now) const;
+  void write(std::uint64_t ExpectedRevision, std::vector<SuspectEvidence> Due,
+             TimePoint Now);
   void remember(const std::vector<SuspectEvidence> &Suspects);
   void postpone(TimePoint Now);
 
@@ -76,7 +78,7 @@
   std::uint64_t ChangesSeen = 0;
   bool Outdated = false;
   TimePoint NextCall;
-  std::map<PartId, Summary> Recorded;
+  std::map<PartId, Weight> Recorded;
 };
 
 /// @}
