Bound what is repeated to peers whose messages were lost

Behind a full link, messages to a peer are lost again and again, and each loss repeated up to 256 suspects or 4,096 streams to it. Repetitions to one peer are 2 s and 5 s apart now, and name 64 suspects at most.

--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -50,6 +50,8 @@
 constexpr std::size_t MaxCrashes = 16;
 /// Maximum number of parts in one message, over all its lists.
 constexpr std::size_t MaxPartsInMessage = 256;
+/// Maximum number of suspects of which a peer is told that may lack evidence.
+constexpr std::size_t MaxPartsToCatchUp = 64;
 /// Maximum number of suspects whose evidence outlasts the instances, and of
 /// crashes for each.
 constexpr std::size_t MaxLasting = 128;
@@ -546,7 +548,7 @@
     if (!Item.Crashes.empty())
       Suspects.emplace_back(std::min(Item.Crashes.size(), CrashesToSuspect),
                             Item.Crashes.back().LearnedAt, Part);
-  const std::size_t Count = std::min(Suspects.size(), MaxPartsInMessage);
+  const std::size_t Count = std::min(Suspects.size(), MaxPartsToCatchUp);
   std::partial_sort(Suspects.begin(),
                     Suspects.begin() + static_cast<std::ptrdiff_t>(Count),
                     Suspects.end(), std::greater<>());
--- a/bronzeward/src/Relay/StreamOriginAgent.cpp
+++ b/bronzeward/src/Relay/StreamOriginAgent.cpp
@@ -17,6 +17,8 @@
 /// maximum number in one message.
 constexpr std::size_t MaxReplicatedAgain = 4096;
 constexpr std::size_t MaxStreamsPerNotice = 1024;
+/// Time between two repetitions of streams to one peer.
+constexpr Duration RepeatPeriod = 5s;
 /// An instance is hardly ever a replica of a stream for which more than this
 /// multiple of ReplicaCount instances are expected to rank before it.
 constexpr std::uint64_t RankMargin = 8;
@@ -144,6 +146,15 @@
     recall();
 }
 
+void StreamOriginAgent::repeatTo(const InstanceId &Peer, TimePoint Now) {
+  const auto Found = Repeats.find(Peer);
+  if (Found == Repeats.end() || !Found->second.Due ||
+      Now < Found->second.NotBefore)
+    return;
+  Found->second = {false, Now + RepeatPeriod};
+  replicateAgain(Deps.Members.members(), {Peer}, {}, Now);
+}
+
 void StreamOriginAgent::recall() {
   Recalled = true;
   for (const Member &Item : Deps.Members.members())
@@ -257,8 +268,8 @@
 void StreamOriginAgent::onPeerMessage(const InstanceId &From,
                                       const PeerMessage &Message,
                                       TimePoint Now) {
-  const bool WasUnreached = Unreached.erase(From) > 0;
-  if (WasUnreached || std::holds_alternative<StreamOriginRecall>(Message))
+  repeatTo(From, Now);
+  if (std::holds_alternative<StreamOriginRecall>(Message))
     replicateAgain(Deps.Members.members(), {From}, {}, Now);
   if (const auto *Notice = std::get_if<StreamOriginNotice>(&Message)) {
     for (const StreamOrigin &Begun : Notice->Streams)
--- a/bronzeward/src/Relay/StreamOriginAgent.h
+++ b/bronzeward/src/Relay/StreamOriginAgent.h
@@ -90,7 +90,7 @@
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now);
   /// \brief Called when messages to a peer were lost.
-  void onPeerUnreachable(const InstanceId &Peer) { Unreached.insert(Peer); }
+  void onPeerUnreachable(const InstanceId &Peer) { Repeats[Peer].Due = true; }
 
   /// \returns the versions at which a new stream may begin now.
   [[nodiscard]] std::vector<VersionId> startable(const ServiceName &Service,
@@ -136,6 +136,9 @@
   void replicateAgain(const std::vector<Member> &Before,
                       const std::set<InstanceId> &Empty,
                       const std::set<InstanceId> &Left, TimePoint Now);
+  /// Replicates streams again to a peer that is heard after messages to it were
+  /// lost.
+  void repeatTo(const InstanceId &Peer, TimePoint Now);
   /// Asks the other members for the streams that this instance has to remember.
   void recall();
   void flush();
@@ -166,8 +169,13 @@
   std::map<InstanceId, std::vector<StreamOrigin>> Outbox;
   /// List of members according to which streams are replicated.
   std::vector<Member> ReplicatedMembers;
-  /// Peers to which messages were lost since they were last heard.
-  std::set<InstanceId> Unreached;
+  /// Peers to which messages were lost, and when streams may be repeated to
+  /// them, as their links may be full.
+  struct Repetition {
+    bool Due = false;
+    TimePoint NotBefore;
+  };
+  std::map<InstanceId, Repetition> Repeats;
   bool Recalled = false;
   std::vector<InstanceId> Watchers;
   std::map<std::uint64_t, Search> Searches;
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -32,6 +32,9 @@
 constexpr Duration PeerTimeout = 2s;
 /// Longest time by which a list of instances lags behind the store.
 constexpr Duration StaleListAge = 3s;
+/// Time between two repetitions of evidence to one peer, whose link may be
+/// full.
+constexpr Duration CatchUpPeriod = 2s;
 /// Time between two digests of a watcher to its followers.
 constexpr Duration FollowerDigestPeriod = 1s;
 /// Time for which changes are collected before they are sent in one batch.
@@ -627,7 +630,12 @@
     Deps.Peers.send(Peer, News);
 }
 
-void FleetCore::resendPartNews(const InstanceId &Peer, TimePoint Now) {
+void FleetCore::catchUp(const InstanceId &Peer, TimePoint Now) {
+  const auto Found = CatchUps.find(Peer);
+  if (Found == CatchUps.end() || !Found->second.Due ||
+      Now < Found->second.NotBefore)
+    return;
+  Found->second = {false, Now + CatchUpPeriod};
   PartNews News = Engine.partQuarantine().catchUpNews(Now);
   if (!News.Crashes.empty())
     Deps.Peers.send(Peer, std::move(News));
@@ -731,8 +739,7 @@
 void FleetCore::onPeerMessage(const InstanceId &From,
                               const PeerMessage &Message, TimePoint Now) {
   LastHeardAt[From] = Now;
-  if (PeersMissingPartNews.erase(From) > 0)
-    resendPartNews(From, Now);
+  catchUp(From, Now);
   if (const auto *Digest = std::get_if<PeerDigest>(&Message))
     onDigest(From, *Digest, Now);
   else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
@@ -756,7 +763,7 @@
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
   Limits.onPeerUnreachable(Peer);
   Origins.onPeerUnreachable(Peer);
-  PeersMissingPartNews.insert(Peer);
+  CatchUps[Peer].Due = true;
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -197,8 +197,9 @@
   /// Sends what was learned about prompt parts to some peers at once, so that
   /// it spreads from peer to peer.
   void sendPartNews(TimePoint Now);
-  /// Repeats the evidence of crashes to a peer to which messages were lost.
-  void resendPartNews(const InstanceId &Peer, TimePoint Now);
+  /// Repeats the evidence of crashes to a peer that is heard again after
+  /// messages to it were lost.
+  void catchUp(const InstanceId &Peer, TimePoint Now);
   void sendLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
@@ -287,9 +288,13 @@
   TimePoint NextStoreReport;
   std::optional<TimePoint> HousekeepingDue;
   bool PartNewsScheduled = false;
-  /// Peers to which messages were lost since they were last told all evidence
-  /// of crashes.
-  std::set<InstanceId> PeersMissingPartNews;
+  /// Peers to which messages were lost. Each may lack evidence of crashes,
+  /// which is repeated from some time on.
+  struct CatchUp {
+    bool Due = false;
+    TimePoint NotBefore;
+  };
+  std::map<InstanceId, CatchUp> CatchUps;
   bool EvacuationNewsScheduled = false;
   /// Until then, the instance is not ready because of its own congestion.
   TimePoint CongestedUntil;
