Do not take an announced shutdown for a crash

An answer of another upstream at the address proves that a silent upstream has ended. It counted also where the upstream had announced its shutdown, after which its address may be reused at once: contents whose callers had given up there would have been suspects of a crash. Only upstreams that are still usable by the list count now, as for vanished entries.

Found by reading. RelayEngine failed before (a crash was counted for an upstream that was no longer usable) and passes now.

--- a/bronzeward/src/Relay/RelayEngine.cpp
+++ b/bronzeward/src/Relay/RelayEngine.cpp
@@ -515,7 +515,9 @@
   // What another upstream at the address says does not concern this one, but
   // shows that its process has ended.
   if (Item->Head->Misdirected) {
-    Crashes.onVanished(Item->Upstream, "another answers at its address", Now);
+    // An upstream that announced its shutdown is no longer usable.
+    if (Pool.find(Item->Upstream) != nullptr)
+      Crashes.onVanished(Item->Upstream, "another answers at its address", Now);
   } else {
     Crashes.onHeard(Item->Upstream);
     if (Item->Head->Load)
--- a/test/RelayEngineTest.cpp
+++ b/test/RelayEngineTest.cpp
@@ -721,6 +721,19 @@
   CHECK(News.Crashes.front().Parts.size() == 1);
 }
 
+TEST_CASE("An upstream that announced its shutdown did not crash",
+          "[RelayEngine]") {
+  RelayFixture Fixture;
+  Fixture.addUpstreams(1);
+  Fixture.request("/post/x", "same");
+  Fixture.wait(6s);
+  Fixture.request("/post/y");
+  REQUIRE(Fixture.Calls.size() == 2);
+  Fixture.Engine.setUsable({}, Fixture.Now);
+  Fixture.head(421, {{"Not-Run", "1"}, {"Misdirected", "1"}});
+  CHECK_FALSE(Fixture.Engine.partQuarantine().hasUnsent());
+}
+
 // Guards against a part that crashes upstreams late in their answers.
 TEST_CASE("A call is a suspect at any time of its answer", "[RelayEngine]") {
   RelayFixture Fixture;
