Share the store's records, name suspects apart and move reports out

VersionRecord and SuspectRecord each read a key and wrote it by compare and swap; StoreRecord does that for both. When to repeat state to a peer whose messages were lost is decided by PeerRepetitions.

--- a/bronzeward/src/Relay/PartQuarantine.cpp
+++ b/bronzeward/src/Relay/PartQuarantine.cpp
@@ -1,16 +1,12 @@
 #include "bronzeward/src/Relay/PartQuarantine.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <functional>
 #include <tuple>
 #include <utility>
 
 namespace bronzeward {
 
-/// Set in suspects that are whole contents.
-constexpr PartId ContentBit = PartId{1} << 63U;
 /// Crashes at different times after which a part is quarantined, and after
 /// which a call with it is not repeated.
 constexpr std::size_t CrashesToQuarantine = 3;
@@ -56,17 +52,6 @@
 /// crashes for each.
 constexpr std::size_t MaxLasting = 128;
 constexpr std::size_t MaxLastingCrashes = 6;
-/// Prefixes of the names under which operators see suspects.
-constexpr std::string_view PartPrefix = "part-";
-constexpr std::string_view ContentPrefix = "content-";
-
-PartId suspectOfPart(std::uint64_t Part) { return Part & ~ContentBit; }
-
-PartId suspectOfContent(const ContentFingerprint &Content) {
-  return hash64(Content.Value) | ContentBit;
-}
-
-bool isContent(PartId Suspect) { return (Suspect & ContentBit) != 0; }
 
 std::string nameOf(CrashVerdict Verdict) {
   switch (Verdict) {
@@ -167,7 +152,8 @@
   if (Item->QuarantinedAt && Item->TrialsLeft < MaxTrials &&
       Seen.At >= *Item->QuarantinedAt) {
     Item->TrialsLeft = 0;
-    Item->TrialsMade = Item->TrialsMade > 0 ? MaxTrials : 0;
+    if (Item->TrialsMade > 0)
+      Item->TrialsMade = MaxTrials;
     ++LastingChanges;
   }
   std::vector<Crash> &Crashes = Item->Crashes;
@@ -564,29 +550,4 @@
   return News;
 }
 
-ContentFingerprint fingerprintOf(PartId Part) {
-  const std::string_view Prefix = isContent(Part) ? ContentPrefix : PartPrefix;
-  std::array<char, 16> Digits{};
-  const std::to_chars_result End = std::to_chars(
-      Digits.data(), Digits.data() + Digits.size(), Part & ~ContentBit, 16);
-  return ContentFingerprint{std::string(Prefix) +
-                            std::string(Digits.data(), End.ptr)};
-}
-
-std::optional<PartId> partOf(const ContentFingerprint &Fingerprint) {
-  const std::string_view Text = Fingerprint.Value;
-  const bool Content = Text.starts_with(ContentPrefix);
-  if (!Content && !Text.starts_with(PartPrefix))
-    return std::nullopt;
-  const std::size_t Skipped =
-      Content ? ContentPrefix.size() : PartPrefix.size();
-  PartId Part = 0;
-  const char *End = Text.data() + Text.size();
-  const std::from_chars_result Parsed =
-      std::from_chars(Text.data() + Skipped, End, Part, 16);
-  if (Parsed.ec != std::errc() || Parsed.ptr != End)
-    return std::nullopt;
-  return Content ? Part | ContentBit : Part;
-}
-
 } // namespace bronzeward
--- a/bronzeward/src/Relay/PartQuarantine.h
+++ b/bronzeward/src/Relay/PartQuarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bronzeward/src/Budget/PeerPort.h"
+#include "bronzeward/src/Relay/CrashSuspect.h"
 
 #include <cstdint>
 #include <map>
@@ -10,23 +11,6 @@
 
 namespace bronzeward {
 
-/// \ingroup Relay
-/// \brief Identifier of a suspect: a prompt part or a whole content, told apart
-/// by the highest bit.
-using PartId = std::uint64_t;
-
-/// \ingroup Relay
-/// \returns the suspect for a prompt part, see \ref PromptPart.
-[[nodiscard]] PartId suspectOfPart(std::uint64_t Part);
-
-/// \ingroup Relay
-/// \returns the suspect for the whole content of a call.
-[[nodiscard]] PartId suspectOfContent(const ContentFingerprint &Content);
-
-/// \ingroup Relay
-/// \returns whether a suspect is the whole content of a call.
-[[nodiscard]] bool isContent(PartId Suspect);
-
 /// \ingroup Relay
 /// \brief Whether a crash counts against a suspect, and if not, why.
 enum class CrashVerdict {
@@ -238,13 +222,4 @@
   std::size_t UnsentParts = 0;
 };
 
-/// \ingroup Relay
-/// \returns the name under which operators see a quarantined suspect.
-[[nodiscard]] ContentFingerprint fingerprintOf(PartId Part);
-
-/// \ingroup Relay
-/// \returns the suspect with that name; nothing if it names none.
-[[nodiscard]] std::optional<PartId>
-partOf(const ContentFingerprint &Fingerprint);
-
 } // namespace bronzeward
--- a/bronzeward/src/Router/FleetCore.cpp
+++ b/bronzeward/src/Router/FleetCore.cpp
@@ -1,5 +1,7 @@
 #include "bronzeward/src/Router/FleetCore.h"
 
+#include "bronzeward/src/Router/FleetReports.h"
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -34,7 +36,7 @@
 constexpr Duration StaleListAge = 3s;
 /// Time between two repetitions of evidence to one peer, whose link may be
 /// full.
-constexpr Duration CatchUpPeriod = 2s;
+constexpr Duration PartNewsRepeatPeriod = 2s;
 /// Time between two digests of a watcher to its followers.
 constexpr Duration FollowerDigestPeriod = 1s;
 /// Time for which changes are collected before they are sent in one batch.
@@ -61,8 +63,6 @@
 constexpr Duration ReportedDelay = 250ms;
 /// Time between two log lines with the counts of store calls.
 constexpr Duration StoreReportPeriod = 10s;
-/// Workspaces that are named in one log line about lost grants.
-constexpr std::size_t MaxLostGrantsNamed = 16;
 /// Time between two returns of excess budget.
 constexpr Duration ReturnPeriod = 1s;
 /// Time after the start of a drain, at most, for which all calls are admitted.
@@ -122,7 +122,8 @@
                                RandomSource, PlatformCodecs.Calls, Members,
                                Limits}),
       StoredSuspects({Store, RandomSource, Dependencies.Log, Dependencies.Wall,
-                      Engine.partQuarantine()}) {
+                      Engine.partQuarantine()}),
+      PartNewsRepetitions(PartNewsRepeatPeriod) {
   Engine.notify(*this);
   Engine.limitVersions(Origins);
   Engine.limitBufferedBytes(Policy.MaxBufferedBytes);
@@ -630,12 +631,7 @@
     Deps.Peers.send(Peer, News);
 }
 
-void FleetCore::catchUp(const InstanceId &Peer, TimePoint Now) {
-  const auto Found = CatchUps.find(Peer);
-  if (Found == CatchUps.end() || !Found->second.Due ||
-      Now < Found->second.NotBefore)
-    return;
-  Found->second = {false, Now + CatchUpPeriod};
+void FleetCore::repeatPartNews(const InstanceId &Peer, TimePoint Now) {
   PartNews News = Engine.partQuarantine().catchUpNews(Now);
   if (!News.Crashes.empty())
     Deps.Peers.send(Peer, std::move(News));
@@ -739,7 +735,8 @@
 void FleetCore::onPeerMessage(const InstanceId &From,
                               const PeerMessage &Message, TimePoint Now) {
   LastHeardAt[From] = Now;
-  catchUp(From, Now);
+  if (PartNewsRepetitions.onHeard(From, Now))
+    repeatPartNews(From, Now);
   if (const auto *Digest = std::get_if<PeerDigest>(&Message))
     onDigest(From, *Digest, Now);
   else if (const auto *Text = std::get_if<ConfigurationText>(&Message))
@@ -763,7 +760,7 @@
 void FleetCore::onPeerUnreachable(const InstanceId &Peer, TimePoint Now) {
   Limits.onPeerUnreachable(Peer);
   Origins.onPeerUnreachable(Peer);
-  CatchUps[Peer].Due = true;
+  PartNewsRepetitions.onLost(Peer);
   if (Budgets)
     Budgets->onPeerUnreachable(Peer, Now);
 }
@@ -800,62 +797,12 @@
   if (Now < NextStoreReport)
     return;
   NextStoreReport = Now + StoreReportPeriod;
-  const StoreCounters &Counters = Store.counters();
-  Deps.Log.onEvent("store-calls",
-                   "reads " + std::to_string(Counters.Reads) + " lists " +
-                       std::to_string(Counters.Lists) + " watches " +
-                       std::to_string(Counters.Watches) + " writes " +
-                       std::to_string(Counters.Writes) + " leases " +
-                       std::to_string(Counters.Leases) + " renewals " +
-                       std::to_string(Counters.Renewals) + " failures " +
-                       std::to_string(Counters.Failures) + " timeouts " +
-                       std::to_string(Counters.Timeouts) + " lost replies " +
-                       std::to_string(Counters.RepliesLost) +
-                       " since the start");
-  Deps.Log.onEvent("peer-configurations",
-                   "sent " + std::to_string(Texts.Sent) + " received " +
-                       std::to_string(Texts.Received) + " known " +
-                       std::to_string(Texts.Known) + " since the start");
+  logStoreCalls(Store.counters(), Deps.Log);
+  logConfigurationTexts(Texts, Deps.Log);
   if (const std::string Refused = Engine.takeRefusals(); !Refused.empty())
     Deps.Log.onEvent("refusals", Refused);
   if (Budgets)
-    reportBudgets(Now);
-}
-
-void FleetCore::reportBudgets(TimePoint Now) {
-  const LoanCounters &Loans = Budgets->loanCounters();
-  const auto OldestMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Budgets->oldestOperationAge(Now));
-  Deps.Log.onEvent("budgets",
-                   "free " + std::to_string(Budgets->free().micros()) +
-                       " pending operations " +
-                       std::to_string(Budgets->pendingOperations()) +
-                       " oldest " + std::to_string(OldestMs.count()) +
-                       " ms, loans requested " +
-                       std::to_string(Loans.Requested) + " received " +
-                       std::to_string(Loans.Received) + " granted " +
-                       std::to_string(Loans.Granted) + " since the start");
-  const CommitCounters Commits = Budgets->commitCounters();
-  if (Commits.Commits + Commits.GivenUp > 0)
-    Deps.Log.onEvent(
-        "commits",
-        std::to_string(Commits.Commits) + " of " +
-            std::to_string(Commits.Operations) + " operations in " +
-            std::to_string(
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    Commits.Busy)
-                    .count()) +
-            " ms, repeated " + std::to_string(Commits.Repeated) +
-            ", operations given up " + std::to_string(Commits.GivenUp) +
-            ", waiting " + std::to_string(Budgets->waitingCommits()));
-  std::string Lost;
-  std::size_t Named = 0;
-  for (const auto &[Workspace, Sum] : Budgets->lostGrants())
-    if (++Named <= MaxLostGrantsNamed)
-      Lost += " " + Workspace.Value + " " + std::to_string(Sum.micros());
-  if (Named > 0)
-    Deps.Log.onEvent("grants-lost",
-                     std::to_string(Named) + " workspaces:" + Lost);
+    logBudgets(*Budgets, Deps.Log, Now);
 }
 
 void FleetCore::reportStart(TimePoint Now) {
--- a/bronzeward/src/Router/FleetCore.h
+++ b/bronzeward/src/Router/FleetCore.h
@@ -197,9 +197,8 @@
   /// Sends what was learned about prompt parts to some peers at once, so that
   /// it spreads from peer to peer.
   void sendPartNews(TimePoint Now);
-  /// Repeats the evidence of crashes to a peer that is heard again after
-  /// messages to it were lost.
-  void catchUp(const InstanceId &Peer, TimePoint Now);
+  /// Repeats the evidence of crashes to a peer that may lack some.
+  void repeatPartNews(const InstanceId &Peer, TimePoint Now);
   void sendLoad(TimePoint Now);
   void onDigest(const InstanceId &From, const PeerDigest &Message,
                 TimePoint Now);
@@ -223,7 +222,6 @@
   /// Logs when the store becomes unreachable or reachable.
   void checkStore(TimePoint Now);
   void reportStoreCalls(TimePoint Now);
-  void reportBudgets(TimePoint Now);
   /// Logs what the start waits for, and when each step was complete.
   void reportStart(TimePoint Now);
   /// Logs when the event loop is behind its timers.
@@ -288,13 +286,8 @@
   TimePoint NextStoreReport;
   std::optional<TimePoint> HousekeepingDue;
   bool PartNewsScheduled = false;
-  /// Peers to which messages were lost. Each may lack evidence of crashes,
-  /// which is repeated from some time on.
-  struct CatchUp {
-    bool Due = false;
-    TimePoint NotBefore;
-  };
-  std::map<InstanceId, CatchUp> CatchUps;
+  /// Peers that may lack evidence of crashes.
+  PeerRepetitions PartNewsRepetitions;
   bool EvacuationNewsScheduled = false;
   /// Until then, the instance is not ready because of its own congestion.
   TimePoint CongestedUntil;
--- a/bronzeward/src/Router/SuspectRecord.cpp
+++ b/bronzeward/src/Router/SuspectRecord.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzeward {
 
@@ -114,77 +115,57 @@
   return All;
 }
 
+SuspectRecord::SuspectRecord(SuspectRecordDependencies Dependencies)
+    : Deps(Dependencies), Stored(SuspectsKey, Dependencies.Store,
+                                 [this](TimePoint At) { postpone(At); }) {}
+
 void SuspectRecord::update(TimePoint Now) {
-  if (!Loaded) {
-    if (!Busy && Now >= NextCall)
-      read(Now);
-    return;
-  }
   const std::uint64_t Changes = Deps.Parts.lastingChanges();
-  if (Changes != ChangesSeen) {
+  if (Loaded && Changes != ChangesSeen) {
     ChangesSeen = Changes;
     Outdated = outdated(Now);
   }
-  if (Outdated && !Busy && Now >= NextCall)
-    read(Now);
+  const bool Due = !Loaded || Outdated;
+  if (Due && !Stored.busy() && Now >= NextCall)
+    Stored.read(Now, [this](const std::optional<std::string> &Text,
+                            TimePoint At) { onRead(Text, At); });
 }
 
-void SuspectRecord::read(TimePoint Now) {
-  Busy = true;
-  Deps.Store.call(
-      ReadKey{SuspectsKey}, Now,
-      [this](const StoreReply &Reply, TimePoint At) { onRead(Reply, At); });
+std::vector<SuspectEvidence>
+SuspectRecord::parse(const std::optional<std::string> &Text) const {
+  if (!Text)
+    return {};
+  Result<std::vector<SuspectEvidence>> Parsed =
+      parseSuspects(*Text, Deps.Wall.wallNow());
+  if (Parsed)
+    return std::move(Parsed).value();
+  // A record that cannot be read is replaced by the next one.
+  Deps.Log.onEvent("crash-suspects-invalid", describe(Parsed.error()));
+  return {};
 }
 
-void SuspectRecord::onRead(const StoreReply &Reply, TimePoint Now) {
-  Busy = false;
-  if (Reply.Status != StoreStatus::Ok) {
-    postpone(Now);
-    return;
-  }
-  std::vector<SuspectEvidence> Read;
-  std::uint64_t Revision = 0;
-  if (!Reply.Entries.empty()) {
-    Revision = Reply.Entries.front().Revision;
-    Result<std::vector<SuspectEvidence>> Parsed =
-        parseSuspects(Reply.Entries.front().Value, Deps.Wall.wallNow());
-    // A record that cannot be read is replaced by the next one.
-    if (Parsed)
-      Read = std::move(Parsed).value();
-    else
-      Deps.Log.onEvent("crash-suspects-invalid", describe(Parsed.error()));
-  }
-  if (!Loaded) {
+void SuspectRecord::onRead(const std::optional<std::string> &Text,
+                           TimePoint Now) {
+  const std::vector<SuspectEvidence> Read = parse(Text);
+  if (!std::exchange(Loaded, true)) {
     for (const SuspectEvidence &Item : Read)
       Deps.Parts.restore(Item, Now);
     if (!Read.empty())
       Deps.Log.onEvent("crash-suspects",
                        std::to_string(Read.size()) + " known from the store");
   }
-  Loaded = true;
   remember(Read);
   ChangesSeen = Deps.Parts.lastingChanges();
   Outdated = outdated(Now);
-  if (Outdated)
-    write(Revision, merged(Read, Now), Now);
-}
-
-void SuspectRecord::write(std::uint64_t ExpectedRevision,
-                          std::vector<SuspectEvidence> Due, TimePoint Now) {
-  Busy = true;
-  const std::string Text = encodeSuspects(Due, Deps.Wall.wallNow());
-  Deps.Store.call(
-      CompareAndSwap{SuspectsKey, Text, ExpectedRevision, StoreLeaseId{}}, Now,
-      [this, Due = std::move(Due)](const StoreReply &Reply, TimePoint At) {
-        Busy = false;
-        if (Reply.Status != StoreStatus::Ok) {
-          postpone(At);
-          return;
-        }
-        NextCall = At + WritePeriod;
-        remember(Due);
-        Outdated = outdated(At);
-      });
+  if (!Outdated)
+    return;
+  const std::vector<SuspectEvidence> Due = merged(Read, Now);
+  Stored.write(encodeSuspects(Due, Deps.Wall.wallNow()), Now,
+               [this, Due](TimePoint At) {
+                 NextCall = At + WritePeriod;
+                 remember(Due);
+                 Outdated = outdated(At);
+               });
 }
 
 void SuspectRecord::remember(const std::vector<SuspectEvidence> &Suspects) {
--- a/bronzeward/src/Router/SuspectRecord.h
+++ b/bronzeward/src/Router/SuspectRecord.h
@@ -38,8 +38,9 @@
 /// crashes.
 class SuspectRecord {
 public:
-  explicit SuspectRecord(SuspectRecordDependencies Dependencies)
-      : Deps(Dependencies) {}
+  explicit SuspectRecord(SuspectRecordDependencies Dependencies);
+  SuspectRecord(const SuspectRecord &) = delete;
+  SuspectRecord &operator=(const SuspectRecord &) = delete;
 
   /// \brief Reads or writes the record if that is due; called periodically and
   /// when the evidence changes.
@@ -60,19 +61,18 @@
   /// \returns whether the record lacks evidence that this instance has to
   /// write, or holds some that was cleared.
   [[nodiscard]] bool outdated(TimePoint Now) const;
-  void read(TimePoint Now);
-  void onRead(const StoreReply &Reply, TimePoint Now);
+  [[nodiscard]] std::vector<SuspectEvidence>
+  parse(const std::optional<std::string> &Text) const;
+  void onRead(const std::optional<std::string> &Text, TimePoint Now);
   /// \returns the evidence of this instance and of the record, where neither
   /// side loses what the other does not know.
   [[nodiscard]] std::vector<SuspectEvidence>
   merged(const std::vector<SuspectEvidence> &Read, TimePoint Now) const;
-  void write(std::uint64_t ExpectedRevision, std::vector<SuspectEvidence> Due,
-             TimePoint Now);
   void remember(const std::vector<SuspectEvidence> &Suspects);
   void postpone(TimePoint Now);
 
   SuspectRecordDependencies Deps;
-  bool Busy = false;
+  StoreRecord Stored;
   bool Loaded = false;
   /// Value of PartQuarantine::lastingChanges() that was compared last.
   std::uint64_t ChangesSeen = 0;
--- a/bronzeward/src/Router/VersionRecord.cpp
+++ b/bronzeward/src/Router/VersionRecord.cpp
@@ -77,8 +77,13 @@
       Now + std::chrono::duration_cast<Duration>(MaxDelay * Deps.Source.unit());
 }
 
+VersionRecord::VersionRecord(VersionRecordDependencies Dependencies)
+    : Deps(Dependencies),
+      Stored(RecordKey, Dependencies.Store,
+             [this](TimePoint At) { postpone(At, MaxWriteDelay); }) {}
+
 void VersionRecord::update(TimePoint Now) {
-  if (Busy || !due()) {
+  if (Stored.busy() || !due()) {
     NextCall.reset();
     return;
   }
@@ -86,25 +91,16 @@
     postpone(Now, differs() ? MaxWriteDelay : MaxReadDelay);
   if (Now < *NextCall)
     return;
-  Busy = true;
   DoubtsAtRead = Deps.Versions.doubts();
-  Deps.Store.call(
-      ReadKey{RecordKey}, Now,
-      [this](const StoreReply &Reply, TimePoint At) { onRead(Reply, At); });
+  Stored.read(Now, [this](const std::optional<std::string> &Text,
+                          TimePoint At) { onRead(Text, At); });
 }
 
-void VersionRecord::onRead(const StoreReply &Reply, TimePoint Now) {
-  Busy = false;
-  if (Reply.Status != StoreStatus::Ok) {
-    postpone(Now, MaxWriteDelay);
-    return;
-  }
+void VersionRecord::onRead(const std::optional<std::string> &Text,
+                           TimePoint Now) {
   RecordedVersions Read;
-  std::uint64_t Revision = 0;
-  if (!Reply.Entries.empty()) {
-    Revision = Reply.Entries.front().Revision;
-    const Result<RecordedVersions> Parsed =
-        parseVersions(Reply.Entries.front().Value);
+  if (Text) {
+    const Result<RecordedVersions> Parsed = parseVersions(*Text);
     if (!Parsed) {
       Deps.Log.onEvent("upstream-versions-invalid", describe(Parsed.error()));
       postpone(Now, MaxWriteDelay);
@@ -114,22 +110,11 @@
   }
   Deps.Versions.onRecordRead(DoubtsAtRead);
   apply(Read, Now);
-  if (differs())
-    write(Revision, Now);
-}
-
-void VersionRecord::write(std::uint64_t ExpectedRevision, TimePoint Now) {
-  Busy = true;
+  if (!differs())
+    return;
   const RecordedVersions Due = Deps.Versions.dueRecord();
-  Deps.Store.call(CompareAndSwap{RecordKey, encodeVersions(Due),
-                                 ExpectedRevision, StoreLeaseId{}},
-                  Now, [this, Due](const StoreReply &Reply, TimePoint At) {
-                    Busy = false;
-                    if (Reply.Status == StoreStatus::Ok)
-                      apply(Due, At);
-                    else
-                      postpone(At, MaxWriteDelay);
-                  });
+  Stored.write(encodeVersions(Due), Now,
+               [this, Due](TimePoint At) { apply(Due, At); });
 }
 
 void VersionRecord::apply(const RecordedVersions &Versions, TimePoint Now) {
--- a/bronzeward/src/Router/VersionRecord.h
+++ b/bronzeward/src/Router/VersionRecord.h
@@ -29,8 +29,9 @@
 /// when a version appears or has ended, or may have done so unseen.
 class VersionRecord {
 public:
-  explicit VersionRecord(VersionRecordDependencies Dependencies)
-      : Deps(Dependencies) {}
+  explicit VersionRecord(VersionRecordDependencies Dependencies);
+  VersionRecord(const VersionRecord &) = delete;
+  VersionRecord &operator=(const VersionRecord &) = delete;
 
   /// \brief Reads or writes the record if that is due; called periodically.
   void update(TimePoint Now);
@@ -41,12 +42,11 @@
   [[nodiscard]] bool due() const;
   /// Schedules the next read at random, so that few instances write at once.
   void postpone(TimePoint Now, Duration MaxDelay);
-  void onRead(const StoreReply &Reply, TimePoint Now);
-  void write(std::uint64_t ExpectedRevision, TimePoint Now);
+  void onRead(const std::optional<std::string> &Text, TimePoint Now);
   void apply(const RecordedVersions &Versions, TimePoint Now);
 
   VersionRecordDependencies Deps;
-  bool Busy = false;
+  StoreRecord Stored;
   std::optional<TimePoint> NextCall;
   /// Value of VersionHistory::doubts() when the latest read began.
   std::uint64_t DoubtsAtRead = 0;
