Ask for streams after a start only where versions are mixed

Each instance asked all others for the streams that it has to remember as soon as it was listed, also while every service had one version and nothing was replicated: messages that grow with the square of the fleet after a loss of all, on deployments that have no resumable route too. Streams that are replicated have a table of their own, so a change of the list of members costs nothing while there are none.

Found by reading. "Nothing is asked after a start while one version serves" failed before (three checks) and passes now; streams go on after restarts one by one as before, also at 40 instances 0.1 s apart.

--- a/bronzeward/src/Relay/StreamOriginAgent.cpp
+++ b/bronzeward/src/Relay/StreamOriginAgent.cpp
@@ -34,7 +34,9 @@
 StreamOriginAgent::StreamOriginAgent(InstanceId Own,
                                      StreamOriginDependencies Dependencies)
     : Self(std::move(Own)), Deps(Dependencies),
-      Known(VersionHistory::StreamLifetime, MaxStreams) {}
+      Known(VersionHistory::StreamLifetime, MaxStreams),
+      Replicated(VersionHistory::StreamLifetime, MaxStreams),
+      Repetitions(RepeatPeriod) {}
 
 static std::uint64_t rankOf(const InstanceId &Instance, StreamKey Stream) {
   return hash64(Instance.Value, Stream.Hash);
@@ -76,6 +78,7 @@
 }
 
 void StreamOriginAgent::onVersionsChanged(TimePoint Now) {
+  recall(Now);
   if (std::exchange(VersionsSeen, Deps.Versions.changes()) ==
       Deps.Versions.changes())
     return;
@@ -86,12 +89,16 @@
     if (Deps.Versions.sole(Item.Service))
       Left.push_back(std::move(Item));
     else
-      replicate(Item.Begun, Now);
+      replicate({Item.Begun.Stream, Item.Begun.Version,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     Now - Item.BegunAt)},
+                Now);
   }
   Unreplicated.swap(Left);
 }
 
 void StreamOriginAgent::replicate(const StreamOrigin &Begun, TimePoint Now) {
+  Replicated.add(Begun, Now);
   for (const InstanceId &Replica :
        replicasOf(Begun.Stream, Deps.Members.members(), ReplicaCount))
     queue(Replica, Begun, Now);
@@ -142,21 +149,20 @@
       Empty.insert(Item.Identity.Instance);
   }
   replicateAgain(Before, Empty, Left, Now);
-  if (!Recalled && Deps.Members.find(Self) != nullptr)
-    recall();
+  recall(Now);
 }
 
-void StreamOriginAgent::repeatTo(const InstanceId &Peer, TimePoint Now) {
-  const auto Found = Repeats.find(Peer);
-  if (Found == Repeats.end() || !Found->second.Due ||
-      Now < Found->second.NotBefore)
+void StreamOriginAgent::recall(TimePoint Now) {
+  if (!RecallDecided && Deps.Members.find(Self) != nullptr) {
+    RecallDecided = true;
+    RecallUntil = Now + VersionHistory::StreamLifetime;
+  }
+  if (!RecallUntil || !Deps.Versions.mixed())
+    return;
+  const bool StreamsFromBeforeStart = Now < *RecallUntil;
+  RecallUntil.reset();
+  if (!StreamsFromBeforeStart)
     return;
-  Found->second = {false, Now + RepeatPeriod};
-  replicateAgain(Deps.Members.members(), {Peer}, {}, Now);
-}
-
-void StreamOriginAgent::recall() {
-  Recalled = true;
   for (const Member &Item : Deps.Members.members())
     if (Item.Identity.Instance != Self)
       Deps.Peers.send(Item.Identity.Instance, StreamOriginRecall{});
@@ -181,16 +187,13 @@
   Changed.erase(Self);
   if (Changed.empty())
     return;
-  std::set<StreamKey> NotReplicated;
-  for (const LocalStream &Item : Unreplicated)
-    NotReplicated.insert(Item.Begun.Stream);
   const std::vector<Member> &Members = Deps.Members.members();
-  for (const StreamOrigin &Item : Known.newest(MaxReplicatedAgain, Now)) {
+  for (const StreamOrigin &Item : Replicated.newest(MaxReplicatedAgain, Now)) {
     const bool Affected =
         std::ranges::any_of(Changed, [&](const InstanceId &Instance) {
           return mayRemember(Instance, Item.Stream, Members.size());
         });
-    if (!Affected || NotReplicated.contains(Item.Stream))
+    if (!Affected)
       continue;
     const std::vector<InstanceId> Old =
         replicasOf(Item.Stream, Before, ReplicaCount);
@@ -268,12 +271,14 @@
 void StreamOriginAgent::onPeerMessage(const InstanceId &From,
                                       const PeerMessage &Message,
                                       TimePoint Now) {
-  repeatTo(From, Now);
-  if (std::holds_alternative<StreamOriginRecall>(Message))
+  if (Repetitions.onHeard(From, Now) ||
+      std::holds_alternative<StreamOriginRecall>(Message))
     replicateAgain(Deps.Members.members(), {From}, {}, Now);
   if (const auto *Notice = std::get_if<StreamOriginNotice>(&Message)) {
-    for (const StreamOrigin &Begun : Notice->Streams)
+    for (const StreamOrigin &Begun : Notice->Streams) {
       Known.add(Begun, Now);
+      Replicated.add(Begun, Now);
+    }
   } else if (const auto *Request = std::get_if<StreamOriginRequest>(&Message)) {
     onRequest(From, *Request, Now);
   } else if (const auto *Reply = std::get_if<StreamOriginReply>(&Message)) {
@@ -306,6 +311,7 @@
   if (Message.Origin) {
     // The stream goes on here, where its caller may look for it again.
     Known.add({Found->second.Stream, *Message.Origin}, Now);
+    Replicated.add({Found->second.Stream, *Message.Origin}, Now);
     Found->second.Origin = Message.Origin;
     conclude(Message.Number, false, Now);
     return;
@@ -369,6 +375,7 @@
 }
 
 void StreamOriginAgent::awaitList(std::uint64_t Number, Search &Item) {
+  // Missing replies are no longer awaited.
   Item.Asked = Item.Replied;
   Item.Timeout = Deps.Timers.schedule(
       Item.BeganAt + ListTimeout,
--- a/bronzeward/src/Relay/StreamOriginAgent.h
+++ b/bronzeward/src/Relay/StreamOriginAgent.h
@@ -2,6 +2,7 @@
 
 #include "bronzeward/src/Budget/Membership.h"
 #include "bronzeward/src/Budget/PeerPort.h"
+#include "bronzeward/src/Relay/PeerRepetitions.h"
 #include "bronzeward/src/Relay/StreamOriginTable.h"
 #include "bronzeward/src/Relay/VersionHistory.h"
 
@@ -82,7 +83,8 @@
   /// \brief Asks some peers for the recorded versions of a service.
   void requestRecord(const ServiceName &Service);
   /// \brief Replicates the streams that began here while all were at one
-  /// version, for services that now may have several; called periodically.
+  /// version, for services that now may have several. Asks for those of other
+  /// instances after the start. Called periodically.
   void onVersionsChanged(TimePoint Now);
   /// \brief Replicates streams to the instances that have to remember them
   /// after a change of the list of members.
@@ -90,7 +92,7 @@
   void onPeerMessage(const InstanceId &From, const PeerMessage &Message,
                      TimePoint Now);
   /// \brief Called when messages to a peer were lost.
-  void onPeerUnreachable(const InstanceId &Peer) { Repeats[Peer].Due = true; }
+  void onPeerUnreachable(const InstanceId &Peer) { Repetitions.onLost(Peer); }
 
   /// \returns the versions at which a new stream may begin now.
   [[nodiscard]] std::vector<VersionId> startable(const ServiceName &Service,
@@ -136,11 +138,9 @@
   void replicateAgain(const std::vector<Member> &Before,
                       const std::set<InstanceId> &Empty,
                       const std::set<InstanceId> &Left, TimePoint Now);
-  /// Replicates streams again to a peer that is heard after messages to it were
-  /// lost.
-  void repeatTo(const InstanceId &Peer, TimePoint Now);
-  /// Asks the other members for the streams that this instance has to remember.
-  void recall();
+  /// Asks the other members for the streams that this instance has to remember,
+  /// once after its start, if services have several versions then.
+  void recall(TimePoint Now);
   void flush();
   void onRequest(const InstanceId &From, const StreamOriginRequest &Message,
                  TimePoint Now);
@@ -163,20 +163,19 @@
   StreamOriginDependencies Deps;
   StreamOriginListener *Listener = nullptr;
   StreamOriginTable Known;
+  /// Those of the known streams that are replicated.
+  StreamOriginTable Replicated;
   std::deque<LocalStream> Unreplicated;
   /// Value of VersionHistory::changes() when Unreplicated was last searched.
   std::uint64_t VersionsSeen = 0;
   std::map<InstanceId, std::vector<StreamOrigin>> Outbox;
   /// List of members according to which streams are replicated.
   std::vector<Member> ReplicatedMembers;
-  /// Peers to which messages were lost, and when streams may be repeated to
-  /// them, as their links may be full.
-  struct Repetition {
-    bool Due = false;
-    TimePoint NotBefore;
-  };
-  std::map<InstanceId, Repetition> Repeats;
-  bool Recalled = false;
+  PeerRepetitions Repetitions;
+  /// Time until which the streams that this instance has to remember are asked
+  /// for; set when the instance is first listed, empty once they were.
+  std::optional<TimePoint> RecallUntil;
+  bool RecallDecided = false;
   std::vector<InstanceId> Watchers;
   std::map<std::uint64_t, Search> Searches;
   std::uint64_t LastSearch = 0;
--- a/bronzeward/src/Relay/VersionHistory.cpp
+++ b/bronzeward/src/Relay/VersionHistory.cpp
@@ -117,6 +117,12 @@
   return OthersListed ? std::nullopt : std::optional(Versions.front());
 }
 
+bool VersionHistory::mixed() const {
+  return std::any_of(Record.begin(), Record.end(), [this](const auto &Item) {
+    return !possible(Item.first).empty() && !sole(Item.first);
+  });
+}
+
 void VersionHistory::onComplete(std::optional<TimePoint> Until) {
   // A version needs the settling time until a stream begins at it, so a shorter
   // gap hides none.
--- a/bronzeward/src/Relay/VersionHistory.h
+++ b/bronzeward/src/Relay/VersionHistory.h
@@ -90,6 +90,8 @@
   /// \returns the time since which changes of the list may be unknown; empty if
   /// the list is not known or the record in doubt.
   [[nodiscard]] std::optional<Duration> uncertainty(TimePoint Now) const;
+  /// \returns whether streams of any service may be of several versions.
+  [[nodiscard]] bool mixed() const;
   /// \returns whether an upstream of that version is listed.
   [[nodiscard]] bool lists(const ServiceName &Service,
                            VersionId Version) const {
--- a/test/StreamVersionsTest.cpp
+++ b/test/StreamVersionsTest.cpp
@@ -312,11 +312,11 @@
 /// after it is killed.
 std::size_t resumedElsewhere(VersionFixture &Fixture,
                              const std::vector<std::uint64_t> &Streams) {
-  Fixture.Fleet.kill(Instances - 1);
+  Fixture.Fleet.kill(Fixture.Fleet.size() - 1);
   std::size_t Resumed = 0;
   for (std::size_t Index = 0; Index < Streams.size(); ++Index) {
     const std::uint64_t Next =
-        Fixture.resume(Index % (Instances - 1), Streams[Index]);
+        Fixture.resume(Index % (Fixture.Fleet.size() - 1), Streams[Index]);
     Resumed += Fixture.versionOf(Next) == Fixture.versionOf(Streams[Index]);
   }
   return Resumed;
@@ -326,14 +326,16 @@
 // instance was not told again which streams it has to remember.
 TEST_CASE("Streams go on after restarts of the instances one by one",
           "[StreamVersions]") {
-  VersionFixture Fixture;
+  const auto [Size, Pause] =
+      GENERATE(std::pair<std::size_t, Duration>(8, 300ms), std::pair(8, 1s),
+               std::pair(8, 3s), std::pair(40, 100ms));
+  VersionFixture Fixture(Size);
   Fixture.add("b");
   Fixture.Fleet.runFor(ChangeTime);
   std::vector<std::uint64_t> Streams;
   while (Streams.size() < 12)
-    Streams.push_back(Fixture.begin(Instances - 1));
-  const Duration Pause = GENERATE(Duration(300ms), Duration(1s), Duration(3s));
-  for (std::size_t Index = 0; Index + 1 < Instances; ++Index) {
+    Streams.push_back(Fixture.begin(Size - 1));
+  for (std::size_t Index = 0; Index + 1 < Size; ++Index) {
     Fixture.Fleet.restart(Index);
     Fixture.Fleet.runFor(Pause);
   }
@@ -441,6 +443,26 @@
   CHECK_FALSE(Fixture.ask().Uncertainty);
 }
 
+TEST_CASE("Nothing is asked after a start while one version serves",
+          "[StreamVersions]") {
+  AgentFixture Fixture;
+  Fixture.list();
+  Fixture.Agent.onVersionsChanged(Fixture.Now);
+  CHECK(Fixture.Sent.empty());
+  Fixture.History.onListed({entryOf(1), entryOf(2)}, Fixture.Now);
+  SECTION("A second version appears, streams from before may run") {
+    Fixture.Agent.onVersionsChanged(Fixture.Now);
+    Fixture.Agent.onVersionsChanged(Fixture.Now + 1s);
+    REQUIRE(Fixture.Sent.size() == 1);
+    CHECK(std::holds_alternative<StreamOriginRecall>(Fixture.Sent.front()));
+  }
+  SECTION("All streams from before the start have ended") {
+    Fixture.Agent.onVersionsChanged(Fixture.Now +
+                                    VersionHistory::StreamLifetime);
+    CHECK(Fixture.Sent.empty());
+  }
+}
+
 TEST_CASE("A further version gets streams once older lists are invalid",
           "[StreamVersions]") {
   const ServiceName Service{"s"};
